Set down the design, the layers and the worker pool

The first commits fix the shape: four layers (transport, protocol, coordination, state), one worker pool over shared tables, and a ranked lock order that is asserted in tests.

--- /dev/null
+++ b/state/lockrank/lockrank_test.go
@@ -0,0 +1,32 @@
+package lockrank
+
+import "testing"
+
+func TestMain(m *testing.M) {
+	EnableChecks()
+	m.Run()
+}
+
+// Guards against a deadlock between two workers that take the same two tables
+// in opposite orders.
+func TestDescendingOrderPanics(t *testing.T) {
+	low, high := New(Config), New(Backends)
+	high.Lock()
+	defer high.Unlock()
+	defer func() {
+		if recover() == nil {
+			t.Fatal("locking a lower rank did not panic")
+		}
+	}()
+	low.Lock()
+}
+
+func TestAscendingOrderIsAllowed(t *testing.T) {
+	low, high := New(Config), New(Backends)
+	for range 2 {
+		low.Lock()
+		high.Lock()
+		high.Unlock()
+		low.Unlock()
+	}
+}
--- /dev/null
+++ b/state/tables.go
@@ -0,0 +1,28 @@
+package state
+
+// Tables are the shared tables of one VM.
+type Tables struct {
+	Self     Self
+	Config   *ConfigTable
+	Sessions *SessionTable
+	Groups   *GroupTable
+	Backends *BackendTable
+}
+
+// Self says who this VM is. It does not change while the process runs.
+type Self struct {
+	Name        string
+	DataCentre  string
+	Incarnation uint64 // higher than that of every earlier process of the same name
+}
+
+// NewTables returns empty tables for a VM.
+func NewTables(self Self) *Tables {
+	return &Tables{
+		Self:     self,
+		Config:   NewConfigTable(),
+		Sessions: NewSessionTable(),
+		Groups:   NewGroupTable(),
+		Backends: NewBackendTable(),
+	}
+}
