--- a/state/lockrank/lockrank_test.go
+++ b/state/lockrank/lockrank_test.go
@@ -23,10 +23,15 @@
 
 func TestAscendingOrderIsAllowed(t *testing.T) {
 	low, high := New(Config), New(Backends)
+	entered := 0
 	for range 2 {
 		low.Lock()
 		high.Lock()
+		entered++
 		high.Unlock()
 		low.Unlock()
 	}
+	if entered != 2 {
+		t.Fatalf("entered %d times, want 2", entered)
+	}
 }
