--- /dev/null
+++ b/coordination/session/decider.go
@@ -0,0 +1,296 @@
+// Package session decides the life of one session and its requests: admission,
+// choice of the backend server, answer, retry and outcome. It knows nothing of
+// the wire protocol: payloads and parts of answers are opaque.
+//
+// A session has at most one request at a time. The caller holds the session's
+// lock during each call and carries out the returned effects in order. Every
+// answer to an effect names the request that asked for it; answers that come
+// late are recognised by that and change nothing.
+package session
+
+import (
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/queueing"
+	"github.com/chestnutdyke/chestnutdyke/coordination/routing"
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+// coverWait is the longest time that a read waits for a replica to reach the
+// position that it must cover before it goes to the primary.
+const coverWait = 5 * time.Millisecond
+
+// maxWriteRefusals bounds how often a request is routed again because the
+// server refused it as a write; after that its answer goes to the client.
+const maxWriteRefusals = 3
+
+// AdmissionKind says whether a request may run now.
+type AdmissionKind int
+
+// Kinds of admissions.
+const (
+	Admitted     AdmissionKind = iota
+	AdmitLater                 // ask again at Admission.At
+	AdmitRefused               // the limit is used up until after the deadline
+)
+
+// Admission is the answer of a Limiter.
+type Admission struct {
+	Kind       AdmissionKind
+	At         time.Time     // with AdmitLater
+	RetryAfter time.Duration // with AdmitRefused; zero if unknown
+}
+
+// Limiter keeps customers inside their limits.
+type Limiter interface {
+	// Take asks for one request of the customer to run. Retry says that an
+	// earlier call for the same request was answered with AdmitLater.
+	Take(customer string, now, deadline time.Time, retry bool) Admission
+}
+
+// Checker decides whether the session may run a request now.
+type Checker interface {
+	// Check returns an outcome of kind Answered if it may.
+	Check(s *state.Session, cfg *state.Config, now time.Time) Outcome
+}
+
+// Options choose between variants of the policy. All but the zero value are
+// baselines for measurements.
+type Options struct {
+	ReadsOnPrimary bool // no read goes to a replica
+	AckOnCommit    bool // writes are acknowledged when the primary has committed; unsafe
+}
+
+// Decider makes the decisions for all sessions of a VM.
+type Decider struct {
+	Tables  *state.Tables
+	Limiter Limiter
+	Checker Checker
+	Options Options
+}
+
+// Arrive starts a request.
+func (d *Decider) Arrive(s *state.Session, r state.Request, now time.Time) []Effect {
+	begin(s, r)
+	cfg := d.Tables.Config.Current()
+	if out := d.Checker.Check(s, cfg, now); out.Kind != Answered {
+		return d.refuseAccess(s, out)
+	}
+	wake := Wake{Request: r.Number, At: r.Deadline}
+	if s.InTransaction && (r.Class == state.ClassEnd || r.Class == state.ClassRollback) {
+		return append([]Effect{wake}, d.send(s)...)
+	}
+	return append([]Effect{wake}, d.admit(s, now, false)...)
+}
+
+// begin resets the per-request fields. The connection, the server and the term
+// of a running transaction stay.
+func begin(s *state.Session, r state.Request) {
+	s.Request = r
+	s.Sent, s.Forwarded, s.Completed, s.MayHaveRun = false, false, false, false
+	s.Attempts, s.Refusals = 0, 0
+	s.Excluded, s.CoverAsked = "", ""
+}
+
+// refuseAccess refuses a request whose session may not run it. The session is
+// closed if its key was refused, or if it could not end its transaction.
+func (d *Decider) refuseAccess(s *state.Session, out Outcome) []Effect {
+	if out.Reason == KeyRefused || s.InTransaction {
+		return d.close(s, out)
+	}
+	return d.refuse(s, out)
+}
+
+func (d *Decider) admit(s *state.Session, now time.Time, retry bool) []Effect {
+	s.Phase = state.PhaseAdmission
+	a := d.Limiter.Take(s.Customer, now, s.Request.Deadline, retry)
+	switch a.Kind {
+	case AdmitLater:
+		return []Effect{Wake{Request: s.Request.Number, At: a.At}}
+	case AdmitRefused:
+		return d.refuse(s, Outcome{Kind: NotRun, Reason: RateExceeded, RetryAfter: a.RetryAfter})
+	}
+	if s.InTransaction {
+		return d.send(s)
+	}
+	if group := d.groupOf(s); group != "" {
+		d.Tables.Backends.WithRetries(group, func(b *state.RetryBudget) { queueing.Earn(b, now) })
+	}
+	return d.route(s, now)
+}
+
+// groupOf returns the database group of the session's route, or an empty name.
+func (d *Decider) groupOf(s *state.Session) string {
+	_, _, group := d.lookup(s)
+	if group == nil {
+		return ""
+	}
+	return group.Name
+}
+
+func (d *Decider) lookup(s *state.Session) (*state.Config, *state.Route, *state.Group) {
+	cfg := d.Tables.Config.Current()
+	if cfg == nil {
+		return nil, nil, nil
+	}
+	route := cfg.Routes[s.Route]
+	if route == nil {
+		return cfg, nil, nil
+	}
+	return cfg, route, cfg.Groups[route.Group]
+}
+
+// route chooses a backend server and asks for a connection to it.
+func (d *Decider) route(s *state.Session, now time.Time) []Effect {
+	cfg, route, group := d.lookup(s)
+	switch {
+	case cfg == nil:
+		return d.refuse(s, Refused(NoConfiguration))
+	case group == nil:
+		return d.refuse(s, Refused(RouteUnknown))
+	}
+	q := d.query(s, cfg, route, group, now)
+	var choice routing.Choice
+	d.Tables.Groups.With(group.Name, func(g *state.GroupState) { choice = routing.Choose(g, q) })
+	switch choice.Kind {
+	case routing.AskPosition:
+		return d.awaitCover(s, q, choice.Server, now)
+	case routing.AwaitPrimary:
+		return d.awaitPrimary(s, group.Name, now)
+	}
+	s.Phase = state.PhaseConnection
+	s.Server, s.TargetsPrimary, s.Term = choice.Server, choice.Primary, choice.Term
+	return []Effect{Acquire{Server: choice.Server, Waiter: d.connWaiter(s, cfg, now)}}
+}
+
+func (d *Decider) query(s *state.Session, cfg *state.Config, route *state.Route, group *state.Group, now time.Time) routing.Query {
+	point, known := s.Token[group.Name]
+	maxAge := s.Request.MaxStaleness
+	if maxAge == 0 {
+		maxAge = s.MaxStaleness
+	}
+	if maxAge == 0 {
+		maxAge = route.MaxStaleness
+	}
+	return routing.Query{
+		Config:         cfg,
+		Group:          group,
+		DataCentre:     d.Tables.Self.DataCentre,
+		Now:            now,
+		Read:           readOnly(s.Request.Class),
+		ReplicaAllowed: known || s.TokenSet,
+		Point:          point,
+		MaxAge:         maxAge,
+		Excluded:       s.Excluded,
+		Asked:          s.CoverAsked,
+		Spread:         s.ID + s.Request.Number,
+		Load:           d.Tables.Backends.Load,
+		PrimaryOnly:    d.Options.ReadsOnPrimary,
+	}
+}
+
+func (d *Decider) connWaiter(s *state.Session, cfg *state.Config, now time.Time) state.ConnWaiter {
+	weight := 1.0
+	if c := cfg.Customers[s.Customer]; c != nil {
+		weight = c.Rate
+	}
+	return state.ConnWaiter{
+		ID:       waiterID(s),
+		Customer: s.Customer,
+		Weight:   weight,
+		Joined:   now,
+		Deadline: s.Request.Deadline,
+	}
+}
+
+func (d *Decider) awaitCover(s *state.Session, q routing.Query, server string, now time.Time) []Effect {
+	s.Phase = state.PhasePosition
+	s.CoverAsked = server
+	return []Effect{Await{Group: q.Group.Name, Waiter: state.PositionWaiter{
+		ID:       waiterID(s),
+		Kind:     state.WaitCover,
+		Joined:   now,
+		Deadline: earlier(now.Add(coverWait), s.Request.Deadline),
+		Server:   server,
+		Point:    q.Point,
+		MaxAge:   q.MaxAge,
+	}}}
+}
+
+func (d *Decider) awaitPrimary(s *state.Session, group string, now time.Time) []Effect {
+	s.Phase = state.PhasePosition
+	return []Effect{Await{Group: group, Waiter: state.PositionWaiter{
+		ID:       waiterID(s),
+		Kind:     state.WaitPrimary,
+		Joined:   now,
+		Deadline: s.Request.Deadline,
+	}}}
+}
+
+// Granted gives the session's request a backend connection. A connection that
+// comes too late is returned unused.
+func (d *Decider) Granted(s *state.Session, request uint64, server string, conn state.ConnID, now time.Time) []Effect {
+	if s.Phase != state.PhaseConnection || s.Request.Number != request {
+		return []Effect{Release{Server: server, Conn: conn}}
+	}
+	if s.TargetsPrimary && !d.isPrimary(s) {
+		return append([]Effect{Release{Server: server, Conn: conn}}, d.route(s, now)...)
+	}
+	s.Conn = conn
+	return d.send(s)
+}
+
+// isPrimary reports whether the chosen server is still the primary of the term
+// under which it was chosen.
+func (d *Decider) isPrimary(s *state.Session) bool {
+	ok := false
+	d.Tables.Groups.With(d.groupOf(s), func(g *state.GroupState) {
+		ok = g.Primary == s.Server && g.Term == s.Term
+	})
+	return ok
+}
+
+// NotGranted tells that the request gets no connection.
+func (d *Decider) NotGranted(s *state.Session, request uint64, reason queueing.Reason, now time.Time) []Effect {
+	if s.Phase != state.PhaseConnection || s.Request.Number != request {
+		return nil
+	}
+	if reason != queueing.Unreachable {
+		return d.refuse(s, Refused(NoConnection))
+	}
+	s.Excluded = s.Server
+	effects := []Effect{Suspect{Group: d.groupOf(s), Server: s.Server}}
+	return append(effects, d.backoff(s, now)...)
+}
+
+func (d *Decider) send(s *state.Session) []Effect {
+	s.Phase = state.PhaseExecuting
+	s.Sent = true
+	s.Attempts++
+	return []Effect{Send{
+		Conn:     s.Conn,
+		Request:  s.Request.Number,
+		Payload:  s.Request.Payload,
+		ReadOnly: !s.InTransaction && readOnly(s.Request.Class),
+	}}
+}
+
+// backoff waits before the request is routed again.
+func (d *Decider) backoff(s *state.Session, now time.Time) []Effect {
+	s.Phase = state.PhaseBackoff
+	at := now.Add(queueing.Backoff(max(s.Attempts, 1)))
+	return []Effect{Wake{Request: s.Request.Number, At: earlier(at, s.Request.Deadline)}}
+}
+
+func readOnly(c state.Class) bool { return c == state.ClassRead || c == state.ClassBeginRO }
+
+func waiterID(s *state.Session) state.WaiterID {
+	return state.WaiterID{Session: s.ID, Request: s.Request.Number}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/coordination/session/end.go
@@ -0,0 +1,161 @@
+package session
+
+import (
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+// maxIdleInTransaction is how long a transaction may wait for its next request,
+// counted from the deadline of the previous one.
+const maxIdleInTransaction = 30 * time.Second
+
+// Woken is called at the time of a Wake.
+func (d *Decider) Woken(s *state.Session, request uint64, now time.Time) []Effect {
+	if s.Request.Number != request || s.Phase == state.PhaseClosed {
+		return nil
+	}
+	if s.Phase == state.PhaseIdle {
+		return d.endIdleTransaction(s, now)
+	}
+	if !now.Before(s.Request.Deadline) {
+		return d.expire(s, now)
+	}
+	switch s.Phase {
+	case state.PhaseAdmission:
+		return d.admit(s, now, true)
+	case state.PhaseBackoff:
+		return d.route(s, now)
+	}
+	return nil
+}
+
+// endIdleTransaction closes a session that holds a scarce backend connection in
+// a transaction without using it.
+func (d *Decider) endIdleTransaction(s *state.Session, now time.Time) []Effect {
+	if !s.InTransaction || now.Before(s.Request.Deadline.Add(maxIdleInTransaction)) {
+		return nil
+	}
+	return d.close(s, Outcome{Kind: Unknown, Reason: TransactionLost})
+}
+
+// expire ends a request whose deadline has passed.
+func (d *Decider) expire(s *state.Session, now time.Time) []Effect {
+	switch s.Phase {
+	case state.PhaseAdmission:
+		return d.refuse(s, Refused(RateExceeded))
+	case state.PhasePosition:
+		effects := []Effect{WithdrawAwait{Group: d.groupOf(s), ID: waiterID(s)}}
+		return append(effects, d.refuse(s, Refused(NoPrimary))...)
+	case state.PhaseConnection:
+		effects := []Effect{WithdrawAcquire{Server: s.Server, ID: waiterID(s)}}
+		return append(effects, d.refuse(s, Refused(NoConnection))...)
+	case state.PhaseBackoff:
+		return d.refuse(s, Refused(NoConnection))
+	case state.PhaseExecuting:
+		effects := d.dropConn(s)
+		return append(effects, d.afterLoss(s, DeadlinePassed, now)...)
+	}
+	// The position waiter of an acknowledgement has the same deadline.
+	return nil
+}
+
+// Cancel ends the current request on the client's wish. A request that runs is
+// cancelled at the backend server, and its connection is not used again: a
+// cancel that comes late would hit the next request.
+func (d *Decider) Cancel(s *state.Session) []Effect {
+	cancelled := Refused(CancelRequested)
+	switch s.Phase {
+	case state.PhaseAdmission, state.PhaseBackoff:
+		return d.refuse(s, cancelled)
+	case state.PhasePosition:
+		effects := []Effect{WithdrawAwait{Group: d.groupOf(s), ID: waiterID(s)}}
+		return append(effects, d.refuse(s, cancelled)...)
+	case state.PhaseConnection:
+		effects := []Effect{WithdrawAcquire{Server: s.Server, ID: waiterID(s)}}
+		return append(effects, d.refuse(s, cancelled)...)
+	case state.PhaseExecuting:
+		s.Cancelled = true
+		return []Effect{CancelBackend{Conn: s.Conn}}
+	}
+	return nil
+}
+
+// Gone ends the session because the client left.
+func (d *Decider) Gone(s *state.Session) []Effect {
+	var effects []Effect
+	switch s.Phase {
+	case state.PhasePosition, state.PhaseAcknowledging:
+		effects = append(effects, WithdrawAwait{Group: d.groupOf(s), ID: waiterID(s)})
+	case state.PhaseConnection:
+		effects = append(effects, WithdrawAcquire{Server: s.Server, ID: waiterID(s)})
+	}
+	effects = append(effects, d.dropConn(s)...)
+	s.Phase = state.PhaseClosed
+	s.InTransaction = false
+	return append(effects, DropHeld{})
+}
+
+// Drain closes the session as soon as it has neither a request nor a
+// transaction.
+func (d *Decider) Drain(s *state.Session) []Effect {
+	s.Draining = true
+	if s.Phase != state.PhaseIdle || s.InTransaction {
+		return nil
+	}
+	return d.close(s, Refused(ShuttingDown))
+}
+
+// refuse ends a request without an answer of a backend server. It says "not
+// run" only if no earlier attempt was sent.
+func (d *Decider) refuse(s *state.Session, out Outcome) []Effect {
+	if s.MayHaveRun {
+		out.Kind = Unknown
+	}
+	return d.finish(s, out)
+}
+
+// finish ends the request. The session goes on unless it is draining.
+func (d *Decider) finish(s *state.Session, out Outcome) []Effect {
+	s.Phase = state.PhaseIdle
+	s.Request.Payload = nil
+	effects := []Effect{Finish{Outcome: out, InTransaction: s.InTransaction}}
+	if s.InTransaction {
+		idleEnd := s.Request.Deadline.Add(maxIdleInTransaction)
+		return append(effects, Wake{Request: s.Request.Number, At: idleEnd})
+	}
+	if s.Draining {
+		effects = append(effects, d.close(s, Refused(ShuttingDown))...)
+	}
+	return effects
+}
+
+// close ends the session.
+func (d *Decider) close(s *state.Session, out Outcome) []Effect {
+	effects := append(d.dropConn(s), CloseClient{Outcome: out})
+	s.Phase = state.PhaseClosed
+	s.InTransaction = false
+	return effects
+}
+
+// dropConn closes the session's backend connection, which rolls back what is
+// open on it.
+func (d *Decider) dropConn(s *state.Session) []Effect {
+	if s.Conn == 0 {
+		return nil
+	}
+	conn := s.Conn
+	s.Conn, s.Cancelled = 0, false
+	return []Effect{Discard{Server: s.Server, Conn: conn}}
+}
+
+// releaseConn returns the session's backend connection to the pool, or closes
+// it if a cancel request may still be on its way.
+func (d *Decider) releaseConn(s *state.Session) []Effect {
+	if s.Cancelled {
+		return d.dropConn(s)
+	}
+	conn := s.Conn
+	s.Conn = 0
+	return []Effect{Release{Server: s.Server, Conn: conn}}
+}
--- /dev/null
+++ b/protocol/token/token_test.go
@@ -0,0 +1,55 @@
+package token
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+var secret = []byte("fleet secret")
+
+func TestDecode(t *testing.T) {
+	points := state.Token{"ledger": {Term: 3, Position: 17}, "orders": {Term: 1 << 40, Position: 2}}
+	good := Encode(secret, "bindery", points)
+	tests := []struct {
+		name, customer, text string
+		want                 Verdict
+	}{
+		{"own token", "bindery", good, Valid},
+		{"no writes", "bindery", "", Valid},
+		{"token of another customer", "archive", good, Foreign},
+		{"signed by another fleet", "bindery", Encode([]byte("other"), "bindery", points), Invalid},
+		{"signature cut off", "bindery", good[:len(good)-4], Invalid},
+		{"body changed", "bindery", "A" + good[1:], Invalid},
+		{"no signature", "bindery", "e30", Invalid},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, verdict := Decode(secret, tt.customer, tt.text)
+			if verdict != tt.want {
+				t.Fatalf("verdict %d, want %d", verdict, tt.want)
+			}
+			if tt.text == good && verdict == Valid {
+				if diff := cmp.Diff(points, got); diff != "" {
+					t.Error(diff)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a crash or a wrong acceptance on what a client may send.
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(secret, "bindery", state.Token{"ledger": {Term: 3, Position: 17}}))
+	f.Add("e30.e30")
+	f.Fuzz(func(t *testing.T, text string) {
+		points, verdict := Decode(secret, "bindery", text)
+		if verdict == Valid && text != "" {
+			if _, again := Decode(secret, "bindery", Encode(secret, "bindery", points)); again != Valid {
+				t.Fatalf("accepted %q but not its re-encoding", text)
+			}
+		}
+	})
+}
--- a/state/backend.go
+++ b/state/backend.go
@@ -16,6 +16,12 @@
 	Deadline time.Time
 }
 
+// BusyConn is a backend connection that a request holds.
+type BusyConn struct {
+	Holder WaiterID
+	Since  time.Time
+}
+
 // IdleConn is a pooled backend connection.
 type IdleConn struct {
 	ID    ConnID
@@ -27,31 +33,41 @@
 type ServerConns struct {
 	Server   string
 	Limit    int // connections that this VM may have open, connecting ones included
-	Slots    int // requests that the server runs at once
 	Opening  int
-	Busy     map[ConnID]WaiterID
+	Busy     map[ConnID]BusyConn
 	Idle     []IdleConn // the most recently used is last
 	Waiters  []ConnWaiter
 	Virtual  float64            // virtual time of the fair queue
 	Finish   map[string]float64 // virtual finish time by customer
 	Service  time.Duration      // moving average of the time that a request holds a connection
-	BackoffN int                // failed attempts to connect in a row
+	Failures int                // failed attempts to connect in a row
 	RetryAt  time.Time          // no attempt to connect before this time
 }
 
 // Open returns the number of connections that count against the limit.
 func (s *ServerConns) Open() int { return s.Opening + len(s.Busy) + len(s.Idle) }
 
+// RetryBudget bounds the retries of requests to one database group.
+type RetryBudget struct {
+	Tokens  float64
+	Updated time.Time
+}
+
 // BackendTable holds the backend connections of this VM.
 type BackendTable struct {
 	mu      lockrank.Mutex // guards the fields below
 	servers map[string]*ServerConns
+	retries map[string]*RetryBudget // by database group
 	nextID  ConnID
 }
 
 // NewBackendTable returns an empty table.
 func NewBackendTable() *BackendTable {
-	return &BackendTable{mu: lockrank.New(lockrank.Backends), servers: make(map[string]*ServerConns)}
+	return &BackendTable{
+		mu:      lockrank.New(lockrank.Backends),
+		servers: make(map[string]*ServerConns),
+		retries: make(map[string]*RetryBudget),
+	}
 }
 
 // With calls f with the connections to the named server under the table's lock,
@@ -61,7 +77,7 @@
 	defer t.mu.Unlock()
 	s := t.servers[server]
 	if s == nil {
-		s = &ServerConns{Server: server, Busy: make(map[ConnID]WaiterID), Finish: make(map[string]float64)}
+		s = &ServerConns{Server: server, Busy: make(map[ConnID]BusyConn), Finish: make(map[string]float64)}
 		t.servers[server] = s
 	}
 	f(s)
@@ -76,6 +92,19 @@
 	}
 }
 
+// WithRetries calls f with the retry budget of the named group under the
+// table's lock.
+func (t *BackendTable) WithRetries(group string, f func(b *RetryBudget)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.retries[group]
+	if b == nil {
+		b = &RetryBudget{}
+		t.retries[group] = b
+	}
+	f(b)
+}
+
 // NewID returns an unused connection identifier.
 func (t *BackendTable) NewID() ConnID {
 	t.mu.Lock()
@@ -84,13 +113,14 @@
 	return t.nextID
 }
 
-// Load returns the requests that run on or wait for the server, seen from this VM.
-func (t *BackendTable) Load(server string) int {
+// Load returns the requests of this VM that run on or wait for the server, for
+// each connection that the VM may open to it.
+func (t *BackendTable) Load(server string) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[server]
 	if s == nil {
 		return 0
 	}
-	return len(s.Busy) + len(s.Waiters)
+	return float64(len(s.Busy)+len(s.Waiters)) / float64(max(s.Limit, 1))
 }
--- a/state/session.go
+++ b/state/session.go
@@ -80,7 +80,7 @@
 	Key      KeyHash
 	HasKey   bool // false on routes open to all
 	Token    Token
-	TokenSet bool // the session presented a token or has written
+	TokenSet bool // the client presented a token, so Token is complete
 
 	MaxStaleness time.Duration // per session; zero takes the route's
 	Idempotent   bool
@@ -93,17 +93,17 @@
 	// TargetsPrimary says that Server was chosen as the primary.
 	TargetsPrimary bool
 	Conn           ConnID
-	Sent           bool // a byte of the request was handed to Conn
-	Forwarded      bool // a byte of the answer was handed to the client
-	Completed      bool // the answer so far holds a completed statement
-	Attempts       int
+	Sent           bool   // a byte of the request was handed to Conn
+	Forwarded      bool   // a byte of the answer was handed to the client
+	Completed      bool   // the answer so far holds a completed statement
+	Attempts       int    // times that the request was sent
+	Refusals       int    // times that a backend server refused it as a write
+	MayHaveRun     bool   // an earlier attempt was sent and its result is not known
+	Cancelled      bool   // a cancel request was sent while Conn was held
 	Excluded       string // backend server that just failed this request
 	CoverAsked     string // replica whose position was already asked for this request
-	// ServerReady says that the answer has ended and the connection was released.
-	ServerReady bool
 
 	InTransaction bool
-	TxReadOnly    bool
 	Draining      bool // close at the next moment without a request or transaction
 }
 
