Carry out session decisions

Sessions turn connections and timers into events on the worker pool and effects into I/O.

Not yet wired to a group driver, so not yet measured.

--- a/coordination/queueing/queueing.go
+++ b/coordination/queueing/queueing.go
@@ -127,6 +127,9 @@
 
 // Release takes back a connection that is ready for another request.
 func Release(s *state.ServerConns, conn state.ConnID, now time.Time) []Effect {
+	if _, ok := s.Busy[conn]; !ok {
+		return nil // it failed in the meantime
+	}
 	recordService(s, conn, now)
 	return offer(s, conn, now)
 }
@@ -248,12 +251,8 @@
 }
 
 func recordService(s *state.ServerConns, conn state.ConnID, now time.Time) {
-	busy, ok := s.Busy[conn]
-	if !ok {
-		return
-	}
+	sample := now.Sub(s.Busy[conn].Since)
 	delete(s.Busy, conn)
-	sample := now.Sub(busy.Since)
 	if s.Service == 0 {
 		s.Service = sample
 		return
--- a/coordination/session/answer.go
+++ b/coordination/session/answer.go
@@ -21,6 +21,7 @@
 // End says how a backend server's answer ended.
 type End struct {
 	InTransaction bool   // a transaction is open on the connection
+	Status        byte   // transaction status as the protocol has it, for the client
 	ErrorCode     string // SQLSTATE of the error in the answer; empty if none
 	RolledBack    bool   // the last statement completed was a rollback
 }
--- a/coordination/session/decider.go
+++ b/coordination/session/decider.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/access"
 	"github.com/chestnutdyke/chestnutdyke/coordination/queueing"
 	"github.com/chestnutdyke/chestnutdyke/coordination/routing"
 	"github.com/chestnutdyke/chestnutdyke/state"
@@ -48,12 +49,6 @@
 	Take(customer string, now, deadline time.Time, retry bool) Admission
 }
 
-// Checker decides whether the session may run a request now.
-type Checker interface {
-	// Check returns an outcome of kind Answered if it may.
-	Check(s *state.Session, cfg *state.Config, now time.Time) Outcome
-}
-
 // Options choose between variants of the policy. All but the zero value are
 // baselines for measurements.
 type Options struct {
@@ -65,15 +60,48 @@
 type Decider struct {
 	Tables  *state.Tables
 	Limiter Limiter
-	Checker Checker
 	Options Options
 }
 
+// Login decides whether a client may open the session. It returns the refusal,
+// or nil.
+func (d *Decider) Login(s *state.Session, now time.Time) *Outcome {
+	if out := d.check(s, now); out.Kind != Answered {
+		return &out
+	}
+	return nil
+}
+
+// check decides whether the session may run a request now, and notes the
+// customer whose limit it counts against.
+func (d *Decider) check(s *state.Session, now time.Time) Outcome {
+	out := access.Check(d.Tables.Config.Current(), d.Tables.Config.Freshness(), now, access.Request{
+		Customer: s.Login,
+		Route:    s.Route,
+		Key:      s.Key,
+		HasKey:   s.HasKey,
+	})
+	if out.Allowed() {
+		s.Customer = out.Customer
+		return Outcome{Kind: Answered}
+	}
+	return Refused(accessReasons[out.Reason])
+}
+
+var accessReasons = map[access.Reason]Reason{
+	access.UnknownCustomer: KeyRefused,
+	access.WrongKey:        KeyRefused,
+	access.RevokedKey:      KeyRefused,
+	access.RouteNotAllowed: RouteRefused,
+	access.UnknownRoute:    RouteUnknown,
+	access.CutOff:          CutOff,
+	access.NoConfiguration: NoConfiguration,
+}
+
 // Arrive starts a request.
 func (d *Decider) Arrive(s *state.Session, r state.Request, now time.Time) []Effect {
 	begin(s, r)
-	cfg := d.Tables.Config.Current()
-	if out := d.Checker.Check(s, cfg, now); out.Kind != Answered {
+	if out := d.check(s, now); out.Kind != Answered {
 		return d.refuseAccess(s, out)
 	}
 	wake := Wake{Request: r.Number, At: r.Deadline}
@@ -275,6 +303,19 @@
 	}}
 }
 
+// Unsent tells that the connection had failed before a byte of the request was
+// sent on it.
+func (d *Decider) Unsent(s *state.Session, conn state.ConnID, request uint64, now time.Time) []Effect {
+	if !d.current(s, conn, request) {
+		return nil
+	}
+	s.Conn, s.Cancelled, s.Sent = 0, false, false
+	if s.InTransaction {
+		return d.close(s, Outcome{Kind: Unknown, Reason: TransactionLost})
+	}
+	return d.backoff(s, now)
+}
+
 // backoff waits before the request is routed again.
 func (d *Decider) backoff(s *state.Session, now time.Time) []Effect {
 	s.Phase = state.PhaseBackoff
--- a/coordination/session/outcome.go
+++ b/coordination/session/outcome.go
@@ -43,6 +43,33 @@
 	ParameterInvalid         // a setting of the proxy got an invalid value
 )
 
+var reasonNames = map[Reason]string{
+	NoReason:          "none",
+	RateExceeded:      "rate_exceeded",
+	NoConnection:      "no_connection",
+	NoPrimary:         "no_primary",
+	NoConfiguration:   "no_configuration",
+	KeyRefused:        "key_refused",
+	CutOff:            "cut_off",
+	RouteUnknown:      "route_unknown",
+	RouteRefused:      "route_refused",
+	Unsupported:       "unsupported",
+	ShuttingDown:      "shutting_down",
+	CancelRequested:   "cancel_requested",
+	TokenInvalid:      "token_invalid",
+	TokenForeign:      "token_foreign",
+	ConnectionLost:    "connection_lost",
+	DeadlinePassed:    "deadline_passed",
+	NotAcknowledged:   "not_acknowledged",
+	TransactionLost:   "transaction_lost",
+	TooManySessions:   "too_many_sessions",
+	StatementTooLarge: "statement_too_large",
+	ParameterInvalid:  "parameter_invalid",
+}
+
+// String returns the reason's name in metrics and logs.
+func (r Reason) String() string { return reasonNames[r] }
+
 // Outcome says how a request ended.
 type Outcome struct {
 	Kind       OutcomeKind
--- a/protocol/pgwire/answer.go
+++ b/protocol/pgwire/answer.go
@@ -54,6 +54,7 @@
 	switch m := msg.(type) {
 	case *pgproto3.ReadyForQuery:
 		a.end.InTransaction = m.TxStatus != 'I'
+		a.end.Status = m.TxStatus
 		step.Ended = true
 	case *pgproto3.ErrorResponse:
 		a.end.ErrorCode = m.Code
--- a/state/session.go
+++ b/state/session.go
@@ -75,7 +75,8 @@
 
 	mu lockrank.Mutex // guards the fields below
 
-	Customer string
+	Login    string // user name that the client presented
+	Customer string // customer whose limit the requests count against
 	Route    string
 	Key      KeyHash
 	HasKey   bool // false on routes open to all
--- a/transport/outbox/outbox.go
+++ b/transport/outbox/outbox.go
@@ -55,6 +55,13 @@
 	return o.err == nil
 }
 
+// Full reports whether Wait would wait.
+func (o *Outbox) Full() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.size > o.high
+}
+
 // Finish closes the connection after everything queued so far is written.
 func (o *Outbox) Finish() {
 	o.mu.Lock()
--- a/transport/pgbackend/backends.go
+++ b/transport/pgbackend/backends.go
@@ -131,7 +131,7 @@
 	if c == nil {
 		return
 	}
-	if !c.hold(nil, 0) {
+	if !c.release() {
 		return // its reader forgets it
 	}
 	var effects []queueing.Effect
@@ -146,21 +146,11 @@
 	}
 }
 
-// Hold names the sink that is told if a granted connection fails. It reports
-// false if the connection has failed already.
-func (b *Backends) Hold(conn state.ConnID, s Sink, request uint64) bool {
-	c := b.lookup(conn)
-	return c != nil && c.hold(s, request)
-}
-
-// Send prepares the connection for the session and sends the request.
+// Send prepares the connection for the session and sends the request. It
+// reports false if the connection has failed before a byte was sent.
 func (b *Backends) Send(conn state.ConnID, s Sink, request uint64, batch *pgwire.Batch, prepare func(c *pgwire.Connection) pgwire.Prepared) bool {
 	c := b.lookup(conn)
-	if c == nil {
-		return false
-	}
-	c.send(s, request, batch, prepare(&c.wire))
-	return true
+	return c != nil && c.send(s, request, batch, prepare(&c.wire))
 }
 
 // Wire calls f with the protocol state of a connection that the caller holds.
--- a/transport/pgbackend/conn.go
+++ b/transport/pgbackend/conn.go
@@ -56,7 +56,7 @@
 	network   network.Network
 	address   string
 	wire      pgwire.Connection // used only by the worker that holds the connection
-	mu        sync.Mutex        // guards the fields below; no other lock is taken under it
+	mu        sync.Mutex        // guards the fields below; only the outbox's lock is taken under it
 	current   *exchange
 	holder    Sink // who is told of a failure while nothing is executed; nil if pooled
 	holderReq uint64
@@ -107,26 +107,28 @@
 	}, nil
 }
 
-// hold names who is told if the connection fails.
-func (c *Conn) hold(s Sink, request uint64) bool {
+// release ends the hold on the connection. It reports false if the connection
+// has failed.
+func (c *Conn) release() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.holder, c.holderReq = s, request
+	c.holder = nil
 	return !c.closed
 }
 
-// Send sends a request. The connection must be held. Preparation is what the
-// protocol layer puts in front of it.
-func (c *Conn) send(s Sink, request uint64, b *pgwire.Batch, p pgwire.Prepared) {
+// send sends a request with the preparation that the protocol layer put in
+// front of it. It reports false if the connection has failed already; then no
+// byte was sent and the sink is not told of the failure.
+func (c *Conn) send(s Sink, request uint64, b *pgwire.Batch, p pgwire.Prepared) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
 	c.holder, c.holderReq = s, request
 	c.current = &exchange{sink: s, request: request, batch: b, answer: pgwire.NewAnswer(p.Preparations)}
-	closed := c.closed
-	c.mu.Unlock()
-	if closed {
-		return // the reader reports the loss to the holder
-	}
 	c.out.Write(p.Bytes)
+	return true
 }
 
 // read takes messages until the connection fails, and returns the holder to be
--- a/transport/pgserver/pgserver.go
+++ b/transport/pgserver/pgserver.go
@@ -79,6 +79,9 @@
 // the connection has failed.
 func (c *Client) Wait() bool { return c.out.Wait() }
 
+// Full reports whether the client takes its output too slowly.
+func (c *Client) Full() bool { return c.out.Full() }
+
 // Finish closes the connection after everything queued is written.
 func (c *Client) Finish() { c.out.Finish() }
 
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -91,12 +91,12 @@
 	return true
 }
 
-// Close drops the events that have not started and refuses new ones.
+// Close refuses new events. Events that were posted before still run, so that
+// what they hold can be given back.
 func (q *Queue) Close() {
 	q.pool.mu.Lock()
 	defer q.pool.mu.Unlock()
 	q.closed = true
-	q.events = nil
 	delete(q.pool.queues, q)
 	q.space.Broadcast()
 }
--- /dev/null
+++ b/transport/sessions/sessions.go
@@ -0,0 +1,262 @@
+// Package sessions carries out the decisions of package session: it turns what
+// happens on connections and timers into events on the worker pool, and the
+// effects of decisions into I/O.
+package sessions
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/queueing"
+	"github.com/chestnutdyke/chestnutdyke/coordination/replication"
+	"github.com/chestnutdyke/chestnutdyke/coordination/session"
+	"github.com/chestnutdyke/chestnutdyke/protocol/pgwire"
+	"github.com/chestnutdyke/chestnutdyke/protocol/token"
+	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/transport/pgbackend"
+	"github.com/chestnutdyke/chestnutdyke/transport/pgserver"
+	"github.com/chestnutdyke/chestnutdyke/transport/pool"
+)
+
+// queueLimit bounds the events that wait for one session. Parts of an answer
+// fill it; the reader of the backend connection then stops.
+const queueLimit = 64
+
+// Groups waits for positions of database groups.
+type Groups interface {
+	Wait(group string, w state.PositionWaiter)
+	Withdraw(group string, id state.WaiterID)
+	Suspect(group, server string)
+}
+
+// Options are the parts that Sessions works with.
+type Options struct {
+	Pool        *pool.Pool
+	Tables      *state.Tables
+	Decider     *session.Decider
+	Secret      []byte // signs session tokens
+	MaxSessions int
+	// DefaultDeadline is the deadline of requests on routes that state none.
+	DefaultDeadline time.Duration
+	Logger          log.Interface
+	Scope           tally.Scope
+	Tracer          trace.Tracer
+}
+
+// Sessions are the sessions of this VM.
+type Sessions struct {
+	Options
+	backends *pgbackend.Backends
+	groups   Groups
+	metrics  metrics
+
+	mu       sync.Mutex // guards the fields below; no other lock is taken under it
+	byID     map[uint64]*client
+	draining bool
+	empty    chan struct{} // closed when draining and no session is left
+}
+
+// New returns Sessions without sessions. Connect must be called before the
+// first login.
+func New(o Options) *Sessions {
+	return &Sessions{Options: o, metrics: newMetrics(o.Scope), byID: make(map[uint64]*client), empty: make(chan struct{})}
+}
+
+// Connect sets the parts that need Sessions themselves.
+func (s *Sessions) Connect(b *pgbackend.Backends, g Groups) { s.backends, s.groups = b, g }
+
+// Login implements pgserver.Sessions.
+func (s *Sessions) Login(out *pgserver.Client, l pgserver.Login) (pgserver.Session, *session.Outcome) {
+	now := time.Now()
+	st := s.Tables.Sessions.Add()
+	st.Lock()
+	st.Login = l.Customer
+	st.Route = l.Route
+	st.Key, st.HasKey = sha256.Sum256([]byte(l.Key)), l.Key != ""
+	refused := s.Decider.Login(st, now)
+	st.Unlock()
+	c := &client{
+		sessions:   s,
+		st:         st,
+		out:        out,
+		queue:      s.Pool.NewQueue(queueLimit),
+		statements: make(pgwire.Statements),
+		idle:       make(chan struct{}, 1),
+		ended:      make(chan struct{}),
+		secret:     newSecret(),
+	}
+	if refused == nil {
+		refused = c.applyParameters(l.Parameters)
+	}
+	if refused == nil && !s.add(c) {
+		reason := session.TooManySessions
+		if s.isDraining() {
+			reason = session.ShuttingDown
+		}
+		o := session.Refused(reason)
+		refused = &o
+	}
+	if refused != nil {
+		s.Tables.Sessions.Remove(st.ID)
+		c.queue.Close()
+		s.metrics.outcome(*refused)
+		return nil, refused
+	}
+	c.welcome()
+	c.idle <- struct{}{}
+	return c, nil
+}
+
+// welcome tells the client that it is logged in.
+func (c *client) welcome() {
+	messages := []pgproto3.BackendMessage{
+		&pgproto3.AuthenticationOk{},
+		&pgproto3.ParameterStatus{Name: "server_version", Value: "15.0"},
+		&pgproto3.ParameterStatus{Name: "server_encoding", Value: "UTF8"},
+		&pgproto3.ParameterStatus{Name: "client_encoding", Value: "UTF8"},
+		&pgproto3.ParameterStatus{Name: "DateStyle", Value: "ISO, MDY"},
+		&pgproto3.ParameterStatus{Name: "integer_datetimes", Value: "on"},
+		&pgproto3.ParameterStatus{Name: "standard_conforming_strings", Value: "on"},
+		&pgproto3.ParameterStatus{Name: pgwire.SettingSession, Value: c.token()},
+		&pgproto3.BackendKeyData{ProcessID: uint32(c.st.ID), SecretKey: pgwire.CancelKey(c.secret)},
+		&pgproto3.ReadyForQuery{TxStatus: 'I'},
+	}
+	c.out.Send(messages...)
+}
+
+func (s *Sessions) add(c *client) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining || len(s.byID) >= s.MaxSessions {
+		return false
+	}
+	s.byID[c.st.ID] = c
+	s.metrics.sessions.Update(float64(len(s.byID)))
+	return true
+}
+
+func (s *Sessions) remove(c *client) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.byID[c.st.ID]; !ok {
+		return
+	}
+	delete(s.byID, c.st.ID)
+	s.metrics.sessions.Update(float64(len(s.byID)))
+	s.signalEmpty()
+}
+
+// signalEmpty is called with mu held.
+func (s *Sessions) signalEmpty() {
+	if s.draining && len(s.byID) == 0 {
+		close(s.empty)
+	}
+}
+
+func (s *Sessions) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+func (s *Sessions) lookup(id uint64) *client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byID[id]
+}
+
+func (s *Sessions) all() []*client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*client, 0, len(s.byID))
+	for _, c := range s.byID {
+		all = append(all, c)
+	}
+	return all
+}
+
+// Drain refuses new sessions and closes each session once it has neither a
+// request nor a transaction. The channel is closed when none is left.
+func (s *Sessions) Drain() <-chan struct{} {
+	s.mu.Lock()
+	first := !s.draining
+	s.draining = true
+	if first {
+		s.signalEmpty()
+	}
+	s.mu.Unlock()
+	if !first {
+		return s.empty
+	}
+	for _, c := range s.all() {
+		c.post(func(now time.Time) []session.Effect { return s.Decider.Drain(c.st) })
+	}
+	return s.empty
+}
+
+// Close ends all sessions at once.
+func (s *Sessions) Close() {
+	for _, c := range s.all() {
+		c.out.Abort()
+	}
+}
+
+// Cancel implements pgserver.Sessions.
+func (s *Sessions) Cancel(id, secret uint32) {
+	c := s.lookup(uint64(id))
+	if c == nil || c.secret != secret {
+		return
+	}
+	c.post(func(now time.Time) []session.Effect { return s.Decider.Cancel(c.st) })
+}
+
+// Granted implements pgbackend.Waiters.
+func (s *Sessions) Granted(id state.WaiterID, server string, conn state.ConnID) {
+	c := s.lookup(id.Session)
+	if c == nil || !c.post(func(now time.Time) []session.Effect {
+		return s.Decider.Granted(c.st, id.Request, server, conn, now)
+	}) {
+		s.backends.Release(server, conn, time.Now())
+	}
+}
+
+// NotGranted implements pgbackend.Waiters.
+func (s *Sessions) NotGranted(id state.WaiterID, reason queueing.Reason) {
+	if c := s.lookup(id.Session); c != nil {
+		c.post(func(now time.Time) []session.Effect {
+			return s.Decider.NotGranted(c.st, id.Request, reason, now)
+		})
+	}
+}
+
+// Resolved takes the result of a wait for positions.
+func (s *Sessions) Resolved(id state.WaiterID, r replication.Result) {
+	if c := s.lookup(id.Session); c != nil {
+		c.post(func(now time.Time) []session.Effect {
+			return s.Decider.Resolved(c.st, id.Request, r, now)
+		})
+	}
+}
+
+func newSecret() uint32 {
+	var b [4]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic("no random numbers: " + err.Error())
+	}
+	return binary.BigEndian.Uint32(b[:])
+}
+
+// token returns the client's session token. The session must not be locked.
+func (c *client) token() string {
+	c.st.Lock()
+	defer c.st.Unlock()
+	return token.Encode(c.sessions.Secret, c.st.Customer, c.st.Token)
+}
--- /dev/null
+++ b/transport/sessions/settings.go
@@ -0,0 +1,134 @@
+package sessions
+
+import (
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/session"
+	"github.com/chestnutdyke/chestnutdyke/protocol/pgwire"
+	"github.com/chestnutdyke/chestnutdyke/protocol/token"
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+// applyParameters applies the proxy's own settings among the start-up
+// parameters, and returns the refusal if one has an invalid value.
+func (c *client) applyParameters(parameters map[string]string) *session.Outcome {
+	for name, value := range parameters {
+		name = strings.ToLower(name)
+		if !strings.HasPrefix(name, pgwire.Prefix) {
+			continue
+		}
+		if out := c.set(name, value); out.Kind != session.Answered {
+			return &out
+		}
+	}
+	return nil
+}
+
+// ownSetting carries out a SET, RESET or SHOW of one of the proxy's settings
+// and queues its answer. The end of the request is left to the caller.
+func (c *client) ownSetting(b *pgwire.Batch) session.Outcome {
+	s := b.Setting
+	switch s.Verb {
+	case pgwire.ShowVerb:
+		c.out.Send(pgwire.ShowAnswer(s.Name, c.show(s.Name))...)
+		return session.Outcome{Kind: session.Answered}
+	case pgwire.ResetVerb:
+		c.reset(s.Name)
+	default:
+		if out := c.set(s.Name, s.Value); out.Kind != session.Answered {
+			return out
+		}
+	}
+	c.out.Send(pgwire.SetAnswer(b)...)
+	if s.Name == pgwire.SettingSession {
+		c.out.Send(&pgproto3.ParameterStatus{Name: pgwire.SettingSession, Value: c.token()})
+	}
+	return session.Outcome{Kind: session.Answered}
+}
+
+func (c *client) set(name, value string) session.Outcome {
+	invalid := session.Refused(session.ParameterInvalid)
+	switch name {
+	case pgwire.SettingSession:
+		return c.present(value)
+	case pgwire.SettingMaxStaleness:
+		d, err := time.ParseDuration(value)
+		if err != nil || d < 0 {
+			invalid.Detail = name + " takes a duration such as 500ms"
+			return invalid
+		}
+		c.update(func(s *state.Session) { s.MaxStaleness = d })
+	case pgwire.SettingIdempotent:
+		on, ok := parseSwitch(value)
+		if !ok {
+			invalid.Detail = name + " takes on or off"
+			return invalid
+		}
+		c.update(func(s *state.Session) { s.Idempotent = on })
+	default:
+		invalid.Detail = "there is no setting " + name
+		return invalid
+	}
+	return session.Outcome{Kind: session.Answered}
+}
+
+// present takes the session token of a client that comes from another VM.
+func (c *client) present(text string) session.Outcome {
+	points, verdict := token.Decode(c.sessions.Secret, c.st.Customer, text)
+	switch verdict {
+	case token.Invalid:
+		return session.Refused(session.TokenInvalid)
+	case token.Foreign:
+		return session.Refused(session.TokenForeign)
+	}
+	c.update(func(s *state.Session) {
+		s.TokenSet = true
+		for group, p := range points {
+			s.Token.Merge(group, p)
+		}
+	})
+	return session.Outcome{Kind: session.Answered}
+}
+
+func (c *client) reset(name string) {
+	switch name {
+	case pgwire.SettingMaxStaleness:
+		c.update(func(s *state.Session) { s.MaxStaleness = 0 })
+	case pgwire.SettingIdempotent:
+		c.update(func(s *state.Session) { s.Idempotent = false })
+	}
+}
+
+func (c *client) show(name string) string {
+	switch name {
+	case pgwire.SettingSession:
+		return c.token()
+	case pgwire.SettingMaxStaleness:
+		return c.st.MaxStaleness.String()
+	case pgwire.SettingIdempotent:
+		if c.st.Idempotent {
+			return "on"
+		}
+		return "off"
+	}
+	return ""
+}
+
+func (c *client) update(f func(s *state.Session)) {
+	c.st.Lock()
+	defer c.st.Unlock()
+	f(c.st)
+}
+
+func parseSwitch(value string) (on, ok bool) {
+	switch strings.ToLower(value) {
+	case "on", "true", "1":
+		return true, true
+	case "off", "false", "0":
+		return false, true
+	}
+	return false, false
+}
