Add position rounds, the control client and the group driver

Writes need a proof that a majority holds them before they are acknowledged, and nothing asked the servers yet. coordination/replication decides on waiters and rounds, transport/groupctl makes control calls over HTTP, and transport/groups runs the decisions in the worker pool.

--- /dev/null
+++ b/transport/groups/groups_test.go
@@ -0,0 +1,180 @@
+package groups
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"go.uber.org/goleak"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/replication"
+	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
+	"github.com/chestnutdyke/chestnutdyke/transport/groupctl"
+	"github.com/chestnutdyke/chestnutdyke/transport/pool"
+)
+
+func TestMain(m *testing.M) {
+	lockrank.EnableChecks()
+	goleak.VerifyTestMain(m)
+}
+
+// latency is the time that a server of a testbed takes to answer.
+const latency = 500 * time.Microsecond
+
+// server is a backend server in memory. Its replicas hold the whole log at
+// once.
+type server struct {
+	bed    *testbed
+	status state.ServerStatus
+	silent bool
+}
+
+// testbed is a group of three servers and a driver in front of them.
+type testbed struct {
+	*Driver
+	mu      sync.Mutex // guards servers, asked and results
+	servers map[string]*server
+	asked   int
+	results map[state.WaiterID][]replication.Result
+}
+
+func newTestbed(t *testing.T, watcher bool) *testbed {
+	t.Helper()
+	grp := &state.Group{Name: "orders"}
+	b := &testbed{servers: map[string]*server{}, results: map[state.WaiterID][]replication.Result{}}
+	for _, name := range []string{"a", "b", "c"} {
+		grp.Servers = append(grp.Servers, state.BackendServer{
+			Name: name, DataCentre: "dc-" + name, ControlAddress: name, State: state.InService})
+		b.servers[name] = &server{bed: b, status: state.ServerStatus{
+			Server: name, Role: state.Replica, AdoptedTerm: 1, LogTerm: 1, Position: 5, Primary: "a",
+			History: []state.TermStart{{Term: 1}}}}
+	}
+	b.servers["a"].status.Role, b.servers["a"].status.Primary = state.Primary, ""
+
+	tables := state.NewTables(state.Self{Name: "vm1", DataCentre: "dc-a"})
+	tables.Config.Advance(&state.Config{
+		Ticket: state.TicketID{Number: 1}, Groups: map[string]*state.Group{"orders": grp}})
+	p := pool.New(4)
+	b.Driver = New(Options{
+		Pool: p, Tables: tables,
+		Control: func(address string) groupctl.Client { return b.servers[address] },
+		Resolve: func(id state.WaiterID, r replication.Result) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.results[id] = append(b.results[id], r)
+		},
+		Rank:   func(string) (int, bool) { return 0, watcher },
+		Index:  func() (uint16, bool) { return 7, true },
+		Logger: &log.Logger{Handler: discard.Default},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = p.Run(ctx) })
+	running.Go(func() { _ = b.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return b
+}
+
+func (b *testbed) wait(w state.PositionWaiter, timeout time.Duration) {
+	w.Joined, w.Deadline = time.Now(), time.Now().Add(timeout)
+	b.Wait("orders", w)
+}
+
+func (b *testbed) resultsOf(id state.WaiterID) []replication.Result {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.results[id]
+}
+
+// order runs f on the server's status after the latency.
+func (s *server) order(ctx context.Context, f func(st *state.ServerStatus) string) (state.ServerStatus, error) {
+	s.bed.mu.Lock()
+	silent := s.silent
+	s.bed.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return state.ServerStatus{}, ctx.Err()
+	}
+	time.Sleep(latency)
+	s.bed.mu.Lock()
+	defer s.bed.mu.Unlock()
+	if reason := f(&s.status); reason != "" {
+		return s.status, &groupctl.RefusedError{Reason: reason}
+	}
+	return s.status, nil
+}
+
+func (s *server) Status(ctx context.Context) (state.ServerStatus, error) {
+	return s.order(ctx, func(*state.ServerStatus) string { s.bed.asked++; return "" })
+}
+
+func (s *server) Adopt(ctx context.Context, term uint64) (state.ServerStatus, error) {
+	return s.order(ctx, func(st *state.ServerStatus) string {
+		if term <= st.AdoptedTerm {
+			return "term is not above the adopted one"
+		}
+		st.AdoptedTerm = term
+		return ""
+	})
+}
+
+func (s *server) Promote(ctx context.Context, term uint64) (state.ServerStatus, error) {
+	return s.order(ctx, func(st *state.ServerStatus) string {
+		if term != st.AdoptedTerm {
+			return "term is not the adopted one"
+		}
+		st.Role, st.LogTerm, st.Primary = state.Primary, term, ""
+		st.History = append(st.History, state.TermStart{Term: term, Position: st.Position})
+		st.Position++
+		return ""
+	})
+}
+
+func (s *server) Follow(ctx context.Context, term uint64, primary string) (state.ServerStatus, error) {
+	return s.order(ctx, func(st *state.ServerStatus) string {
+		if term < st.AdoptedTerm {
+			return "term is below the adopted one"
+		}
+		p := s.bed.servers[primary].status
+		*st = state.ServerStatus{Server: st.Server, Role: state.Replica, AdoptedTerm: term, Primary: primary,
+			LogTerm: p.LogTerm, Position: p.Position, History: p.History}
+		return ""
+	})
+}
+
+func (s *server) Switchover(ctx context.Context, term uint64, to string) (state.ServerStatus, error) {
+	return s.order(ctx, func(st *state.ServerStatus) string { st.SwitchingTo = to; return "" })
+}
+
+func (s *server) Resume(ctx context.Context, _ uint64) (state.ServerStatus, error) {
+	return s.order(ctx, func(st *state.ServerStatus) string { st.SwitchingTo = ""; return "" })
+}
+
+// Guards against one status round per write: writes that wait at the same time
+// must share rounds, and each must get exactly one result.
+func TestWritesShareRounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, false)
+		const writes = 50
+		for i := range writes {
+			b.wait(state.PositionWaiter{ID: state.WaiterID{Session: uint64(i)}, Kind: state.WaitDurable,
+				Server: "a", Term: 1}, time.Second)
+		}
+		time.Sleep(20 * time.Millisecond)
+		synctest.Wait()
+		for i := range writes {
+			got := b.resultsOf(state.WaiterID{Session: uint64(i)})
+			if len(got) != 1 || got[0].Kind != replication.Satisfied || got[0].Point != (state.Point{Term: 1, Position: 5}) {
+				t.Fatalf("write %d got %v", i, got)
+			}
+		}
+		if b.asked > 9 {
+			t.Errorf("%d status queries for %d writes, want at most 3 rounds of 3", b.asked, writes)
+		}
+	})
+}
