--- a/coordination/session/answer.go
+++ b/coordination/session/answer.go
@@ -176,7 +176,7 @@
 	if !now.Before(s.Request.Deadline) {
 		return d.refuse(s, Refused(NoPrimary))
 	}
-	if r.Waited == state.WaitPrimary {
+	if r.Wait == state.WaitPrimary {
 		s.Excluded = ""
 	}
 	return d.route(s, now)
