Test sessions under faults and the direction of imports

Whole sessions run in virtual time over an in-memory network: writes taken for reads, session state, transactions, lost connections around a commit, cancel and drain.

--- /dev/null
+++ b/layers_test.go
@@ -0,0 +1,75 @@
+package chestnutdyke_test
+
+import (
+	"go/build"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const modulePath = "github.com/chestnutdyke/chestnutdyke/"
+
+// layers from the lowest to the highest. A package may import packages of its
+// own layer and of lower ones.
+var layers = []string{"state", "coordination", "protocol", "transport"}
+
+// ioPackages do I/O or encoding, which the two lowest layers leave to others.
+var ioPackages = []string{
+	"net", "net/http", "encoding/json", "encoding/binary", "os", "syscall",
+	"github.com/jackc/pgx/v5", "go.yaml.in/yaml/v3",
+}
+
+// Guards against decisions that open sockets or encode messages, and against a
+// layer that depends on one above it.
+func TestImportsFollowLayers(t *testing.T) {
+	for rank, layer := range layers {
+		for _, dir := range packageDirs(t, layer) {
+			pkg, err := build.ImportDir(dir, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, imported := range pkg.Imports {
+				checkImport(t, rank, dir, imported)
+			}
+		}
+	}
+}
+
+func checkImport(t *testing.T, rank int, dir, imported string) {
+	t.Helper()
+	if rank < 2 {
+		for _, p := range ioPackages {
+			if imported == p || strings.HasPrefix(imported, p+"/") && strings.Contains(p, ".") {
+				t.Errorf("%s imports %s", dir, imported)
+			}
+		}
+	}
+	rest, own := strings.CutPrefix(imported, modulePath)
+	if !own {
+		return
+	}
+	layer, _, _ := strings.Cut(rest, "/")
+	if i := slices.Index(layers, layer); i < 0 || i > rank {
+		t.Errorf("%s imports %s, which is not in a lower layer", dir, imported)
+	}
+}
+
+func packageDirs(t *testing.T, root string) []string {
+	t.Helper()
+	var dirs []string
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if dir := filepath.Dir(path); strings.HasSuffix(path, ".go") && !slices.Contains(dirs, dir) {
+			dirs = append(dirs, dir)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return dirs
+}
--- /dev/null
+++ b/session_test.go
@@ -0,0 +1,235 @@
+package chestnutdyke_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/chestnutdyke/chestnutdyke/standin/dbgroup"
+)
+
+var background = context.Background()
+
+// Guards against a write taken for a read that is lost or refused.
+func TestSelectThatWritesRunsOnPrimary(t *testing.T) {
+	inWorld(t, func(w *world) {
+		c := w.connect(0, "")
+		w.exec(c, "SET chestnutdyke.max_staleness = '1h'")
+		if _, err := c.Exec(background, "SELECT write_kv('a', '1')"); err != nil {
+			t.Fatal(err)
+		}
+		if n := len(w.group.Commits()); n != 1 {
+			t.Errorf("%d commits, want 1", n)
+		}
+		w.exec(c, "RESET chestnutdyke.max_staleness")
+		if got := w.query(c, "SELECT value FROM kv WHERE key = 'a'"); got != "1" {
+			t.Errorf("value %q, want 1", got)
+		}
+		w.close(c)
+	})
+}
+
+// Guards against settings and prepared statements of one session showing up in
+// another that gets the same backend connection.
+func TestSessionStateStaysWithItsSession(t *testing.T) {
+	inWorld(t, func(w *world) {
+		a, b := w.connect(0, ""), w.connect(0, "")
+		w.exec(a, "SET application_name = 'inventory'")
+		if _, err := a.Prepare(background, "stmt", "SELECT value FROM kv WHERE key = $1"); err != nil {
+			t.Fatal(err)
+		}
+		w.exec(a, "INSERT INTO kv VALUES ('a', '1')")
+		for range 3 {
+			if got := w.query(b, "SHOW application_name"); got == "inventory" {
+				t.Error("another session sees the setting")
+			}
+			if got := w.query(a, "SHOW application_name"); got != "inventory" {
+				t.Errorf("setting is %q, want inventory", got)
+			}
+			if got := w.query(a, "stmt", "a"); got != "1" {
+				t.Errorf("prepared statement returned %q, want 1", got)
+			}
+		}
+		if _, err := b.Exec(background, "stmt", "a"); err == nil {
+			t.Error("another session runs the prepared statement")
+		}
+		w.close(a)
+		w.close(b)
+	})
+}
+
+// Guards against two transactions that share a backend connection.
+func TestTransactionsDoNotMix(t *testing.T) {
+	inWorld(t, func(w *world) {
+		a, b := w.connect(0, ""), w.connect(1, "")
+		txA, err := a.Begin(background)
+		if err != nil {
+			t.Fatal(err)
+		}
+		txB, err := b.Begin(background)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, sql := range []string{"INSERT INTO kv VALUES ('a', '1')", "INSERT INTO kv VALUES ('c', '3')"} {
+			if _, err := txA.Exec(background, sql); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := txB.Exec(background, "INSERT INTO kv VALUES ('b', '2')"); err != nil {
+			t.Fatal(err)
+		}
+		if err := txB.Rollback(background); err != nil {
+			t.Fatal(err)
+		}
+		if err := txA.Commit(background); err != nil {
+			t.Fatal(err)
+		}
+		if got := w.query(b, "SELECT count(*) FROM kv"); got != "2" {
+			t.Errorf("%s rows, want the 2 of the committed transaction", got)
+		}
+		w.close(a)
+		w.close(b)
+	})
+}
+
+// Guards against a transaction that stays open after its client has left, and
+// against the reuse of its connection.
+func TestClientThatLeavesRollsBack(t *testing.T) {
+	inWorld(t, func(w *world) {
+		a := w.connect(0, "")
+		tx, err := a.Begin(background)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := tx.Exec(background, "INSERT INTO kv VALUES ('a', '1')"); err != nil {
+			t.Fatal(err)
+		}
+		if err := a.PgConn().Conn().Close(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		b := w.connect(0, "")
+		if got := w.query(b, "SELECT count(*) FROM kv"); got != "0" {
+			t.Errorf("%s rows, want 0", got)
+		}
+		w.close(b)
+	})
+}
+
+// Guards against a write that runs twice, or whose unknown outcome is reported
+// as "not run", when its connection breaks around the commit.
+func TestLostConnectionAroundCommit(t *testing.T) {
+	moments := map[string]dbgroup.Moment{
+		"before the commit":      dbgroup.BeforeCommit,
+		"after the commit":       dbgroup.AfterCommit,
+		"in the answer's middle": dbgroup.MidAnswer,
+	}
+	for name, moment := range moments {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(w *world) {
+				c := w.connect(0, "")
+				w.group.Server("ledger-north").BreakConnections(dbgroup.Break{Moment: moment})
+				_, err := c.Exec(background, "APPEND log 'lot 7'")
+				if got := sqlState(err); got != "08007" {
+					t.Errorf("SQLSTATE %q, want 08007 (%v)", got, err)
+				}
+				if n := len(w.group.Commits()); n > 1 {
+					t.Errorf("%d commits, want at most 1", n)
+				}
+				w.exec(c, "APPEND log 'lot 8'")
+				w.close(c)
+			})
+		})
+	}
+}
+
+// Guards against a refusal of requests that the proxy cannot keep apart under
+// transaction pooling going unnoticed.
+func TestUnsupportedStatements(t *testing.T) {
+	tests := []struct{ name, sql string }{
+		{"listen", "LISTEN changes"},
+		{"copy", "COPY kv FROM STDIN"},
+		{"temporary table", "CREATE TEMP TABLE t (a int)"},
+		{"prepare", "PREPARE p AS SELECT 1"},
+		{"session access mode", "SET default_transaction_read_only = on"},
+	}
+	inWorld(t, func(w *world) {
+		c := w.connect(0, "")
+		for _, tt := range tests {
+			_, err := c.Exec(background, tt.sql, pgx.QueryExecModeSimpleProtocol)
+			if got := sqlState(err); got != "0A000" {
+				t.Errorf("%s: SQLSTATE %q, want 0A000", tt.name, got)
+			}
+		}
+		w.close(c)
+	})
+}
+
+// Guards against the use of another customer's or a forged session token.
+func TestForeignTokenIsRefused(t *testing.T) {
+	inWorld(t, func(w *world) {
+		c := w.connect(0, "")
+		_, err := c.Exec(background, "SET chestnutdyke.session = 'e30.e30'")
+		if got := sqlState(err); got != "22023" {
+			t.Errorf("SQLSTATE %q, want 22023", got)
+		}
+		w.close(c)
+	})
+}
+
+// Guards against a cancel request that hits the next user of the connection,
+// and against a cancelled request that goes on.
+func TestCancel(t *testing.T) {
+	inWorld(t, func(w *world) {
+		c := w.connect(0, "")
+		ctx, cancel := context.WithTimeout(background, 50*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		go func() {
+			<-ctx.Done()
+			if err := c.PgConn().CancelRequest(background); err != nil {
+				t.Error(err)
+			}
+		}()
+		_, err := c.Exec(background, "SELECT pg_sleep(3)")
+		if got := sqlState(err); got != "57014" {
+			t.Errorf("SQLSTATE %q, want 57014 (%v)", got, err)
+		}
+		if d := time.Since(start); d > time.Second {
+			t.Errorf("cancelled after %v", d)
+		}
+		w.query(c, "SELECT server()")
+		w.close(c)
+	})
+}
+
+// Guards against a planned stop that cuts a transaction.
+func TestDrainWaitsForTransactions(t *testing.T) {
+	inWorld(t, func(w *world) {
+		idle, busy := w.connect(0, ""), w.connect(0, "")
+		tx, err := busy.Begin(background)
+		if err != nil {
+			t.Fatal(err)
+		}
+		drained := make(chan error, 1)
+		go func() { drained <- w.vms[0].Drain(background) }()
+		time.Sleep(100 * time.Millisecond)
+		if err := idle.Ping(background); err == nil {
+			t.Error("idle session was not closed")
+		}
+		if _, err := tx.Exec(background, "INSERT INTO kv VALUES ('a', '1')"); err != nil {
+			t.Fatal(err)
+		}
+		if err := tx.Commit(background); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-drained; err != nil {
+			t.Error(err)
+		}
+		if n := len(w.group.Commits()); n != 1 {
+			t.Errorf("%d commits, want 1", n)
+		}
+	})
+}
