--- /dev/null
+++ b/recorder_test.go
@@ -0,0 +1,210 @@
+package chestnutdyke_test
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chestnutdyke/chestnutdyke/transport/network"
+)
+
+// recorder writes down the wire protocol messages of a session: between the
+// client and the VM, and between the VM and backend servers.
+type recorder struct {
+	start time.Time
+
+	mu     sync.Mutex // guards the fields below
+	events []event
+	conns  map[string]int
+}
+
+type event struct {
+	at   time.Duration
+	hop  string
+	seq  int
+	text string
+}
+
+func newRecorder() *recorder {
+	return &recorder{start: time.Now(), conns: make(map[string]int)}
+}
+
+// network returns a network whose dialled connections are recorded. names maps
+// addresses to names; connections to other addresses are not recorded.
+func (r *recorder) network(inner network.Network, names map[string]string) network.Network {
+	return recordingNetwork{Network: inner, r: r, names: names}
+}
+
+// transcript returns the recorded messages in order of time. Messages at the
+// same time are ordered by hop, so that the transcript is the same every time.
+func (r *recorder) transcript() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sort.SliceStable(r.events, func(i, j int) bool {
+		a, b := r.events[i], r.events[j]
+		if a.at != b.at {
+			return a.at < b.at
+		}
+		if a.hop != b.hop {
+			return a.hop < b.hop
+		}
+		return a.seq < b.seq
+	})
+	var b strings.Builder
+	for _, e := range r.events {
+		fmt.Fprintf(&b, "%9.3fms  %-16s %s\n", float64(e.at.Microseconds())/1000, e.hop, e.text)
+	}
+	return b.String()
+}
+
+func (r *recorder) add(hop, text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, event{at: time.Since(r.start), hop: hop, seq: len(r.events), text: text})
+}
+
+type recordingNetwork struct {
+	network.Network
+	r     *recorder
+	names map[string]string
+}
+
+func (n recordingNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := n.Network.Dial(ctx, address)
+	name := n.names[address]
+	if err != nil || name == "" {
+		return conn, err
+	}
+	n.r.mu.Lock()
+	n.r.conns[name]++
+	hop := fmt.Sprintf("%s#%d", name, n.r.conns[name])
+	n.r.mu.Unlock()
+	return &recordingConn{Conn: conn, r: n.r, hop: hop, out: splitter{untyped: true}}, nil
+}
+
+type recordingConn struct {
+	net.Conn
+	r       *recorder
+	hop     string
+	out, in splitter
+}
+
+func (c *recordingConn) Write(b []byte) (int, error) {
+	for _, m := range c.out.split(b) {
+		c.r.add(c.hop, "-> "+describeFrontend(m))
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *recordingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	for _, m := range c.in.split(b[:n]) {
+		c.r.add(c.hop, "<- "+describeBackend(m))
+	}
+	return n, err
+}
+
+func (c *recordingConn) Close() error {
+	err := c.Conn.Close()
+	if err == nil {
+		c.r.add(c.hop, "closed")
+	}
+	return err
+}
+
+// splitter cuts a stream into messages.
+type splitter struct {
+	untyped bool // the next message has no type, as at start-up
+	rest    []byte
+}
+
+func (s *splitter) split(b []byte) [][]byte {
+	s.rest = append(s.rest, b...)
+	var messages [][]byte
+	for {
+		header := 1
+		if s.untyped {
+			header = 0
+		}
+		if len(s.rest) < header+4 {
+			return messages
+		}
+		size := header + int(binary.BigEndian.Uint32(s.rest[header:]))
+		if len(s.rest) < size {
+			return messages
+		}
+		m := s.rest[:size:size]
+		if s.untyped {
+			m = append([]byte{0}, m...)
+			s.untyped = false
+		}
+		messages = append(messages, m)
+		s.rest = s.rest[size:]
+	}
+}
+
+func describeFrontend(m []byte) string {
+	body := m[5:]
+	switch m[0] {
+	case 0:
+		return "Startup"
+	case 'p':
+		return "Password"
+	case 'Q':
+		return "Query " + strings.TrimRight(string(body), "\x00")
+	case 'P':
+		var p pgproto3.Parse
+		if err := p.Decode(body); err != nil {
+			return err.Error()
+		}
+		return fmt.Sprintf("Parse %q %s", p.Name, p.Query)
+	case 'B':
+		var p pgproto3.Bind
+		if err := p.Decode(body); err != nil {
+			return err.Error()
+		}
+		return fmt.Sprintf("Bind %q %q", p.PreparedStatement, p.Parameters)
+	}
+	names := map[byte]string{'D': "Describe", 'E': "Execute", 'S': "Sync", 'C': "Close", 'X': "Terminate", 'H': "Flush"}
+	return names[m[0]]
+}
+
+func describeBackend(m []byte) string {
+	body := m[5:]
+	switch m[0] {
+	case 'C':
+		return "CommandComplete " + strings.TrimRight(string(body), "\x00")
+	case 'Z':
+		return "ReadyForQuery " + string(body)
+	case 'E':
+		var e pgproto3.ErrorResponse
+		if err := e.Decode(body); err != nil {
+			return err.Error()
+		}
+		return strings.TrimSpace(fmt.Sprintf("ErrorResponse %s %s: %s %s %s", e.Severity, e.Code, e.Message, e.Detail, e.Hint))
+	case 'S':
+		var p pgproto3.ParameterStatus
+		if err := p.Decode(body); err != nil {
+			return err.Error()
+		}
+		return fmt.Sprintf("ParameterStatus %s=%s", p.Name, p.Value)
+	case 'D':
+		var d pgproto3.DataRow
+		if err := d.Decode(body); err != nil {
+			return err.Error()
+		}
+		return fmt.Sprintf("DataRow %q", d.Values)
+	}
+	names := map[byte]string{
+		'R': "Authentication", 'K': "BackendKeyData", 'T': "RowDescription", 't': "ParameterDescription",
+		'1': "ParseComplete", '2': "BindComplete", '3': "CloseComplete", 'n': "NoData", 'N': "Notice", 's': "PortalSuspended",
+	}
+	return names[m[0]]
+}
--- a/vm_test.go
+++ b/vm_test.go
@@ -18,6 +18,7 @@
 	"github.com/chestnutdyke/chestnutdyke/standin/memnet"
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
+	"github.com/chestnutdyke/chestnutdyke/transport/network"
 	"github.com/chestnutdyke/chestnutdyke/transport/pgbackend"
 )
 
@@ -35,6 +36,8 @@
 	group *dbgroup.Group
 	vms   []*chestnutdyke.VM
 	cfg   *state.Config
+
+	recorder *recorder // nil unless the test records
 }
 
 func inWorld(t *testing.T, test func(w *world)) {
@@ -70,7 +73,10 @@
 		o.Servers = append(o.Servers, dbgroup.ServerOptions{
 			Name: "ledger-" + dc, DataCentre: dc,
 			Network: w.net.Host(ip, dc), Address: ":5432", ControlAddress: ":8432",
-			ReplicationDelay: 3 * time.Millisecond, ConnectCost: 10 * time.Millisecond,
+			// Different delays keep events of different servers apart in time, so
+			// that recorded sessions are the same every time.
+			ReplicationDelay: 3*time.Millisecond + time.Duration(i)*137*time.Microsecond,
+			ConnectCost:      10 * time.Millisecond,
 		})
 		group.Servers = append(group.Servers, state.BackendServer{
 			Name: "ledger-" + dc, DataCentre: dc, Address: ip + ":5432", ControlAddress: ip + ":8432",
@@ -99,7 +105,7 @@
 		Name: "vm-" + dc, DataCentre: dc, ClientAddress: ip + ":5432",
 		Secret:  []byte("fleet"),
 		Backend: pgbackend.Credentials{User: "proxy", Password: "proxy-password"},
-		Network: w.net.Host(ip, dc),
+		Network: worldNetwork{Network: w.net.Host(ip, dc), w: w},
 	})
 	if err != nil {
 		w.t.Fatal(err)
@@ -109,6 +115,34 @@
 	return vm
 }
 
+// worldNetwork is the network of a VM, which is recorded once the test asks for
+// it.
+type worldNetwork struct {
+	network.Network
+	w *world
+}
+
+func (n worldNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return n.w.recorded(n.Network).Dial(ctx, address)
+}
+
+// record starts to record the sessions of the test.
+func (w *world) record() { w.recorder = newRecorder() }
+
+func (w *world) recorded(n network.Network) network.Network {
+	if w.recorder == nil {
+		return n
+	}
+	names := make(map[string]string)
+	for i, vm := range w.vms {
+		names[vm.Address()] = "client-vm" + string(rune('0'+i))
+	}
+	for _, s := range w.group.Servers() {
+		names[s.Address()] = "vm-" + s.Name()
+	}
+	return w.recorder.network(n, names)
+}
+
 // connect opens a client connection to a VM with a session token.
 func (w *world) connect(vm int, token string) *pgx.Conn {
 	w.t.Helper()
@@ -118,7 +152,7 @@
 	}
 	client := w.net.Host("10.9.1.1", "clients")
 	cfg.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) {
-		return client.Dial(ctx, w.vms[vm].Address())
+		return w.recorded(client).Dial(ctx, w.vms[vm].Address())
 	}
 	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
 	if token != "" {
