--- a/standin/dbgroup/commit.go
+++ b/standin/dbgroup/commit.go
@@ -10,9 +10,9 @@
 // writeClaim is a transaction's right to write, held from its first write until
 // it ends.
 type writeClaim struct {
+	run  uint64 // of the server, in which the session began
 	held bool
-	term uint64
-	run  uint64
+	term uint64 // if held
 }
 
 // claimWrite gives a transaction the right to write, or confirms it. It is
@@ -23,7 +23,7 @@
 	if err := n.refusesWrite(c); err != nil || c.held {
 		return err
 	}
-	*c = writeClaim{held: true, term: n.term, run: n.run}
+	c.held, c.term = true, n.term
 	n.writers++
 	return nil
 }
@@ -41,7 +41,9 @@
 	switch {
 	case n.role != state.Primary:
 		return errorf(codeReadOnly, "cannot write: server %s is not the primary", n.name)
-	case c.held && (c.term != n.term || c.run != n.run):
+	case c.run != n.run:
+		return errorf(codeReadOnly, "cannot write: server %s has been stopped", n.name)
+	case c.held && c.term != n.term:
 		return errorf(codeReadOnly, "cannot write: the term has changed")
 	case !c.held && n.draining != "":
 		return errorf(codeReadOnly, "cannot write: server %s hands over to %s", n.name, n.draining)
@@ -56,7 +58,7 @@
 	if c.held && c.run == n.run {
 		n.writers--
 	}
-	*c = writeClaim{}
+	c.held = false
 }
 
 // commit writes a transaction to the log. It fails if the server is no longer
--- a/standin/dbgroup/helpers_test.go
+++ b/standin/dbgroup/helpers_test.go
@@ -32,7 +32,7 @@
 
 // inBubble runs a test on a group in a synctest bubble and closes everything;
 // the bubble then fails the test if a goroutine is left.
-func inBubble(t *testing.T, adjust func(*Options), test func(w *world)) {
+func inBubble(t *testing.T, adjust func(*Options), test func(t *testing.T, w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		n := memnet.New(1)
@@ -54,7 +54,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		test(&world{t: t, net: n, client: n.Host("10.0.1.9", "dca"), group: g})
+		test(t, &world{t: t, net: n, client: n.Host("10.0.1.9", "dca"), group: g})
 		g.Close()
 		n.Close()
 		synctest.Wait()
--- a/standin/dbgroup/node.go
+++ b/standin/dbgroup/node.go
@@ -187,12 +187,21 @@
 	f(n)
 }
 
-// setUp records a start or stop. Transactions of the time before cannot commit.
+// currentRun returns the number of the present run.
+func (n *node) currentRun() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.run
+}
+
+// setUp records a start or stop. Transactions of the time before cannot commit,
+// and a switchover in progress is forgotten.
 func (n *node) setUp(up bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.up = up
 	n.run++
 	n.writers = 0
+	n.paused = false
 	n.draining = ""
 }
--- a/standin/dbgroup/server.go
+++ b/standin/dbgroup/server.go
@@ -94,21 +94,22 @@
 }
 
 // Stop stops the server as a crash does: connections close, and transactions in
-// progress are rolled back.
+// progress are rolled back. It ends a pause.
 func (s *Server) Stop() {
 	<-s.lifecycle
 	defer func() { s.lifecycle <- struct{}{} }()
 	if s.listeners == nil {
 		return
 	}
+	s.node.setUp(false)
 	s.listeners.wire.Close()
 	s.listeners.stop()
 	s.listeners.control.Close()
 	s.listeners = nil
-	s.node.setUp(false)
 	for _, c := range s.sessions.close() {
 		c.abort()
 	}
+	s.sessions.setPaused(false)
 	s.group.progress.notify()
 }
 
--- a/standin/dbgroup/session.go
+++ b/standin/dbgroup/session.go
@@ -31,8 +31,9 @@
 	ended  chan struct{} // closed when the session ends
 	finish func()        // closes ended
 
-	pid    uint32 // set once by sessionTable.admit
-	secret []byte // set once by sessionTable.admit
+	pid       uint32 // set once by sessionTable.admit
+	secret    []byte // set once by sessionTable.admit
+	serverRun uint64 // set once before the first event
 
 	// The fields below are used by events only.
 	stage      stage
@@ -78,9 +79,10 @@
 	c.advance()
 }
 
-// advance does what can be done now. A paused server does nothing.
+// advance does what can be done now. A paused server does nothing, nor does a
+// session that has been aborted.
 func (c *session) advance() {
-	for c.stage != stageEnded && !c.server.sessions.isPaused() {
+	for !c.hasEnded() && !c.server.sessions.isPaused() {
 		switch {
 		case c.due != nil:
 			next := c.due
@@ -97,6 +99,15 @@
 	}
 }
 
+func (c *session) hasEnded() bool {
+	select {
+	case <-c.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // suspend makes the session wait until wake is called, and then call next.
 func (c *session) suspend(next func()) (wake func()) {
 	c.generation++
@@ -143,12 +154,14 @@
 		return
 	}
 	switch m := m.(type) {
-	case queryMessage:
-		c.query(m)
 	case syncMessage:
 		c.sync()
 	case badMessage:
 		c.refuse(fatalf(codeProtocol, "%s", m.reason))
+	case queryMessage:
+		if !c.skipping {
+			c.query(m)
+		}
 	default:
 		if !c.skipping {
 			c.extended(m)
--- a/standin/dbgroup/transaction.go
+++ b/standin/dbgroup/transaction.go
@@ -37,6 +37,7 @@
 			readOnly: c.settings[settingReadOnly] == "on",
 			values:   make(map[string]*string),
 			inserted: make(map[string]bool),
+			claim:    writeClaim{run: c.serverRun},
 			settings: maps.Clone(c.settings),
 			local:    make(map[string]string),
 		}
--- a/standin/dbgroup/wire.go
+++ b/standin/dbgroup/wire.go
@@ -22,6 +22,7 @@
 			conn.Close()
 			continue
 		}
+		c.serverRun = s.node.currentRun()
 		s.group.running.Go(c.out.run)
 		s.group.running.Go(func() { c.readMessages(conn) })
 	}
--- a/standin/dbgroup/wire_test.go
+++ b/standin/dbgroup/wire_test.go
@@ -11,7 +11,7 @@
 // Guards against wire messages that a PostgreSQL client does not accept, and
 // against blocking that synctest does not see.
 func TestClientOverMemoryNetwork(t *testing.T) {
-	inBubble(t, nil, func(w *world) {
+	inBubble(t, nil, func(t *testing.T, w *world) {
 		c := w.mustConnect("a")
 		w.mustExec(c, "INSERT INTO kv VALUES ('k', 'it''s')")
 		w.wantRows(w.mustExec(c, "SELECT value FROM kv WHERE key = 'k'"), "it's")
@@ -39,7 +39,7 @@
 // Guards against effects of a failed transaction, or of a pipeline that is
 // committed in part.
 func TestTransactionsAreAtomic(t *testing.T) {
-	inBubble(t, nil, func(w *world) {
+	inBubble(t, nil, func(t *testing.T, w *world) {
 		c := w.mustConnect("a")
 		_, err := exec(c, "APPEND log '1'; INSERT INTO kv VALUES ('k', 'v'); INSERT INTO kv VALUES ('k', 'v')")
 		w.wantCode(err, codeDuplicateKey)
@@ -68,7 +68,7 @@
 
 // Guards against a write that runs before it is refused as read-only.
 func TestReadOnlyRefusalComesBeforeTheWrite(t *testing.T) {
-	inBubble(t, nil, func(w *world) {
+	inBubble(t, nil, func(t *testing.T, w *world) {
 		c := w.mustConnect("a")
 		for _, sql := range []string{
 			"SET default_transaction_read_only = on; SELECT 1",
@@ -100,7 +100,7 @@
 		o.Servers[0].Slots = 2
 		o.Servers[0].StatementCost = 10 * time.Millisecond
 	}
-	inBubble(t, slow, func(w *world) {
+	inBubble(t, slow, func(t *testing.T, w *world) {
 		const clients = 6
 		done := make(chan error, clients)
 		var conns []*pgconn.PgConn
@@ -144,7 +144,7 @@
 		o.Servers[0].Connections = 2
 		o.Servers[0].ConnectCost = 30 * time.Millisecond
 	}
-	inBubble(t, limited, func(w *world) {
+	inBubble(t, limited, func(t *testing.T, w *world) {
 		start := time.Now()
 		first := w.mustConnect("a")
 		if took := time.Since(start); took < 30*time.Millisecond {
