Fix a crash on settings in unusual text, decide logins on the workers

The fuzz test found that lower-casing a statement may change its length, so that the value of a setting was cut out of bounds. The prefix is now compared without changing the text.

Logins are decided on the worker pool like all other events, and a stop ends sessions whose reader waits for its turn.

--- a/chestnutdyke.go
+++ b/chestnutdyke.go
@@ -185,6 +185,8 @@
 	defer stopPool()
 	var workers errgroup.Group
 	workers.Go(func() error { return v.pool.Run(poolCtx) })
+	stop := context.AfterFunc(ctx, v.sessions.Close)
+	defer stop()
 	g.Go(func() error { return server.Run(ctx) })
 	g.Go(func() error { return v.backends.Run(ctx) })
 	g.Go(func() error { return v.groups.Run(ctx) })
--- a/protocol/pgwire/batch.go
+++ b/protocol/pgwire/batch.go
@@ -21,12 +21,13 @@
 	// Unsynced says that the Sync of the refused batch is still to come, so that
 	// the refusal is not followed by a ReadyForQuery.
 	Unsynced bool
-	// OnlySync says that the batch is the Sync after a refusal.
+	// OnlySync says that the batch is a Sync and nothing else.
 	OnlySync bool
 
 	// The fields below are set by Statements.Analyse.
 
 	Class state.Class
+	Hints Hints
 	// Unsupported says why the batch must be refused; empty if it may run.
 	Unsupported string
 	// Setting is set if the batch is a single SET, RESET or SHOW of a session
@@ -69,6 +70,7 @@
 	switch msg.(type) {
 	case *pgproto3.Sync:
 		f.batch = nil
+		b.OnlySync = len(b.Messages) == 1
 		return b, nil
 	case *pgproto3.Flush:
 		// The client waits for an answer before it sends the Sync.
@@ -116,6 +118,7 @@
 func analyseQuery(b *Batch, sql string) {
 	st := classify(sql)
 	b.Class, b.Unsupported = st.class, st.unsupported
+	b.Hints = hintsIn(sql)
 	if severalStatements(sql) {
 		// What follows the first statement is not classified.
 		switch st.class {
@@ -185,9 +188,10 @@
 	}
 	if a.bound == 1 {
 		b.Class = st.class
+		b.Hints = hintsIn(p.Query)
 		return
 	}
-	b.Setting = nil
+	b.Setting, b.Hints = nil, Hints{}
 	b.Class = combine(b.Class, st.class)
 }
 
--- a/protocol/pgwire/classify.go
+++ b/protocol/pgwire/classify.go
@@ -119,10 +119,10 @@
 			end = len(sql)
 		}
 		if end == 0 {
-			if sql == "" || len(words) > 0 && sql[0] != ',' {
+			if sql == "" || sql[0] != '(' && sql[0] != ',' {
 				return words
 			}
-			sql = sql[1:] // an opening parenthesis or a comma
+			sql = sql[1:]
 			continue
 		}
 		words = append(words, strings.ToUpper(sql[:end]))
--- a/protocol/pgwire/setting.go
+++ b/protocol/pgwire/setting.go
@@ -64,8 +64,7 @@
 
 // settingValue returns the value in SET name = 'value' or SET name TO value.
 func settingValue(sql string) string {
-	i := strings.Index(strings.ToLower(sql), Prefix)
-	rest := sql[i+len(Prefix):]
+	rest := afterPrefix(sql)
 	rest = strings.TrimLeft(rest, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_")
 	rest = strings.TrimSpace(rest)
 	rest = strings.TrimPrefix(rest, "=")
@@ -79,6 +78,17 @@
 	return rest
 }
 
+// afterPrefix returns the text after the first occurrence of Prefix in any case.
+// Changing the case of the whole text could change its length.
+func afterPrefix(sql string) string {
+	for i := 0; i+len(Prefix) <= len(sql); i++ {
+		if strings.EqualFold(sql[i:i+len(Prefix)], Prefix) {
+			return sql[i+len(Prefix):]
+		}
+	}
+	return ""
+}
+
 // MaxVariables bounds the session settings that are remembered for replay.
 const MaxVariables = 16
 
--- a/transport/sessions/client.go
+++ b/transport/sessions/client.go
@@ -108,12 +108,13 @@
 	}
 	c.run(func(now time.Time) []session.Effect {
 		r := state.Request{
-			Number:     c.st.Request.Number + 1,
-			Class:      b.Class,
-			Payload:    b,
-			Idempotent: c.st.Idempotent,
-			Arrived:    now,
-			Deadline:   now.Add(c.deadline()),
+			Number:       c.st.Request.Number + 1,
+			Class:        b.Class,
+			Payload:      b,
+			Idempotent:   c.st.Idempotent || b.Hints.Idempotent,
+			MaxStaleness: b.Hints.MaxStaleness,
+			Arrived:      now,
+			Deadline:     now.Add(c.deadline()),
 		}
 		c.startSpan(r)
 		return c.sessions.Decider.Arrive(c.st, r, now)
--- a/transport/sessions/sessions.go
+++ b/transport/sessions/sessions.go
@@ -73,15 +73,13 @@
 // Connect sets the parts that need Sessions themselves.
 func (s *Sessions) Connect(b *pgbackend.Backends, g Groups) { s.backends, s.groups = b, g }
 
-// Login implements pgserver.Sessions.
+// Login implements pgserver.Sessions. The decision runs on the worker pool.
 func (s *Sessions) Login(out *pgserver.Client, l pgserver.Login) (pgserver.Session, *session.Outcome) {
-	now := time.Now()
 	st := s.Tables.Sessions.Add()
 	st.Lock()
 	st.Login = l.Customer
 	st.Route = l.Route
 	st.Key, st.HasKey = sha256.Sum256([]byte(l.Key)), l.Key != ""
-	refused := s.Decider.Login(st, now)
 	st.Unlock()
 	c := &client{
 		sessions:   s,
@@ -93,26 +91,37 @@
 		ended:      make(chan struct{}),
 		secret:     newSecret(),
 	}
-	if refused == nil {
-		refused = c.applyParameters(l.Parameters)
-	}
-	if refused == nil && !s.add(c) {
-		reason := session.TooManySessions
-		if s.isDraining() {
-			reason = session.ShuttingDown
-		}
-		o := session.Refused(reason)
-		refused = &o
+	decided := make(chan *session.Outcome, 1)
+	refused := &session.Outcome{Kind: session.NotRun, Reason: session.ShuttingDown}
+	if c.queue.PostAlways(func() { decided <- c.login(l.Parameters) }) {
+		refused = <-decided
 	}
 	if refused != nil {
-		s.Tables.Sessions.Remove(st.ID)
 		c.queue.Close()
-		s.metrics.outcome(*refused)
+		s.Tables.Sessions.Remove(st.ID)
 		return nil, refused
 	}
+	return c, nil
+}
+
+// login decides whether the session is opened, and welcomes the client.
+func (c *client) login(parameters map[string]string) *session.Outcome {
+	c.st.Lock()
+	refused := c.sessions.Decider.Login(c.st, time.Now())
+	c.st.Unlock()
+	if refused == nil {
+		refused = c.applyParameters(parameters)
+	}
+	if refused == nil {
+		refused = c.sessions.add(c)
+	}
+	if refused != nil {
+		c.sessions.metrics.outcome(*refused)
+		return refused
+	}
 	c.welcome()
 	c.idle <- struct{}{}
-	return c, nil
+	return nil
 }
 
 // welcome tells the client that it is logged in.
@@ -132,15 +141,19 @@
 	c.out.Send(messages...)
 }
 
-func (s *Sessions) add(c *client) bool {
+// add registers the session, or returns why it is refused.
+func (s *Sessions) add(c *client) *session.Outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || len(s.byID) >= s.MaxSessions {
-		return false
+	if s.draining {
+		return &session.Outcome{Kind: session.NotRun, Reason: session.ShuttingDown}
+	}
+	if len(s.byID) >= s.MaxSessions {
+		return &session.Outcome{Kind: session.NotRun, Reason: session.TooManySessions}
 	}
 	s.byID[c.st.ID] = c
 	s.metrics.sessions.Update(float64(len(s.byID)))
-	return true
+	return nil
 }
 
 func (s *Sessions) remove(c *client) {
@@ -161,12 +174,6 @@
 	}
 }
 
-func (s *Sessions) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
-
 func (s *Sessions) lookup(id uint64) *client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -205,7 +212,7 @@
 // Close ends all sessions at once.
 func (s *Sessions) Close() {
 	for _, c := range s.all() {
-		c.out.Abort()
+		c.Gone()
 	}
 }
 
