Add failover and planned switchover

Nothing promoted a server when the primary failed. coordination/failover assesses the group from the status rounds, has a majority adopt a term, promotes the highest log among them, tells the others to follow, and hands a leaving primary over. transport/groups executes its orders.

--- /dev/null
+++ b/coordination/failover/model_test.go
@@ -0,0 +1,251 @@
+package failover_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+var (
+	seeds     = flag.Uint64("seeds", 200, "seeds of the model test")
+	firstSeed = flag.Uint64("first-seed", 1, "first seed of the model test")
+)
+
+const (
+	faultPhase = 6 * time.Second
+	healPhase  = 8 * time.Second
+)
+
+// newSim returns a group of 3 or 5 servers in three data centres, with four VMs.
+func newSim(seed uint64) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), faulty: true, writing: true,
+		servers: make(map[string]*simServer), cut: make(map[[2]string]bool),
+		leaders: make(map[uint64]string), acked: make(map[int]time.Time),
+	}
+	s.group = &state.Group{Name: "g"}
+	for i := range 3 + 2*int(seed%3/2) {
+		name := string(rune('a' + i))
+		s.group.Servers = append(s.group.Servers, state.BackendServer{Name: name, DataCentre: fmt.Sprint("dc", i%3), State: state.InService})
+		srv := &simServer{sim: s, name: name, up: true, adopted: 1, role: state.Replica, follows: "a"}
+		srv.append(record{term: 1})
+		s.servers[name] = srv
+		s.after(s.between(0, 5), srv.replicate)
+	}
+	s.servers["a"].role, s.servers["a"].follows = state.Primary, ""
+	s.leaders[1] = "a"
+	s.cfg = &state.Config{Groups: map[string]*state.Group{"g": s.group}}
+	for i := range 4 {
+		v := &simVM{sim: s, index: i, name: fmt.Sprint("vm", i), dataCentre: fmt.Sprint("dc", i%3), cfg: s.cfg}
+		s.vms = append(s.vms, v)
+	}
+	for _, v := range s.vms {
+		v.start()
+	}
+	return s
+}
+
+// faults injects random faults, each of which ends after a while.
+func (s *sim) faults() {
+	if !s.faulty {
+		return
+	}
+	s.after(s.between(50, 500), s.faults)
+	server := s.servers[s.group.Servers[s.rng.IntN(len(s.group.Servers))].Name]
+	if p := s.primary(); p != nil && s.chance(0.5) {
+		server = p
+	}
+	vm := s.vms[s.rng.IntN(len(s.vms))]
+	lasts := s.between(20, 2500)
+	switch s.rng.IntN(8) {
+	case 0, 1:
+		s.cutFor(lasts, server.name, "")
+	case 2:
+		s.cutFor(lasts, server.name, vm.name)
+	case 3:
+		s.cutFor(lasts, server.name, s.group.Servers[s.rng.IntN(len(s.group.Servers))].Name)
+	case 4:
+		server.up = false
+		s.after(lasts, func() { server.up = true })
+	case 5:
+		server.pausedUntil = s.now.Add(lasts)
+	case 6:
+		vm.crash()
+		s.after(lasts, vm.restart)
+	case 7:
+		if s.chance(0.5) {
+			vm.pausedUntil = s.now.Add(lasts)
+		} else {
+			s.setState(server.name, []state.ServiceState{state.Leaving, state.Out, state.InService}[s.rng.IntN(3)])
+		}
+	}
+}
+
+func (s *sim) cutFor(d time.Duration, a, b string) {
+	s.cut[[2]string{a, b}] = true
+	s.after(d, func() { delete(s.cut, [2]string{a, b}) })
+}
+
+func (v *simVM) crash() { v.up = false }
+
+func (v *simVM) restart() {
+	if !v.up {
+		v.start()
+	}
+}
+
+// setState issues a ticket that reaches the VMs one after the other.
+func (s *sim) setState(server string, st state.ServiceState) {
+	grp := &state.Group{Name: "g", Servers: append([]state.BackendServer(nil), s.group.Servers...)}
+	grp.Server(server).State = st
+	s.group = grp
+	cfg := &state.Config{Ticket: state.TicketID{Number: s.cfg.Ticket.Number + 1}, Groups: map[string]*state.Group{"g": grp}}
+	s.cfg = cfg
+	for _, v := range s.vms {
+		s.after(s.between(0, 1500), func() {
+			if cfg.Ticket.Number > v.cfg.Ticket.Number {
+				v.cfg = cfg
+			}
+		})
+	}
+}
+
+// heal ends all faults. Then one server is taken out of service or none.
+func (s *sim) heal() {
+	s.faulty = false
+	s.cut = make(map[[2]string]bool)
+	for _, srv := range s.servers {
+		srv.up, srv.pausedUntil = true, s.now
+	}
+	for _, v := range s.vms {
+		v.pausedUntil = s.now
+		v.restart()
+	}
+	for _, srv := range s.group.Servers {
+		s.setState(srv.Name, state.InService)
+	}
+	if s.chance(0.5) {
+		s.after(2*time.Second, func() { s.setState(s.group.Servers[s.rng.IntN(len(s.group.Servers))].Name, state.Leaving) })
+	}
+}
+
+func (s *sim) run() []string {
+	s.faults()
+	s.runUntil(s.now.Add(faultPhase))
+	s.heal()
+	s.runUntil(s.now.Add(healPhase - 4*time.Second))
+	before := len(s.acked)
+	s.runUntil(s.now.Add(time.Second))
+	s.writing = false
+	s.runUntil(s.now.Add(3 * time.Second))
+	s.check(before)
+	return s.failures
+}
+
+// primary returns the primary of the highest term, or nil.
+func (s *sim) primary() *simServer {
+	var primary *simServer
+	for _, srv := range s.servers {
+		if srv.leads(srv.logTerm()) && (primary == nil || srv.adopted > primary.adopted) {
+			primary = srv
+		}
+	}
+	return primary
+}
+
+// check looks at the end state: one primary that all servers follow, no
+// acknowledged write missing, one result for every waiter.
+func (s *sim) check(ackedBefore int) {
+	if len(s.acked) == ackedBefore {
+		s.fail("no write was acknowledged after the faults had ended")
+	}
+	primary := s.primary()
+	if primary == nil {
+		s.fail("the group has no primary")
+		return
+	}
+	if s.group.Server(primary.name).State != state.InService {
+		s.fail("the primary %s is leaving", primary.name)
+	}
+	for _, srv := range s.servers {
+		if srv != primary && (srv.follows != primary.name || len(srv.log) != len(primary.log)) {
+			s.fail("%s does not follow %s: %+v", srv.name, primary.name, srv.status())
+		}
+	}
+	for id := range s.acked {
+		if !primary.has(id) {
+			s.fail("acknowledged write %d is missing", id)
+		}
+	}
+	for _, v := range s.vms {
+		for id, w := range v.waits {
+			if w.results != 1 {
+				s.fail("%s: waiter %v of kind %d got %d results", v.name, id, w.waiter.Kind, w.results)
+			}
+		}
+	}
+}
+
+// forSeeds runs f for every seed on all processors.
+func forSeeds(f func(seed uint64)) {
+	defer debug.SetGCPercent(debug.SetGCPercent(400)) // the simulations allocate much and keep little
+	var wg sync.WaitGroup
+	next := make(chan uint64)
+	for range runtime.GOMAXPROCS(0) {
+		wg.Go(func() {
+			for seed := range next {
+				f(seed)
+			}
+		})
+	}
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		next <- seed
+	}
+	close(next)
+	wg.Wait()
+}
+
+// Guards against lost acknowledged writes, two primaries of one term, stale
+// reads, waiters without a result and groups that stay without a primary, under
+// random faults of servers, VMs and the network.
+func TestModel(t *testing.T) {
+	var mu sync.Mutex
+	acked, terms := 0, 0
+	forSeeds(func(seed uint64) {
+		s := newSim(seed)
+		failures := s.run()
+		mu.Lock()
+		defer mu.Unlock()
+		acked += len(s.acked)
+		terms += len(s.leaders)
+		for i, f := range failures {
+			if i == 5 {
+				break
+			}
+			t.Errorf("seed %d: %s", seed, f)
+		}
+	})
+	t.Logf("%d seeds, %d acknowledged writes, %d promotions", *seeds, acked, terms)
+}
+
+// Guards against a checker that cannot see a lost write: with writes
+// acknowledged on the primary's commit it must complain.
+func TestModelNoticesAcknowledgementOnCommit(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+50; seed++ {
+		s := newSim(seed)
+		s.ackOnCommit = true
+		for _, f := range s.run() {
+			if len(f) > 18 && f[:18] == "acknowledged write" {
+				return
+			}
+		}
+	}
+	t.Error("no lost write was noticed in 50 seeds")
+}
--- /dev/null
+++ b/coordination/failover/model_vms_test.go
@@ -0,0 +1,321 @@
+package failover_test
+
+import (
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/failover"
+	"github.com/chestnutdyke/chestnutdyke/coordination/replication"
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+// simVM runs the decisions of one VM as the driver does.
+type simVM struct {
+	*sim
+	index       int
+	name        string
+	dataCentre  string
+	up          bool
+	run         int // number of restarts; messages to an earlier run are dropped
+	pausedUntil time.Time
+	cfg         *state.Config // the ticket that has reached this VM
+	g           *state.GroupState
+	wakes       [2]time.Time // of replication and failover
+	armed       time.Time    // when the timer runs; zero if it does not
+	waits       map[state.WaiterID]*simWait
+}
+
+// simWait is a waiter that must get exactly one result.
+type simWait struct {
+	waiter  state.PositionWaiter
+	results int
+	then    func(replication.Result)
+}
+
+func (v *simVM) start() {
+	v.up = true
+	v.run++
+	v.g = &state.GroupState{Name: "g", Servers: make(map[string]*state.ServerView)}
+	v.wakes, v.armed = [2]time.Time{}, time.Time{}
+	v.waits = make(map[state.WaiterID]*simWait)
+	v.event(func() ([]replication.Effect, []failover.Effect) { return nil, nil })
+	v.every(250, 400, v.exchange)
+	v.every(10, 120, v.write)
+}
+
+// every repeats f at random intervals while this run of the VM lasts.
+func (v *simVM) every(lo, hi float64, f func()) {
+	v.after(v.between(lo, hi), v.local(func() { f(); v.every(lo, hi, f) }))
+}
+
+// local returns f bound to the current run of the VM. A paused VM runs it later.
+func (v *simVM) local(f func()) func() {
+	run := v.run
+	var bound func()
+	bound = func() {
+		switch {
+		case !v.up || run != v.run:
+		case v.now.Before(v.pausedUntil):
+			v.at(v.pausedUntil, bound)
+		default:
+			f()
+		}
+	}
+	return bound
+}
+
+func (v *simVM) grp() *state.Group { return v.cfg.Groups["g"] }
+
+// watches reports whether the VM is the first running one of a data centre that
+// has a server.
+func (v *simVM) watches() bool {
+	for _, o := range v.vms {
+		if o.dataCentre == v.dataCentre && o.up {
+			return o == v
+		}
+	}
+	return false
+}
+
+func (v *simVM) input() failover.Input {
+	part := failover.Part{Watcher: v.watches(), Rank: v.index, Index: uint16(v.index), HasIndex: true, DataCentre: v.dataCentre}
+	return failover.Input{State: v.g, Config: v.cfg, Group: v.grp(), Part: part, Now: v.now}
+}
+
+// event runs one decision like the driver: then failover, then positions.
+func (v *simVM) event(decide func() ([]replication.Effect, []failover.Effect)) {
+	positions, orders := decide()
+	orders = append(orders, failover.Tick(v.input())...)
+	probe := false
+	for _, e := range orders {
+		if _, ok := e.(failover.Probe); ok {
+			probe = true
+		}
+	}
+	if probe {
+		positions = append(positions, replication.Probe(v.g, v.grp(), v.now)...)
+	} else {
+		positions = append(positions, replication.Tick(v.g, v.grp(), v.now)...)
+	}
+	v.wakes = [2]time.Time{}
+	for _, e := range positions {
+		v.execute(e)
+	}
+	for _, e := range orders {
+		v.execute(e)
+	}
+}
+
+func (v *simVM) execute(e any) {
+	switch e := e.(type) {
+	case replication.AskStatus:
+		v.ask(e)
+	case replication.Resolve:
+		w := v.waits[e.ID]
+		w.results++
+		if w.results > 1 {
+			v.fail("%s: waiter %v got %d results", v.name, e.ID, w.results)
+			return
+		}
+		v.after(0, v.local(func() { w.then(e.Result) }))
+	case replication.WakeAt:
+		v.wakeAt(0, e.At)
+	case failover.WakeAt:
+		v.wakeAt(1, e.At)
+	case failover.Call:
+		v.order(e)
+	}
+}
+
+func (v *simVM) wakeAt(source int, at time.Time) {
+	if !at.After(v.now) {
+		v.fail("%s: wake-up of source %d is not in the future: the VM would spin", v.name, source)
+	}
+	v.wakes[source] = at
+	v.arm()
+}
+
+// arm schedules the earliest wake-up unless an earlier one is scheduled.
+func (v *simVM) arm() {
+	at := v.wakes[0]
+	if at.IsZero() || !v.wakes[1].IsZero() && v.wakes[1].Before(at) {
+		at = v.wakes[1]
+	}
+	if at.IsZero() || !v.armed.IsZero() && !at.Before(v.armed) {
+		return
+	}
+	v.armed = at
+	v.at(at, v.local(func() {
+		if !v.armed.Equal(at) {
+			return
+		}
+		v.armed = time.Time{}
+		for _, w := range v.wakes {
+			if !w.IsZero() && !w.After(v.now) {
+				v.event(func() ([]replication.Effect, []failover.Effect) { return nil, nil })
+				return
+			}
+		}
+		v.arm()
+	}))
+}
+
+// call sends f to a server. end gets its answer or, after the timeout, a
+// failure; sometimes it then still gets the answer, or gets it twice.
+func (v *simVM) call(server string, timeout time.Duration, f func(s *simServer, reply func(failover.Result)), end func(failover.Outcome)) {
+	ended := false
+	answer := func(o failover.Outcome) func() {
+		return v.local(func() {
+			if ended && !v.chance(0.3) {
+				return
+			}
+			ended = true
+			end(o)
+		})
+	}
+	v.after(timeout, v.local(func() {
+		if !ended {
+			ended = true
+			end(failover.Outcome{Result: failover.Failed})
+		}
+	}))
+	s := v.servers[server]
+	v.send(v.name, server, func() {
+		reply := func(r failover.Result) {
+			o := failover.Outcome{Result: r, Status: s.status()}
+			v.send(server, v.name, answer(o))
+		}
+		s.deliver(func() { f(s, reply) }, func() { v.send(server, v.name, answer(failover.Outcome{Result: failover.Failed})) })
+	})
+}
+
+func (v *simVM) ask(a replication.AskStatus) {
+	v.call(a.Server, 200*time.Millisecond, func(_ *simServer, reply func(failover.Result)) { reply(failover.Done) },
+		func(o failover.Outcome) {
+			v.event(func() ([]replication.Effect, []failover.Effect) {
+				if o.Result == failover.Failed {
+					return replication.Failure(v.g, v.grp(), a, v.now), nil
+				}
+				return replication.Answer(v.g, v.grp(), a, o.Status, v.now), nil
+			})
+		})
+}
+
+func (v *simVM) order(c failover.Call) {
+	v.call(c.Server, c.Timeout, func(s *simServer, reply func(failover.Result)) {
+		if s.order(c) {
+			reply(failover.Refused)
+		} else if c.Order == failover.Switchover {
+			s.drain(c, 0, reply)
+		} else {
+			reply(failover.Done)
+		}
+	}, func(o failover.Outcome) {
+		v.event(func() ([]replication.Effect, []failover.Effect) { return nil, failover.Answer(v.input(), c, o) })
+	})
+}
+
+// drain replies once the successor holds the whole log.
+func (s *simServer) drain(c failover.Call, polls int, reply func(failover.Result)) {
+	to := s.servers[c.Peer]
+	switch {
+	case !s.leads(c.Term) || s.switching != c.Peer || polls > 3000:
+		reply(failover.Refused)
+	case to.logTerm() == s.logTerm() && len(to.log) == len(s.log):
+		reply(failover.Done)
+	default:
+		s.after(time.Millisecond, func() { s.deliver(func() { s.drain(c, polls+1, reply) }, func() {}) })
+	}
+}
+
+// exchange tells another VM what this one knows.
+func (v *simVM) exchange() {
+	to := v.vms[v.rng.IntN(len(v.vms))]
+	term, primary, suspect := v.g.Term, v.g.Primary, !v.g.Failover.SuspectSince.IsZero()
+	if primary == "" || !to.up {
+		return
+	}
+	v.send(v.name, to.name, to.local(func() {
+		to.event(func() ([]replication.Effect, []failover.Effect) {
+			return nil, failover.Merge(to.input(), term, primary, suspect)
+		})
+	}))
+}
+
+// wait adds a waiter; then gets its result.
+func (v *simVM) wait(w state.PositionWaiter, timeout time.Duration, then func(replication.Result)) {
+	v.nextID++
+	w.ID = state.WaiterID{Session: uint64(v.nextID)}
+	w.Joined, w.Deadline = v.now, v.now.Add(timeout)
+	v.waits[w.ID] = &simWait{waiter: w, then: then}
+	v.event(func() ([]replication.Effect, []failover.Effect) { return replication.Wait(v.g, v.grp(), w, v.now), nil })
+}
+
+// write is a client's write, from its routing to a read that must see it.
+func (v *simVM) write() {
+	if !v.writing {
+		return
+	}
+	if server, term, ok := v.g.UsablePrimary(); ok {
+		v.writeTo(server, term)
+		return
+	}
+	v.wait(state.PositionWaiter{Kind: state.WaitPrimary}, 3*time.Second, func(r replication.Result) {
+		if r.Kind == replication.Satisfied {
+			v.writeTo(r.Server, r.Term)
+		}
+	})
+}
+
+func (v *simVM) writeTo(server string, term uint64) {
+	v.nextID++
+	id, accepted := v.nextID, false
+	v.call(server, 300*time.Millisecond, func(s *simServer, reply func(failover.Result)) {
+		if s.has(id) {
+			return // a connection does not repeat messages
+		}
+		if accepted = s.write(id); accepted && v.ackOnCommit {
+			v.acked[id] = v.now
+		}
+		reply(failover.Done)
+	}, func(o failover.Outcome) {
+		switch {
+		case o.Result == failover.Failed:
+			v.event(func() ([]replication.Effect, []failover.Effect) { return nil, failover.Suspect(v.input(), server) })
+		case accepted && !v.ackOnCommit:
+			v.awaitDurable(id, server, term)
+		}
+	})
+}
+
+func (v *simVM) awaitDurable(id int, server string, term uint64) {
+	w := state.PositionWaiter{Kind: state.WaitDurable, Server: server, Term: term}
+	v.wait(w, 3*time.Second, func(r replication.Result) {
+		if r.Kind == replication.Satisfied {
+			v.acked[id] = v.now
+			v.read(id, r.Point)
+		}
+	})
+}
+
+// read waits until a server covers an acknowledged write, with or without a
+// bound of age, and checks what it holds.
+func (v *simVM) read(id int, p state.Point) {
+	w := state.PositionWaiter{Kind: state.WaitCover, Point: p, Server: v.group.Servers[v.rng.IntN(len(v.group.Servers))].Name}
+	if v.chance(0.3) {
+		w.MaxAge = 100 * time.Millisecond
+	}
+	v.wait(w, 20*time.Millisecond, func(r replication.Result) {
+		if r.Kind != replication.Satisfied {
+			return
+		}
+		s := v.servers[w.Server]
+		if !s.has(id) {
+			v.fail("%s covers %+v, but lacks write %d", s.name, p, id)
+		}
+		for id, at := range v.acked {
+			if w.MaxAge > 0 && at.Before(v.now.Add(-w.MaxAge)) && at.After(v.now.Add(-2*time.Second)) && !s.has(id) {
+				v.fail("%s is held to be no older than %v, but lacks write %d of %v ago", s.name, w.MaxAge, id, v.now.Sub(at))
+			}
+		}
+	})
+}
--- a/state/group.go
+++ b/state/group.go
@@ -222,6 +222,9 @@
 	MajorityAt  time.Time // when a majority had adopted Term; zero until then
 	Attempts    int       // failed attempts in a row
 	RetryAt     time.Time // no new attempt before this time
+	// SwitchoverAt is the earliest time of the next planned switchover. It is
+	// apart from RetryAt, so that a failed switchover delays no failover.
+	SwitchoverAt time.Time
 }
 
 // The positions of the primary that are remembered per group to measure the age
--- a/transport/groups/calls.go
+++ b/transport/groups/calls.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/failover"
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/transport/groupctl"
 )
@@ -40,6 +41,36 @@
 	return c.Status(ctx)
 }
 
+func callOrder(o failover.Call) func(context.Context, groupctl.Client) (state.ServerStatus, error) {
+	return func(ctx context.Context, c groupctl.Client) (state.ServerStatus, error) {
+		switch o.Order {
+		case failover.Adopt:
+			return c.Adopt(ctx, o.Term)
+		case failover.Promote:
+			return c.Promote(ctx, o.Term)
+		case failover.Follow:
+			return c.Follow(ctx, o.Term, o.Peer)
+		case failover.Switchover:
+			return c.Switchover(ctx, o.Term, o.Peer)
+		case failover.Resume:
+			return c.Resume(ctx, o.Term)
+		}
+		panic("unknown order " + string(o.Order))
+	}
+}
+
+func outcome(st state.ServerStatus, err error) failover.Outcome {
+	var refused *groupctl.RefusedError
+	switch {
+	case err == nil:
+		return failover.Outcome{Result: failover.Done, Status: st}
+	case errors.As(err, &refused):
+		return failover.Outcome{Result: failover.Refused, Status: st}
+	default:
+		return failover.Outcome{Result: failover.Failed}
+	}
+}
+
 // callEnd decides on the end of a control call.
 type callEnd func(st state.ServerStatus, err error, g *state.GroupState, m moment, out *effects)
 
--- a/transport/groups/group.go
+++ b/transport/groups/group.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/failover"
 	"github.com/chestnutdyke/chestnutdyke/coordination/replication"
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/transport/pool"
@@ -16,8 +17,11 @@
 	queue  *pool.Queue
 	timer  *time.Timer
 
-	wake  time.Time      // when the timer runs; zero if it is stopped
-	calls map[string]int // running control calls by server
+	wake     time.Time      // when the timer runs; zero if it is stopped
+	calls    map[string]int // running control calls by server
+	part     failover.Part
+	partAt   time.Time // when part was determined
+	timeline timeline
 }
 
 func newGroup(d *Driver, name string) *group {
@@ -37,6 +41,11 @@
 	now   time.Time
 	cfg   *state.Config // nil if none is known
 	group *state.Group  // nil if the group is not configured
+	part  failover.Part
+}
+
+func (m *moment) input(g *state.GroupState) failover.Input {
+	return failover.Input{State: g, Config: m.cfg, Group: m.group, Part: m.part, Now: m.now}
 }
 
 // event decides under the group table's lock and collects its effects in out.
@@ -58,17 +67,22 @@
 }
 
 // run is executed by a worker. Locks are taken in rank order: the configuration
-// is read and released before the group table is locked.
+// and this VM's part are read, and their locks released, before the group table
+// is locked.
 func (e *group) run(decide event) {
-	d := e.driver
-	m := moment{now: time.Now(), cfg: d.opts.Tables.Config.Current()}
-	if m.cfg != nil {
-		m.group = m.cfg.Groups[e.name]
-	}
+	m := e.moment()
 	var out effects
-	d.opts.Tables.Groups.With(e.name, func(g *state.GroupState) {
+	e.driver.opts.Tables.Groups.With(e.name, func(g *state.GroupState) {
 		decide(g, m, &out)
-		out.replication(replication.Tick(g, m.group, m.now))
+		if out.failover(failover.Tick(m.input(g))) {
+			out.replication(replication.Probe(g, m.group, m.now))
+		} else {
+			out.replication(replication.Tick(g, m.group, m.now))
+		}
+		if out.settled {
+			// Without waiters this VM may have nothing left to wake up for.
+			out.failover(failover.Tick(m.input(g)))
+		}
 	})
 	e.setWake(m.now, out.wake())
 	for _, act := range out.acts {
@@ -76,6 +90,26 @@
 	}
 }
 
+func (e *group) moment() moment {
+	m := moment{now: time.Now(), cfg: e.driver.opts.Tables.Config.Current()}
+	if m.cfg != nil {
+		m.group = m.cfg.Groups[e.name]
+	}
+	if e.partAt.IsZero() || m.now.Sub(e.partAt) >= roleInterval {
+		e.part, e.partAt = e.driver.part(e.name), m.now
+	}
+	m.part = e.part
+	return m
+}
+
+// part determines this VM's part in the group.
+func (d *Driver) part(group string) failover.Part {
+	p := failover.Part{DataCentre: d.opts.Tables.Self.DataCentre}
+	p.Rank, p.Watcher = d.opts.Rank(group)
+	p.Index, p.HasIndex = d.opts.Index()
+	return p
+}
+
 // setWake sets the timer. A zero time stops it.
 func (e *group) setWake(now, at time.Time) {
 	if at.Equal(e.wake) && at.After(now) {
--- a/transport/groups/groups.go
+++ b/transport/groups/groups.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/failover"
 	"github.com/chestnutdyke/chestnutdyke/coordination/replication"
 	"github.com/chestnutdyke/chestnutdyke/protocol/peerapi"
 	"github.com/chestnutdyke/chestnutdyke/state"
@@ -153,16 +154,15 @@
 // answer in time. The servers are asked at once.
 func (d *Driver) Suspect(group, server string) {
 	d.group(group).post(func(g *state.GroupState, m moment, out *effects) {
-		g.ObserveFailure(server, m.now)
-		out.replication(replication.Probe(g, m.group, m.now))
+		out.failover(failover.Suspect(m.input(g), server))
 	})
 }
 
 // MergeView takes in what another VM knows of a group. Repeated and old views
 // change nothing.
 func (d *Driver) MergeView(v peerapi.GroupView) {
-	d.group(v.Group).offer(func(g *state.GroupState, _ moment, _ *effects) {
-		g.Learn(v.Term, v.Primary)
+	d.group(v.Group).offer(func(g *state.GroupState, m moment, out *effects) {
+		out.failover(failover.Merge(m.input(g), v.Term, v.Primary, v.Suspect))
 	})
 }
 
