Notice servers that stop answering without closing connections

A request whose primary was cut off waited until its deadline of 5 s, because no connection broke. It is now checked on after 100 ms: the check counts as a waiting request for the failover, and a later primary ends the request, since its own server cannot acknowledge it any more. Reads leave a replica that does not answer a status query.

--- a/chestnutdyke.go
+++ b/chestnutdyke.go
@@ -126,7 +126,7 @@
 		Control: v.control.Client,
 		Resolve: func(id state.WaiterID, r replication.Result) { v.sessions.Resolved(id, r) },
 		Rank:    func(string) (int, bool) { return 0, true },
-		Index:   func() (uint16, bool) { return 1, true },
+		Index:   v.index,
 		Logger:  o.Logger,
 		Scope:   o.Scope,
 		Tracer:  o.Tracer,
@@ -159,6 +159,16 @@
 // Address returns the address at which clients connect.
 func (v *VM) Address() string { return v.listener.Addr().String() }
 
+// index returns the number that makes the VM's terms unique.
+func (v *VM) index() (uint16, bool) {
+	cfg := v.tables.Config.Current()
+	if cfg == nil {
+		return 0, false
+	}
+	i, listed := cfg.VMIndex(v.options.Name)
+	return uint16(i), listed
+}
+
 func (v *VM) serverFailed(server string) {
 	cfg := v.tables.Config.Current()
 	if cfg == nil {
--- a/coordination/session/answer.go
+++ b/coordination/session/answer.go
@@ -37,6 +37,7 @@
 	if !d.current(s, conn, request) {
 		return nil
 	}
+	s.Answering = true
 	if kind == PartCompletion {
 		s.Completed = true
 	}
@@ -106,7 +107,7 @@
 		effects = append(effects, Suspect{Group: d.groupOf(s), Server: s.Server})
 	}
 	s.Request.Class = state.ClassWrite
-	s.Sent, s.Completed = false, false
+	s.Sent = false
 	effects = append(effects, d.releaseConn(s)...)
 	return append(effects, d.route(s, now)...)
 }
@@ -138,7 +139,7 @@
 	}
 	if d.mayRetry(s, now) {
 		s.Excluded = s.Server
-		s.Sent, s.Completed, s.MayHaveRun = false, false, true
+		s.Sent, s.MayHaveRun = false, true
 		return append([]Effect{DropHeld{}}, d.backoff(s, now)...)
 	}
 	effects := []Effect{DropHeld{}}
@@ -166,6 +167,8 @@
 	switch s.Phase {
 	case state.PhasePosition:
 		return d.positionKnown(s, r, now)
+	case state.PhaseExecuting:
+		return d.checked(s, r, now)
 	case state.PhaseAcknowledging:
 		return d.acknowledged(s, r)
 	}
--- a/coordination/session/decider.go
+++ b/coordination/session/decider.go
@@ -66,15 +66,15 @@
 // Login decides whether a client may open the session. It returns the refusal,
 // or nil.
 func (d *Decider) Login(s *state.Session, now time.Time) *Outcome {
-	if out := d.check(s, now); out.Kind != Answered {
+	if out := d.access(s, now); out.Kind != Answered {
 		return &out
 	}
 	return nil
 }
 
-// check decides whether the session may run a request now, and notes the
+// access decides whether the session may run a request now, and notes the
 // customer whose limit it counts against.
-func (d *Decider) check(s *state.Session, now time.Time) Outcome {
+func (d *Decider) access(s *state.Session, now time.Time) Outcome {
 	out := access.Check(d.Tables.Config.Current(), d.Tables.Config.Freshness(), now, access.Request{
 		Customer: s.Login,
 		Route:    s.Route,
@@ -101,12 +101,12 @@
 // Arrive starts a request.
 func (d *Decider) Arrive(s *state.Session, r state.Request, now time.Time) []Effect {
 	begin(s, r)
-	if out := d.check(s, now); out.Kind != Answered {
+	if out := d.access(s, now); out.Kind != Answered {
 		return d.refuseAccess(s, out)
 	}
 	wake := Wake{Request: r.Number, At: r.Deadline}
 	if s.InTransaction && (r.Class == state.ClassEnd || r.Class == state.ClassRollback) {
-		return append([]Effect{wake}, d.send(s)...)
+		return append([]Effect{wake}, d.send(s, now)...)
 	}
 	return append([]Effect{wake}, d.admit(s, now, false)...)
 }
@@ -115,7 +115,7 @@
 // of a running transaction stay.
 func begin(s *state.Session, r state.Request) {
 	s.Request = r
-	s.Sent, s.Forwarded, s.Completed, s.MayHaveRun = false, false, false, false
+	s.Sent, s.Forwarded, s.MayHaveRun = false, false, false
 	s.Attempts, s.Refusals = 0, 0
 	s.Excluded, s.CoverAsked = "", ""
 }
@@ -139,7 +139,7 @@
 		return d.refuse(s, Outcome{Kind: NotRun, Reason: RateExceeded, RetryAfter: a.RetryAfter})
 	}
 	if s.InTransaction {
-		return d.send(s)
+		return d.send(s, now)
 	}
 	if group := d.groupOf(s); group != "" {
 		d.Tables.Backends.WithRetries(group, func(b *state.RetryBudget) { queueing.Earn(b, now) })
@@ -265,7 +265,7 @@
 		return append([]Effect{Release{Server: server, Conn: conn}}, d.route(s, now)...)
 	}
 	s.Conn = conn
-	return d.send(s)
+	return d.send(s, now)
 }
 
 // isPrimary reports whether the chosen server is still the primary of the term
@@ -291,16 +291,19 @@
 	return append(effects, d.backoff(s, now)...)
 }
 
-func (d *Decider) send(s *state.Session) []Effect {
+func (d *Decider) send(s *state.Session, now time.Time) []Effect {
 	s.Phase = state.PhaseExecuting
 	s.Sent = true
+	s.Answering, s.Completed, s.Superseded = false, false, false
+	s.CheckedAt = time.Time{}
 	s.Attempts++
-	return []Effect{Send{
+	send := Send{
 		Conn:     s.Conn,
 		Request:  s.Request.Number,
 		Payload:  s.Request.Payload,
 		ReadOnly: !s.InTransaction && readOnly(s.Request.Class),
-	}}
+	}
+	return []Effect{send, Wake{Request: s.Request.Number, At: now.Add(firstCheck)}}
 }
 
 // Unsent tells that the connection had failed before a byte of the request was
--- a/coordination/session/end.go
+++ b/coordination/session/end.go
@@ -26,6 +26,8 @@
 		return d.admit(s, now, true)
 	case state.PhaseBackoff:
 		return d.route(s, now)
+	case state.PhaseExecuting:
+		return d.check(s, now)
 	}
 	return nil
 }
--- a/state/config.go
+++ b/state/config.go
@@ -154,6 +154,21 @@
 	return nil, nil
 }
 
+// VMIndex returns the position of the named VM among all VMs in order of name.
+func (c *Config) VMIndex(name string) (index int, listed bool) {
+	for _, dc := range c.DataCentres {
+		for i := range dc.VMs {
+			switch {
+			case dc.VMs[i].Name == name:
+				listed = true
+			case dc.VMs[i].Name < name:
+				index++
+			}
+		}
+	}
+	return index, listed
+}
+
 // ServerState returns the state of a backend server with its data centre taken
 // into account: a server is in service only if its data centre is.
 func (c *Config) ServerState(s *BackendServer) ServiceState {
--- a/state/session.go
+++ b/state/session.go
@@ -94,15 +94,18 @@
 	// TargetsPrimary says that Server was chosen as the primary.
 	TargetsPrimary bool
 	Conn           ConnID
-	Sent           bool   // a byte of the request was handed to Conn
-	Forwarded      bool   // a byte of the answer was handed to the client
-	Completed      bool   // the answer so far holds a completed statement
-	Attempts       int    // times that the request was sent
-	Refusals       int    // times that a backend server refused it as a write
-	MayHaveRun     bool   // an earlier attempt was sent and its result is not known
-	Cancelled      bool   // a cancel request was sent while Conn was held
-	Excluded       string // backend server that just failed this request
-	CoverAsked     string // replica whose position was already asked for this request
+	Sent           bool      // a byte of the request was handed to Conn
+	Forwarded      bool      // a byte of the answer was handed to the client
+	Answering      bool      // a part of the answer has arrived
+	Completed      bool      // the answer so far holds a completed statement
+	Superseded     bool      // a later primary than the one that runs the request is known
+	CheckedAt      time.Time // when a check on the server began; zero if none is under way
+	Attempts       int       // times that the request was sent
+	Refusals       int       // times that a backend server refused it as a write
+	MayHaveRun     bool      // an earlier attempt was sent and its result is not known
+	Cancelled      bool      // a cancel request was sent while Conn was held
+	Excluded       string    // backend server that just failed this request
+	CoverAsked     string    // replica whose position was already asked for this request
 
 	InTransaction bool
 	Draining      bool // close at the next moment without a request or transaction
--- a/vm_test.go
+++ b/vm_test.go
@@ -91,6 +91,11 @@
 	w.cfg = &state.Config{
 		Ticket: state.TicketID{Number: 1},
 		Groups: map[string]*state.Group{"ledger": group},
+		DataCentres: map[string]*state.DataCentre{
+			"north": {Name: "north", State: state.InService, VMs: []state.VM{{Name: "vm-north", State: state.InService}}},
+			"south": {Name: "south", State: state.InService, VMs: []state.VM{{Name: "vm-south", State: state.InService}}},
+			"west":  {Name: "west", State: state.InService},
+		},
 		Routes: map[string]*state.Route{"stock": {Name: "stock", Group: "ledger", Access: state.ReadWrite}},
 		Customers: map[string]*state.Customer{"bindery": {
 			Name: "bindery", Rate: 1000, Burst: 100, CutOff: state.CutOffPolicy{Always: true},
