--- /dev/null
+++ b/standin/fleet/profile.go
@@ -0,0 +1,129 @@
+// Package fleet runs a whole fleet in one process: VMs, database groups and the
+// store, over an in-memory network with the delays of a profile.
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+// Profile describes a user's installation.
+type Profile struct {
+	Name             string
+	DataCentres      []string
+	BetweenDCs       time.Duration // one way
+	ToClients        time.Duration // one way
+	InsideDC         time.Duration // one way
+	Groups           []string
+	ServersPerGroup  int
+	Slots            int
+	Connections      int // per backend server, all VMs together
+	ConnectCost      time.Duration
+	StatementCost    time.Duration
+	ReplicationDelay time.Duration
+	VMs              int
+	Customers        []Customer
+	ViewStaleness    time.Duration // age that the routes named "views-GROUP" accept
+	Deadline         time.Duration
+}
+
+// Customer is a customer with its share of the load.
+type Customer struct {
+	Name  string
+	Rate  float64 // requests a second over the whole fleet
+	Burst float64 // requests
+}
+
+// Fes is the installation of the Régie Municipale des Cuirs de Reliure de Fès.
+func Fes() Profile {
+	return Profile{
+		Name:             "fes",
+		DataCentres:      []string{"andalous", "karaouine", "jdid"},
+		BetweenDCs:       time.Millisecond,
+		ToClients:        time.Millisecond,
+		InsideDC:         100 * time.Microsecond,
+		Groups:           []string{"ledger-1", "ledger-2", "ledger-3"},
+		ServersPerGroup:  3,
+		Slots:            3,
+		Connections:      20,
+		ConnectCost:      10 * time.Millisecond,
+		StatementCost:    2 * time.Millisecond,
+		ReplicationDelay: 3 * time.Millisecond,
+		VMs:              8,
+		Customers:        customers("bindery", "archive"),
+		ViewStaleness:    500 * time.Millisecond,
+		Deadline:         3 * time.Second,
+	}
+}
+
+// Peachtree is the installation of the Peachtree Bonsai Guardians.
+func Peachtree() Profile {
+	return Profile{
+		Name:             "peachtree",
+		DataCentres:      []string{"juniper", "maple", "pine"},
+		BetweenDCs:       1500 * time.Microsecond,
+		ToClients:        3 * time.Millisecond,
+		InsideDC:         100 * time.Microsecond,
+		Groups:           []string{"boarding-1", "boarding-2", "boarding-3"},
+		ServersPerGroup:  3,
+		Slots:            3,
+		Connections:      30,
+		ConnectCost:      30 * time.Millisecond,
+		StatementCost:    2 * time.Millisecond,
+		ReplicationDelay: 5 * time.Millisecond,
+		VMs:              8,
+		Customers:        customers("frontdesk", "owners"),
+		ViewStaleness:    2 * time.Second,
+		Deadline:         5 * time.Second,
+	}
+}
+
+// customers returns eight customers, two of them large.
+func customers(large ...string) []Customer {
+	var all []Customer
+	for _, name := range large {
+		all = append(all, Customer{Name: name, Rate: 300, Burst: 60})
+	}
+	for i := len(all); i < 8; i++ {
+		all = append(all, Customer{Name: fmt.Sprintf("member-%d", i+1), Rate: 50, Burst: 20})
+	}
+	return all
+}
+
+// Key returns the key of a customer.
+func Key(customer string) string { return "key-of-" + customer }
+
+// VMName returns the name of the VM with the given number. VMs are spread over
+// the data centres in turn.
+func VMName(i int) string { return fmt.Sprintf("vm-%d", i+1) }
+
+// DataCentreOf returns the data centre of the VM with the given number.
+func (p *Profile) DataCentreOf(vm int) string { return p.DataCentres[vm%len(p.DataCentres)] }
+
+// Config returns the profile's configuration under the given ticket number.
+func (p *Profile) Config(ticket uint64) *state.Config {
+	c := &state.Config{
+		Ticket:      state.TicketID{Number: ticket},
+		Customers:   make(map[string]*state.Customer),
+		Groups:      make(map[string]*state.Group),
+		Routes:      make(map[string]*state.Route),
+		DataCentres: make(map[string]*state.DataCentre),
+	}
+	for _, customer := range p.Customers {
+		c.Customers[customer.Name] = p.customer(customer)
+	}
+	for i, dc := range p.DataCentres {
+		c.DataCentres[dc] = p.dataCentre(i, dc)
+	}
+	for i, name := range p.Groups {
+		c.Groups[name] = p.group(i, name)
+		c.Routes[name] = &state.Route{Name: name, Group: name, Access: state.ReadWrite, Deadline: p.Deadline}
+		views := "views-" + name
+		c.Routes[views] = &state.Route{
+			Name: views, Group: name, Access: state.ReadOnly, MaxStaleness: p.ViewStaleness, Deadline: p.Deadline,
+		}
+	}
+	return c
+}
--- a/transport/sessions/sessions.go
+++ b/transport/sessions/sessions.go
@@ -61,6 +61,7 @@
 	mu       sync.Mutex // guards the fields below; no other lock is taken under it
 	byID     map[uint64]*client
 	draining bool
+	drained  bool          // empty is closed
 	empty    chan struct{} // closed when draining and no session is left
 }
 
@@ -169,7 +170,8 @@
 
 // signalEmpty is called with mu held.
 func (s *Sessions) signalEmpty() {
-	if s.draining && len(s.byID) == 0 {
+	if s.draining && len(s.byID) == 0 && !s.drained {
+		s.drained = true
 		close(s.empty)
 	}
 }
@@ -194,19 +196,30 @@
 // request nor a transaction. The channel is closed when none is left.
 func (s *Sessions) Drain() <-chan struct{} {
 	s.mu.Lock()
-	first := !s.draining
 	s.draining = true
-	if first {
-		s.signalEmpty()
-	}
+	s.signalEmpty()
+	empty := s.empty
 	s.mu.Unlock()
-	if !first {
-		return s.empty
+	for _, c := range s.all() {
+		c.post(func(time.Time) []session.Effect { return s.Decider.Drain(c.st) })
 	}
+	return empty
+}
+
+// Resume accepts sessions again after Drain. Sessions that are still open stay.
+func (s *Sessions) Resume() {
+	s.mu.Lock()
+	if s.drained {
+		s.empty = make(chan struct{})
+	}
+	s.draining, s.drained = false, false
+	s.mu.Unlock()
 	for _, c := range s.all() {
-		c.post(func(now time.Time) []session.Effect { return s.Decider.Drain(c.st) })
+		c.post(func(time.Time) []session.Effect {
+			c.st.Draining = false
+			return nil
+		})
 	}
-	return s.empty
 }
 
 // Close ends all sessions at once.
