Read settings and tickets, and decide how a ticket is applied

The validation, the difference and the steps of an application are pure decisions in coordination/ticket. VMs get an optional admin_address in the ticket, so that operators' tools find their status.

--- /dev/null
+++ b/coordination/ticket/ticket.go
@@ -0,0 +1,209 @@
+// Package ticket decides about configuration changes: whether a ticket is
+// valid, what it changes, how its application goes on after a conflict or a
+// lost answer, and which configuration a VM moves to.
+//
+// A ticket carries the whole new state of each object that it touches. It is
+// merged into the configuration in force and written back by one conditional
+// update, so it takes effect as a whole or not at all.
+package ticket
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+// Kind is a kind of object. Its value is the key of such objects in files.
+type Kind string
+
+// Kinds of objects in the order in which they are listed.
+const (
+	Customers   Kind = "customers"
+	Groups      Kind = "groups"
+	Routes      Kind = "routes"
+	DataCentres Kind = "data_centres"
+)
+
+// Kinds lists all kinds.
+var Kinds = []Kind{Customers, Groups, Routes, DataCentres}
+
+// Ref names an object.
+type Ref struct {
+	Kind Kind
+	Name string
+}
+
+// String gives the reference as "kind/name".
+func (r Ref) String() string { return string(r.Kind) + "/" + r.Name }
+
+// compareRefs orders references by kind and name.
+func compareRefs(a, b Ref) int {
+	if a.Kind != b.Kind {
+		return slices.Index(Kinds, a.Kind) - slices.Index(Kinds, b.Kind)
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
+// Ticket is a change that an operator asks for.
+type Ticket struct {
+	ID       state.TicketID
+	Operator string
+	Reason   string
+
+	// The whole new state of each object that the ticket adds or changes.
+	Customers   map[string]*state.Customer
+	Groups      map[string]*state.Group
+	Routes      map[string]*state.Route
+	DataCentres map[string]*state.DataCentre
+
+	// Remove lists the objects that the ticket removes, by kind.
+	Remove map[Kind][]string
+}
+
+// Record says that a ticket was applied.
+type Record struct {
+	ID          state.TicketID
+	Operator    string
+	Reason      string
+	Time        time.Time // by the operator's clock, in whole seconds
+	Changed     []string  // objects as "kind/name", at most MaxChanged
+	ChangedMore int       // number of further objects
+}
+
+// Limits of the records kept with the configuration.
+const (
+	// MaxRecords is how many records are kept. An apply whose answer was lost finds
+	// its ticket among them, unless more tickets than that were applied since.
+	MaxRecords = 100
+	// MaxChanged is how many objects a record names. 100 records of 20 names of 30
+	// bytes take 60 KB of the 1 MB that a value may have.
+	MaxChanged = 20
+	// MaxReason is the longest reason in bytes, so that records stay small.
+	MaxReason = 500
+)
+
+// Object is the content of the store's object that holds the configuration.
+type Object struct {
+	Config  *state.Config
+	Records []Record // ascending by number, at most MaxRecords
+}
+
+// EmptyConfig returns the configuration before the first ticket.
+func EmptyConfig() *state.Config {
+	return &state.Config{
+		Customers:   map[string]*state.Customer{},
+		Groups:      map[string]*state.Group{},
+		Routes:      map[string]*state.Route{},
+		DataCentres: map[string]*state.DataCentre{},
+	}
+}
+
+// Touched returns the objects that the ticket adds, changes or removes.
+func (t *Ticket) Touched() []Ref {
+	var refs []Ref
+	refs = appendRefs(refs, Customers, t.Customers, t.Remove)
+	refs = appendRefs(refs, Groups, t.Groups, t.Remove)
+	refs = appendRefs(refs, Routes, t.Routes, t.Remove)
+	refs = appendRefs(refs, DataCentres, t.DataCentres, t.Remove)
+	slices.SortFunc(refs, compareRefs)
+	return slices.Compact(refs)
+}
+
+func appendRefs[T any](refs []Ref, kind Kind, set map[string]T, remove map[Kind][]string) []Ref {
+	for name := range set {
+		refs = append(refs, Ref{kind, name})
+	}
+	for _, name := range remove[kind] {
+		refs = append(refs, Ref{kind, name})
+	}
+	return refs
+}
+
+// Merge returns the configuration with the ticket's objects put in and taken
+// out. It shares the untouched objects with the current configuration.
+func Merge(current *state.Config, t *Ticket) *state.Config {
+	return &state.Config{
+		Ticket:      t.ID,
+		Customers:   merge(current.Customers, t.Customers, t.Remove[Customers]),
+		Groups:      merge(current.Groups, t.Groups, t.Remove[Groups]),
+		Routes:      merge(current.Routes, t.Routes, t.Remove[Routes]),
+		DataCentres: merge(current.DataCentres, t.DataCentres, t.Remove[DataCentres]),
+	}
+}
+
+func merge[T any](current, set map[string]T, remove []string) map[string]T {
+	merged := maps.Clone(current)
+	if merged == nil {
+		merged = make(map[string]T)
+	}
+	for _, name := range remove {
+		delete(merged, name)
+	}
+	maps.Copy(merged, set)
+	return merged
+}
+
+// append returns the object with the ticket applied to it: the merged
+// configuration and one more record.
+func (o *Object) append(t *Ticket, merged *state.Config, at time.Time) *Object {
+	changed := changedRefs(Diff(o.Config, merged))
+	more := max(len(changed)-MaxChanged, 0)
+	record := Record{
+		ID:          t.ID,
+		Operator:    t.Operator,
+		Reason:      t.Reason,
+		Time:        at.UTC().Truncate(time.Second),
+		Changed:     changed[:len(changed)-more],
+		ChangedMore: more,
+	}
+	records := append(slices.Clone(o.Records), record)
+	records = records[max(len(records)-MaxRecords, 0):]
+	return &Object{Config: merged, Records: records}
+}
+
+// record returns the record of the ticket with the number, or nil.
+func (o *Object) record(number uint64) *Record {
+	for i := range o.Records {
+		if o.Records[i].ID.Number == number {
+			return &o.Records[i]
+		}
+	}
+	return nil
+}
+
+// latest returns the newest record, or an empty one.
+func (o *Object) latest() Record {
+	if len(o.Records) == 0 {
+		return Record{ID: o.Config.Ticket}
+	}
+	return o.Records[len(o.Records)-1]
+}
+
+// Order says how an offered configuration relates to the one in force.
+type Order int
+
+// Orders.
+const (
+	Older    Order = iota // ignore it, and offer ours
+	Same                  // nothing to do
+	Newer                 // move to it
+	Diverged              // same number, other content: the store or a VM is at fault; keep ours
+)
+
+// Compare says whether a VM moves from one configuration to another. A VM only
+// moves to a higher number; the zero TicketID is that of no configuration.
+func Compare(have, offered state.TicketID) Order {
+	switch {
+	case offered.Number > have.Number:
+		return Newer
+	case offered.Number < have.Number:
+		return Older
+	case offered.Digest != have.Digest:
+		return Diverged
+	default:
+		return Same
+	}
+}
--- /dev/null
+++ b/protocol/ticketfile/objects.go
@@ -0,0 +1,246 @@
+package ticketfile
+
+import (
+	"encoding/hex"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+// The types below are the form of the objects in files (YAML) and in the store
+// and in messages (JSON). An object's name is the key under which it stands.
+
+// objects are the objects of a ticket or of a configuration, by name.
+type objects struct {
+	Customers   map[string]customer   `yaml:"customers,omitempty" json:"customers,omitempty"`
+	Groups      map[string]group      `yaml:"groups,omitempty" json:"groups,omitempty"`
+	Routes      map[string]route      `yaml:"routes,omitempty" json:"routes,omitempty"`
+	DataCentres map[string]dataCentre `yaml:"data_centres,omitempty" json:"data_centres,omitempty"`
+}
+
+type customer struct {
+	Rate       float64 `yaml:"rate" json:"rate"`
+	Burst      float64 `yaml:"burst" json:"burst"`
+	Keys       []key   `yaml:"keys,omitempty" json:"keys,omitempty"`
+	WhenCutOff *cutOff `yaml:"when_cut_off" json:"when_cut_off"`
+}
+
+type key struct {
+	ID      string `yaml:"id" json:"id"`
+	SHA256  string `yaml:"sha256" json:"sha256"`
+	Revoked bool   `yaml:"revoked,omitempty" json:"revoked,omitempty"`
+}
+
+type cutOff struct {
+	ServeFor string `yaml:"serve_for" json:"serve_for"` // duration or always
+	Reason   string `yaml:"reason" json:"reason"`
+}
+
+type group struct {
+	Servers []server `yaml:"servers" json:"servers"`
+}
+
+type server struct {
+	Name           string `yaml:"name" json:"name"`
+	DataCentre     string `yaml:"data_centre" json:"data_centre"`
+	Address        string `yaml:"address" json:"address"`
+	ControlAddress string `yaml:"control_address" json:"control_address"`
+	Connections    int    `yaml:"connections" json:"connections"`
+	Slots          int    `yaml:"slots" json:"slots"`
+	State          string `yaml:"state,omitempty" json:"state,omitempty"` // in_service if absent
+}
+
+type route struct {
+	Group        string   `yaml:"group" json:"group"`
+	Access       string   `yaml:"access" json:"access"`
+	Open         bool     `yaml:"open,omitempty" json:"open,omitempty"`
+	ChargedTo    string   `yaml:"charged_to,omitempty" json:"charged_to,omitempty"`
+	Customers    []string `yaml:"customers,omitempty" json:"customers,omitempty"`
+	MaxStaleness string   `yaml:"max_staleness,omitempty" json:"max_staleness,omitempty"`
+	Deadline     string   `yaml:"deadline,omitempty" json:"deadline,omitempty"`
+}
+
+type dataCentre struct {
+	Region string `yaml:"region,omitempty" json:"region,omitempty"`
+	State  string `yaml:"state,omitempty" json:"state,omitempty"` // in_service if absent
+	VMs    []vm   `yaml:"vms,omitempty" json:"vms,omitempty"`
+}
+
+type vm struct {
+	Name         string `yaml:"name" json:"name"`
+	Address      string `yaml:"address" json:"address"`
+	AdminAddress string `yaml:"admin_address,omitempty" json:"admin_address,omitempty"`
+	State        string `yaml:"state,omitempty" json:"state,omitempty"` // in_service if absent
+}
+
+// always is the value of serve_for that means no limit.
+const always = "always"
+
+// A failer receives what is wrong with a value that cannot be converted, with
+// the path to it inside the object.
+type failer func(err error, path ...string)
+
+func (c customer) toState(name string, fail failer) *state.Customer {
+	s := &state.Customer{Name: name, Rate: c.Rate, Burst: c.Burst}
+	for i, k := range c.Keys {
+		hash, err := parseHash(k.SHA256)
+		if err != nil {
+			fail(err, "keys", strconv.Itoa(i), "sha256")
+		}
+		s.Keys = append(s.Keys, state.Key{ID: k.ID, Hash: hash, Revoked: k.Revoked})
+	}
+	if c.WhenCutOff == nil {
+		return s
+	}
+	s.CutOff = state.CutOffPolicy{Reason: c.WhenCutOff.Reason}
+	switch c.WhenCutOff.ServeFor {
+	case always:
+		s.CutOff.Always = true
+	default:
+		s.CutOff.ServeFor = parseDuration(c.WhenCutOff.ServeFor, fail, "when_cut_off", "serve_for")
+	}
+	return s
+}
+
+func fromCustomer(s *state.Customer) customer {
+	c := customer{Rate: s.Rate, Burst: s.Burst, WhenCutOff: &cutOff{Reason: s.CutOff.Reason}}
+	for _, k := range s.Keys {
+		c.Keys = append(c.Keys, key{k.ID, hex.EncodeToString(k.Hash[:]), k.Revoked})
+	}
+	c.WhenCutOff.ServeFor = s.CutOff.ServeFor.String()
+	if s.CutOff.Always {
+		c.WhenCutOff.ServeFor = always
+	}
+	return c
+}
+
+func (g group) toState(name string, _ failer) *state.Group {
+	s := &state.Group{Name: name}
+	for _, one := range g.Servers {
+		s.Servers = append(s.Servers, state.BackendServer{
+			Name:           one.Name,
+			DataCentre:     one.DataCentre,
+			Address:        one.Address,
+			ControlAddress: one.ControlAddress,
+			Connections:    one.Connections,
+			Slots:          one.Slots,
+			State:          toServiceState(one.State),
+		})
+	}
+	return s
+}
+
+func fromGroup(s *state.Group) group {
+	var g group
+	for _, one := range s.Servers {
+		g.Servers = append(g.Servers, server{
+			Name:           one.Name,
+			DataCentre:     one.DataCentre,
+			Address:        one.Address,
+			ControlAddress: one.ControlAddress,
+			Connections:    one.Connections,
+			Slots:          one.Slots,
+			State:          fromServiceState(one.State),
+		})
+	}
+	return g
+}
+
+func (r route) toState(name string, fail failer) *state.Route {
+	return &state.Route{
+		Name:         name,
+		Group:        r.Group,
+		Access:       state.Access(r.Access),
+		Open:         r.Open,
+		ChargedTo:    r.ChargedTo,
+		Customers:    r.Customers,
+		MaxStaleness: parseOptionalDuration(r.MaxStaleness, fail, "max_staleness"),
+		Deadline:     parseOptionalDuration(r.Deadline, fail, "deadline"),
+	}
+}
+
+func fromRoute(s *state.Route) route {
+	return route{
+		Group:        s.Group,
+		Access:       string(s.Access),
+		Open:         s.Open,
+		ChargedTo:    s.ChargedTo,
+		Customers:    s.Customers,
+		MaxStaleness: formatDuration(s.MaxStaleness),
+		Deadline:     formatDuration(s.Deadline),
+	}
+}
+
+func (d dataCentre) toState(name string, _ failer) *state.DataCentre {
+	s := &state.DataCentre{Name: name, Region: d.Region, State: toServiceState(d.State)}
+	for _, one := range d.VMs {
+		s.VMs = append(s.VMs, state.VM{
+			Name:         one.Name,
+			Address:      one.Address,
+			AdminAddress: one.AdminAddress,
+			State:        toServiceState(one.State),
+		})
+	}
+	return s
+}
+
+func fromDataCentre(s *state.DataCentre) dataCentre {
+	d := dataCentre{Region: s.Region, State: fromServiceState(s.State)}
+	for _, one := range s.VMs {
+		d.VMs = append(d.VMs, vm{one.Name, one.Address, one.AdminAddress, fromServiceState(one.State)})
+	}
+	return d
+}
+
+func toServiceState(s string) state.ServiceState {
+	if s == "" {
+		return state.InService
+	}
+	return state.ServiceState(s)
+}
+
+func fromServiceState(s state.ServiceState) string {
+	if s == state.InService {
+		return ""
+	}
+	return string(s)
+}
+
+// parseHash parses the SHA-256 hash of a key. An absent hash is left to the
+// validation of the ticket.
+func parseHash(text string) (hash state.KeyHash, err error) {
+	if text == "" {
+		return hash, nil
+	}
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(hash) {
+		return hash, eris.Errorf("sha256 must be %d hexadecimal digits", 2*len(hash))
+	}
+	copy(hash[:], raw)
+	return hash, nil
+}
+
+func parseDuration(text string, fail failer, path ...string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		fail(eris.Errorf("%s must be a duration such as 250ms or 10s, not %q", path[len(path)-1], text), path...)
+	}
+	return d
+}
+
+func parseOptionalDuration(text string, fail failer, path ...string) time.Duration {
+	if text == "" {
+		return 0
+	}
+	return parseDuration(text, fail, path...)
+}
+
+func formatDuration(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
--- a/state/config.go
+++ b/state/config.go
@@ -112,9 +112,10 @@
 
 // VM is one process of the system, as described by operators.
 type VM struct {
-	Name    string
-	Address string // peer interface, host:port
-	State   ServiceState
+	Name         string
+	Address      string // peer interface, host:port
+	AdminAddress string // admin interface, host:port; empty if operators reach it in no such way
+	State        ServiceState
 }
 
 // DataCentre is a failure domain with its own VMs and backend servers.
