--- a/standin/fleet/profile.go
+++ b/standin/fleet/profile.go
@@ -3,7 +3,10 @@
 package fleet
 
 import (
+	"crypto/sha256"
 	"fmt"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/state"
@@ -127,3 +130,67 @@
 	}
 	return c
 }
+
+func (p *Profile) customer(c Customer) *state.Customer {
+	return &state.Customer{
+		Name:   c.Name,
+		Rate:   c.Rate,
+		Burst:  c.Burst,
+		Keys:   []state.Key{{ID: c.Name + "-1", Hash: sha256.Sum256([]byte(Key(c.Name)))}},
+		CutOff: state.CutOffPolicy{ServeFor: 5 * time.Minute, Reason: "stock enquiries go on while a data centre is cut off"},
+	}
+}
+
+func (p *Profile) dataCentre(i int, name string) *state.DataCentre {
+	dc := &state.DataCentre{Name: name, Region: "region-1", State: state.InService}
+	for vm := i; vm < p.VMs; vm += len(p.DataCentres) {
+		dc.VMs = append(dc.VMs, state.VM{Name: VMName(vm), Address: address(vmHost(vm), peerPort), State: state.InService})
+	}
+	return dc
+}
+
+func (p *Profile) group(i int, name string) *state.Group {
+	g := &state.Group{Name: name}
+	for s := range p.ServersPerGroup {
+		host := serverHost(i, s)
+		g.Servers = append(g.Servers, state.BackendServer{
+			Name:           fmt.Sprintf("%s-%c", name, 'a'+s),
+			DataCentre:     p.serverDataCentre(i, s),
+			Address:        address(host, wirePort),
+			ControlAddress: address(host, controlPort),
+			Connections:    p.Connections,
+			Slots:          p.Slots,
+			State:          state.InService,
+		})
+	}
+	return g
+}
+
+// serverDataCentre spreads the servers of a group over the data centres, with
+// the first primaries in different ones.
+func (p *Profile) serverDataCentre(group, server int) string {
+	return p.DataCentres[(group+server)%len(p.DataCentres)]
+}
+
+// Ports of the hosts.
+const (
+	wirePort    = 5432
+	peerPort    = 7432
+	controlPort = 8432
+	adminPort   = 9432
+)
+
+// Every VM and every backend server has a host of its own.
+func vmHost(vm int) string { return fmt.Sprintf("127.1.%d.%d", vm/200, vm%200+1) }
+func serverHost(group, server int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 2+server, group/200, group%200+1)
+}
+
+const (
+	storeHost  = "127.100.0.1"
+	clientHost = "127.101.0.1"
+	clientZone = "clients"
+	storeZone  = "platform"
+)
+
+func address(host string, port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
