Add the demo, tell refused clients why

A refused client saw only the end of its connection: the reader closed it before the writer had sent the reason. The reader now waits until what is queued is written, for at most 2 s.

--- /dev/null
+++ b/cmd/chestnutdemo/main.go
@@ -0,0 +1,162 @@
+// Command chestnutdemo runs a small fleet with stand-ins in one process and
+// walks through it: a write, a move to another VM, a read from a replica, and a
+// failover.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/text"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/chestnutdyke/chestnutdyke/standin/fleet"
+)
+
+// demoTimeout bounds the whole walk.
+const demoTimeout = 30 * time.Second
+
+func main() {
+	verbose := flag.Bool("v", false, "show the VMs' logs")
+	flag.Usage = func() {
+		fmt.Fprintf(flag.CommandLine.Output(), "Usage: chestnutdemo [-v]\n\nRuns a fleet with stand-ins in one process and walks through a failover.\n\n")
+		flag.PrintDefaults()
+	}
+	flag.Parse()
+	logger := &log.Logger{Handler: discard.Default}
+	if *verbose {
+		logger.Handler = text.New(os.Stderr)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
+	defer cancel()
+	if err := run(ctx, os.Stdout, logger); err != nil {
+		fmt.Fprintln(os.Stderr, "chestnutdemo:", err)
+		os.Exit(1)
+	}
+}
+
+// demo is the walk. The first error ends it.
+type demo struct {
+	ctx   context.Context
+	out   io.Writer
+	fleet *fleet.Fleet
+	step  int
+}
+
+func run(ctx context.Context, out io.Writer, logger log.Interface) error {
+	f, err := fleet.Start(fleet.Fes(), fleet.Options{Seed: 1, Logger: logger})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	d := &demo{ctx: ctx, out: out, fleet: f}
+	token, err := d.write()
+	if err != nil {
+		return err
+	}
+	if err := d.move(token); err != nil {
+		return err
+	}
+	return d.failover()
+}
+
+func (d *demo) say(format string, args ...any) {
+	d.step++
+	fmt.Fprintf(d.out, "%d. %s\n", d.step, fmt.Sprintf(format, args...))
+}
+
+// write reserves a skin through the first VM and returns the session token.
+func (d *demo) write() (string, error) {
+	c, err := d.connect(0, "")
+	if err != nil {
+		return "", err
+	}
+	defer c.Close(d.ctx)
+	if _, err := c.Exec(d.ctx, "INSERT INTO kv VALUES ('skin-17', 'reserved')"); err != nil {
+		return "", fmt.Errorf("reserve the skin: %w", err)
+	}
+	server, err := answeredBy(d.ctx, c)
+	if err != nil {
+		return "", err
+	}
+	d.say("%s: wrote skin-17 = reserved; a majority of ledger-1 holds it (primary %s)", fleet.VMName(0), server)
+	return fleet.Token(c), nil
+}
+
+// move reads the write through the second VM, from a replica.
+func (d *demo) move(token string) error {
+	c, err := d.connect(1, token)
+	if err != nil {
+		return err
+	}
+	defer c.Close(d.ctx)
+	var value string
+	if err := c.QueryRow(d.ctx, "SELECT value FROM kv WHERE key = 'skin-17'").Scan(&value); err != nil {
+		return fmt.Errorf("read the reservation: %w", err)
+	}
+	server, err := answeredBy(d.ctx, c)
+	if err != nil {
+		return err
+	}
+	d.say("%s: the session moved here with its token and reads skin-17 = %s from %s", fleet.VMName(1), value, server)
+	return nil
+}
+
+// failover stops the primary and goes on writing through the second VM.
+func (d *demo) failover() error {
+	group := d.fleet.Groups["ledger-1"]
+	old := group.Primary()
+	c, err := d.connect(1, "")
+	if err != nil {
+		return err
+	}
+	defer c.Close(d.ctx)
+	old.Stop()
+	stopped := time.Now()
+	d.say("the primary %s fails", old.Name())
+	for n := 0; ; n++ {
+		_, err := c.Exec(d.ctx, fmt.Sprintf("INSERT INTO kv VALUES ('skin-18-%d', 'reserved')", n))
+		if err == nil {
+			break
+		}
+		d.say("%s: write refused or unknown: %v", fleet.VMName(1), err)
+		if d.ctx.Err() != nil {
+			return d.ctx.Err()
+		}
+	}
+	gap := time.Since(stopped)
+	d.say("%s: the next write is acknowledged after %d ms; the primary is now %s", fleet.VMName(1), gap.Milliseconds(), group.Primary().Name())
+	var value string
+	if err := c.QueryRow(d.ctx, "SELECT value FROM kv WHERE key = 'skin-17'").Scan(&value); err != nil {
+		return fmt.Errorf("read after the failover: %w", err)
+	}
+	server, err := answeredBy(d.ctx, c)
+	if err != nil {
+		return err
+	}
+	d.say("%s: skin-17 is still %s, read from %s", fleet.VMName(1), value, server)
+	return nil
+}
+
+func (d *demo) connect(vm int, token string) (*pgx.Conn, error) {
+	c, err := d.fleet.Connect(d.ctx, "bindery", "ledger-1", vm, token)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", fleet.VMName(vm), err)
+	}
+	return c, nil
+}
+
+// answeredBy returns the backend server that answers the session's reads.
+func answeredBy(ctx context.Context, c *pgx.Conn) (string, error) {
+	var server string
+	if err := c.QueryRow(ctx, "SELECT server()").Scan(&server); err != nil {
+		return "", fmt.Errorf("ask for the backend server: %w", err)
+	}
+	return server, nil
+}
--- a/session_test.go
+++ b/session_test.go
@@ -233,3 +233,25 @@
 		}
 	})
 }
+
+// Guards against a refusal that the client does not see because its connection
+// is closed first.
+func TestRefusedLoginSaysWhy(t *testing.T) {
+	tests := []struct {
+		name, user, database, key, code string
+	}{
+		{"wrong key", "bindery", "stock", "other", "28P01"},
+		{"unknown customer", "nobody", "stock", clientKey, "28P01"},
+		{"unknown route", "bindery", "other", clientKey, "3D000"},
+	}
+	inWorld(t, func(w *world) {
+		for _, tt := range tests {
+			cfg := w.clientConfig(0)
+			cfg.User, cfg.Database, cfg.Password = tt.user, tt.database, tt.key
+			_, err := pgx.ConnectConfig(background, cfg)
+			if got := sqlState(err); got != tt.code {
+				t.Errorf("%s: SQLSTATE %q, want %s (%v)", tt.name, got, tt.code, err)
+			}
+		}
+	})
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/jackc/pgx/v5"
@@ -139,6 +140,7 @@
 		return eris.Wrapf(err, "start %s", o.Name)
 	}
 	vm.Tables().Config.Advance(f.Profile.Config(1))
+	vm.Tables().Config.Confirm(time.Now())
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{vm: vm, cancel: cancel, done: make(chan error, 1)}
 	go func() { r.done <- vm.Run(ctx) }()
--- a/transport/outbox/outbox.go
+++ b/transport/outbox/outbox.go
@@ -73,6 +73,16 @@
 	o.startWriter()
 }
 
+// WaitClosed waits until the connection is closed by Finish, Abort or a failure.
+// Workers must not call it.
+func (o *Outbox) WaitClosed() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for o.err == nil {
+		o.space.Wait()
+	}
+}
+
 // Abort closes the connection at once.
 func (o *Outbox) Abort() {
 	o.mu.Lock()
--- a/transport/pgserver/pgserver.go
+++ b/transport/pgserver/pgserver.go
@@ -23,6 +23,9 @@
 const (
 	// loginTimeout bounds the time from accepting a client to its login.
 	loginTimeout = 10 * time.Second
+	// flushTimeout bounds the writing of what is left for a client at the end of
+	// its connection.
+	flushTimeout = 2 * time.Second
 	// outputHigh is the number of queued bytes for a client from which on answers
 	// are not read from the backend server.
 	outputHigh = 1 << 20
@@ -167,16 +170,26 @@
 		return
 	}
 	client := &Client{out: outbox.New(conn, outputHigh)}
+	defer finish(raw, client)
 	sess, refused := s.Sessions.Login(client, login)
 	if refused != nil {
 		client.Send(pgwire.Refuse(*refused, true))
-		client.Finish()
 		return
 	}
 	defer sess.Gone()
 	read(backend, client, sess)
 }
 
+// finish closes the connection once the client has got what was queued for it,
+// such as the reason for the end of its session.
+func finish(conn net.Conn, c *Client) {
+	if err := conn.SetWriteDeadline(time.Now().Add(flushTimeout)); err != nil {
+		return // it is closed
+	}
+	c.Finish()
+	c.out.WaitClosed()
+}
+
 // startup takes the first messages of a client: requests for encryption, a
 // cancel request, or the start-up message.
 func (s *Server) startup(conn net.Conn) (net.Conn, *pgproto3.StartupMessage, error) {
--- a/vm_test.go
+++ b/vm_test.go
@@ -148,8 +148,8 @@
 	return w.recorder.network(n, names)
 }
 
-// connect opens a client connection to a VM with a session token.
-func (w *world) connect(vm int, token string) *pgx.Conn {
+// clientConfig returns the configuration of a client of the VM.
+func (w *world) clientConfig(vm int) *pgx.ConnConfig {
 	w.t.Helper()
 	cfg, err := pgx.ParseConfig("host=10.1.1.1 sslmode=disable user=bindery database=stock password=" + clientKey)
 	if err != nil {
@@ -160,6 +160,13 @@
 		return w.recorded(client).Dial(ctx, w.vms[vm].Address())
 	}
 	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
+	return cfg
+}
+
+// connect opens a client connection to a VM with a session token.
+func (w *world) connect(vm int, token string) *pgx.Conn {
+	w.t.Helper()
+	cfg := w.clientConfig(vm)
 	if token != "" {
 		cfg.RuntimeParams["chestnutdyke.session"] = token
 	}
