--- a/standin/dbgroup/options.go
+++ b/standin/dbgroup/options.go
@@ -8,8 +8,8 @@
 // events run one at a time. No worker blocks; a statement that waits for a slot
 // or for its time to pass is continued by a later event.
 //
-// Lock order: sessionTable, node, slotTable, faultTable, history, outputs. Only
-// one node is locked at a time.
+// Lock order: sessionTable, node, slotTable, faultTable, history, progress,
+// output. Only one node is locked at a time.
 //
 // A transaction's changes are kept aside until it commits, and reads see the
 // latest committed data. Concurrent transactions do not wait for each other:
--- a/standin/memnet/conn.go
+++ b/standin/memnet/conn.go
@@ -49,12 +49,8 @@
 
 // send puts a segment into transit to the given side.
 func (k *link) send(side int, g segment, now time.Time) {
-	s := &k.to[side]
 	g.arrives, g.held = k.arrival(now), k.held
-	if last := s.last(); last.After(g.arrives) {
-		g.arrives = last
-	}
-	s.put(g)
+	k.to[side].put(g)
 	k.changed.Broadcast()
 }
 
--- a/standin/memnet/network.go
+++ b/standin/memnet/network.go
@@ -79,7 +79,8 @@
 	return h
 }
 
-// SetDelay sets the one-way delay between two zones, or within one.
+// SetDelay sets the one-way delay between two zones, or within one, for
+// connections that are opened afterwards.
 func (n *Network) SetDelay(zoneA, zoneB string, oneWay time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -87,7 +88,8 @@
 }
 
 // SetDefaultDelay sets the one-way delays of pairs without a delay of their
-// own: within a zone, and between two zones.
+// own: within a zone, and between two zones. It applies to connections that are
+// opened afterwards.
 func (n *Network) SetDefaultDelay(sameZone, elsewhere time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -95,7 +97,8 @@
 }
 
 // SetJitter adds a random time below limit to each delay. Data of one
-// connection stays in order.
+// connection stays in order. It applies to connections that are opened
+// afterwards.
 func (n *Network) SetJitter(limit time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/standin/memnet/stream.go
+++ b/standin/memnet/stream.go
@@ -9,7 +9,9 @@
 // beyond which Write blocks.
 const bufferLimit = 1 << 20
 
-// stream is one direction of a connection. Its link's lock guards it.
+// stream is one direction of a connection. Its link's lock guards it. Segments
+// are taken in the order in which they were put, so one that arrives early waits
+// for those before it.
 type stream struct {
 	segments []segment
 	size     int // bytes in segments
@@ -56,15 +58,15 @@
 	return n, nil, n > 0
 }
 
-// ended reports whether the reader has been told of the end of the stream.
+// ended reports whether the end of the stream and all data before it have
+// arrived.
 func (s *stream) ended(now time.Time) bool {
 	for i := range s.segments {
-		g := &s.segments[i]
-		if g.end && g.arrived(now) {
-			return true
+		if !s.segments[i].arrived(now) {
+			return false
 		}
 	}
-	return false
+	return len(s.segments) > 0 && s.segments[len(s.segments)-1].end
 }
 
 // next returns when the next segment arrives; zero if that is not known.
@@ -75,16 +77,6 @@
 	return s.segments[0].arrives
 }
 
-// last returns the arrival of the last segment that is not held; zero if none.
-func (s *stream) last() time.Time {
-	for i := len(s.segments) - 1; i >= 0; i-- {
-		if !s.segments[i].held {
-			return s.segments[i].arrives
-		}
-	}
-	return time.Time{}
-}
-
 // hold holds back what has not arrived.
 func (s *stream) hold(now time.Time) {
 	for i := range s.segments {
@@ -94,11 +86,8 @@
 	}
 }
 
-// release lets held segments arrive at the given time or later, in order.
+// release lets held segments arrive at the given time.
 func (s *stream) release(arrives time.Time) {
-	if last := s.last(); last.After(arrives) {
-		arrives = last
-	}
 	for i := range s.segments {
 		if s.segments[i].held {
 			s.segments[i].held = false
