--- a/failover_test.go
+++ b/failover_test.go
@@ -60,6 +60,7 @@
 		north, south := w.connect(0, ""), w.connect(1, "")
 		before := w.appendUntilAcknowledged(south, "before")
 		cut := w.net.Partition(memnet.Zones("north"), memnet.Zones("south", "west"))
+		w.group.Server("ledger-north").IsolateReplication(true)
 		isolated := time.Now()
 		after := w.appendUntilAcknowledged(south, "after")
 		gap := time.Since(isolated)
@@ -71,6 +72,7 @@
 			t.Errorf("write through the isolated primary: %v, want SQLSTATE 08007", err)
 		}
 		cut.Heal()
+		w.group.Server("ledger-north").IsolateReplication(false)
 		time.Sleep(5 * time.Second)
 		healed := w.appendUntilAcknowledged(north, "healed")
 		time.Sleep(time.Second)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -183,6 +183,45 @@
 	return f.KillVM(i)
 }
 
+// Isolation is a data centre that is cut off from everything but the clients.
+type Isolation struct {
+	fleet *Fleet
+	dc    string
+	cut   *memnet.Cut
+}
+
+// Isolate cuts a data centre off from the other data centres and from the
+// platform, and its servers' replication with it. Clients reach it still.
+func (f *Fleet) Isolate(dc string) *Isolation {
+	others := []string{storeZone}
+	for _, name := range f.Profile.DataCentres {
+		if name != dc {
+			others = append(others, name)
+		}
+	}
+	i := &Isolation{fleet: f, dc: dc, cut: f.Net.Partition(memnet.Zones(dc), memnet.Zones(others...))}
+	i.isolateReplication(true)
+	return i
+}
+
+// Heal ends the isolation.
+func (i *Isolation) Heal() {
+	i.cut.Heal()
+	i.isolateReplication(false)
+}
+
+// isolateReplication is needed because the groups' replication does not use the
+// network.
+func (i *Isolation) isolateReplication(isolated bool) {
+	for _, g := range i.fleet.Groups {
+		for _, s := range g.Servers() {
+			if s.DataCentre() == i.dc {
+				s.IsolateReplication(isolated)
+			}
+		}
+	}
+}
+
 // Close stops everything.
 func (f *Fleet) Close() {
 	f.mu.Lock()
