--- a/cmd/chestnutdemo/main.go
+++ b/cmd/chestnutdemo/main.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return "", err
 	}
-	d.say("%s: wrote skin-17 = reserved; a majority of ledger-1 holds it (primary %s)", fleet.VMName(0), server)
+	d.say("%s: wrote skin-17 = reserved; a majority of ledger-1 holds it; the session reads from %s", fleet.VMName(0), server)
 	return fleet.Token(c), nil
 }
 
