Record term starts, report a running switchover in the stand-in group

The status of a stand-in backend server left out SwitchingTo, so a VM could not see a primary that another VM had drained and forgotten, and the proxy's rule for that case had no effect in whole fleets. Tests also had no way to tell which log a dropped commit belonged to.

Status reports the server that a switchover hands over to; Group.TermStarts lists promotions with the record they build on. go test -race ./standin/dbgroup passes.

--- a/standin/dbgroup/control.go
+++ b/standin/dbgroup/control.go
@@ -83,7 +83,9 @@
 
 func (s *Server) orderAdopt(o groupapi.Order) string { return s.changed(s.node.adopt(o.Term)) }
 
-func (s *Server) orderPromote(o groupapi.Order) string { return s.changed(s.node.promote(o.Term)) }
+func (s *Server) orderPromote(o groupapi.Order) string {
+	return s.changed(s.node.promote(o.Term, s.group.history.promoted))
+}
 
 func (s *Server) orderResume(o groupapi.Order) string { return s.changed(s.node.resume(o.Term)) }
 
--- a/standin/dbgroup/group.go
+++ b/standin/dbgroup/group.go
@@ -38,6 +38,7 @@
 	}
 	g.startPool()
 	first := options.Servers[0].Name
+	g.history.promoted(TermStart{Server: first, Term: initialTerm})
 	for _, o := range options.Servers {
 		g.addServer(o, first)
 	}
@@ -98,6 +99,10 @@
 // those whose records were dropped later.
 func (g *Group) Commits() []Commit { return g.history.commitsSeen() }
 
+// TermStarts returns all promotions in the order in which they happened, after
+// the start of term 1. With Commits they give every log that a server ever held.
+func (g *Group) TermStarts() []TermStart { return g.history.termsSeen() }
+
 // Startups returns all startups in order, so that a test can search them for a
 // client's key.
 func (g *Group) Startups() []Startup { return g.history.startupsSeen() }
--- a/standin/dbgroup/history.go
+++ b/standin/dbgroup/history.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/standin/dbgroup/translog"
+	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
 )
 
@@ -20,6 +21,14 @@
 	At       time.Time
 }
 
+// TermStart is a promotion: the record that starts the term follows the record
+// at Base in the server's log.
+type TermStart struct {
+	Server string
+	Term   uint64
+	Base   state.Point // zero if the log was empty
+}
+
 // Startup is what a client presented when it connected.
 type Startup struct {
 	Server     string
@@ -31,8 +40,9 @@
 
 // history records what happened, for the checks of tests.
 type history struct {
-	mu       lockrank.Mutex // guards commits and startups
+	mu       lockrank.Mutex // guards the fields below
 	commits  []Commit
+	terms    []TermStart
 	startups []Startup
 }
 
@@ -44,6 +54,12 @@
 	h.commits = append(h.commits, c)
 }
 
+func (h *history) promoted(t TermStart) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.terms = append(h.terms, t)
+}
+
 func (h *history) started(s Startup) {
 	s.Parameters = maps.Clone(s.Parameters)
 	h.mu.Lock()
@@ -57,6 +73,12 @@
 	return slices.Clone(h.commits)
 }
 
+func (h *history) termsSeen() []TermStart {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.terms)
+}
+
 func (h *history) startupsSeen() []Startup {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/standin/dbgroup/node.go
+++ b/standin/dbgroup/node.go
@@ -72,6 +72,7 @@
 		LogTerm:     n.log.Term(),
 		Position:    n.log.Position(),
 		Primary:     n.following,
+		SwitchingTo: n.draining,
 		History:     n.log.Latest(historyLength),
 	}
 }
@@ -100,7 +101,7 @@
 
 // promote makes the server primary of the adopted term. A repeated order has no
 // further effect.
-func (n *node) promote(term uint64) (refused string) {
+func (n *node) promote(term uint64, promoted func(TermStart)) (refused string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
@@ -112,6 +113,7 @@
 		return fmt.Sprintf("follows %s, which is primary of term %d", n.following, term)
 	}
 	n.role, n.term, n.following, n.draining = state.Primary, term, "", ""
+	promoted(TermStart{Server: n.name, Term: term, Base: state.Point{Term: n.log.Term(), Position: n.log.Position()}})
 	n.startTerm(term)
 	return ""
 }
--- a/standin/dbgroup/replication_test.go
+++ b/standin/dbgroup/replication_test.go
@@ -213,6 +213,25 @@
 	})
 }
 
+// Guards against a promotion that is missing from the history, from which tests
+// work out what each log held.
+func TestTermStartsAreRecorded(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, w *world) {
+		w.mustExec(w.mustConnect("a"), "APPEND log '1'")
+		time.Sleep(time.Second)
+		w.must("b", groupapi.PathAdopt, groupapi.Order{Term: 7})
+		w.must("b", groupapi.PathPromote, groupapi.Order{Term: 7})
+		w.must("b", groupapi.PathPromote, groupapi.Order{Term: 7})
+		want := []TermStart{
+			{Server: "a", Term: 1},
+			{Server: "b", Term: 7, Base: state.Point{Term: 1, Position: 2}},
+		}
+		if got := w.group.TermStarts(); !slices.Equal(got, want) {
+			t.Errorf("term starts %+v, want %+v", got, want)
+		}
+	})
+}
+
 // Guards against a switchover that cuts off a transaction, accepts writes after
 // its answer, or answers before the other server holds the whole log.
 func TestSwitchover(t *testing.T) {
@@ -231,6 +250,9 @@
 		time.Sleep(20 * time.Millisecond)
 		_, err := exec(c, "APPEND log 'refused'")
 		w.wantCode(err, codeReadOnly)
+		if got := w.group.Server("a").Status().SwitchingTo; got != "b" {
+			t.Errorf("status says that the server hands over to %q, want b", got)
+		}
 		w.mustExec(open, "APPEND log '2'; COMMIT")
 		time.Sleep(time.Second)
 		select {
@@ -243,6 +265,9 @@
 			t.Fatalf("answer %+v", a)
 		}
 		w.must("a", groupapi.PathResume, groupapi.Order{Term: 1})
+		if got := w.group.Server("a").Status().SwitchingTo; got != "" {
+			t.Errorf("status says that the server still hands over to %q", got)
+		}
 		w.mustExec(c, "APPEND log '3'")
 	})
 }
