Run a select that writes again when it came by the extended protocol

A SELECT with a function that writes is taken for a read, refused by the server with 25006 and sent again as a write, unless a byte of the answer has reached the client. By the extended protocol the answers to Parse, Bind and Describe had already been forwarded, so the client got 25006, always.

What comes before the first row is now held like errors are. TestSelectThatWritesByExtendedProtocol fails before the change and passes after it.

--- a/coordination/session/answer.go
+++ b/coordination/session/answer.go
@@ -13,7 +13,8 @@
 
 // Kinds of parts.
 const (
-	PartData       PartKind = iota // rows, descriptions, notices
+	PartData       PartKind = iota // rows, notices
+	PartLead                       // what comes before a statement runs: it is parsed, bound, described
 	PartCompletion                 // the end of a statement
 	PartError                      // an error
 )
@@ -32,7 +33,8 @@
 
 // Part takes a part of the answer. Parts that could prove a write done are held
 // until a majority holds the write; errors are held because a refusal as a
-// write makes the request run elsewhere.
+// write makes the request run elsewhere, and so is what comes before the first
+// row.
 func (d *Decider) Part(s *state.Session, conn state.ConnID, request uint64, kind PartKind, part any) []Effect {
 	if !d.current(s, conn, request) {
 		return nil
@@ -42,11 +44,11 @@
 		s.Completed = true
 	}
 	writable := !readOnly(s.Request.Class)
-	if kind == PartError || writable && s.Completed {
+	if kind == PartError || kind == PartLead && !s.Forwarded || writable && s.Completed {
 		return []Effect{Hold{Part: part}}
 	}
 	s.Forwarded = true
-	return []Effect{Forward{Part: part}}
+	return []Effect{FlushHeld{}, Forward{Part: part}}
 }
 
 // Ended takes the end of the answer.
--- a/protocol/pgwire/answer.go
+++ b/protocol/pgwire/answer.go
@@ -67,7 +67,9 @@
 		a.add(&step, session.PartCompletion, msg)
 	case *pgproto3.ParseComplete:
 		a.prepared++
-		a.add(&step, session.PartData, msg)
+		a.add(&step, session.PartLead, msg)
+	case *pgproto3.BindComplete, *pgproto3.ParameterDescription, *pgproto3.RowDescription, *pgproto3.NoData:
+		a.add(&step, session.PartLead, msg)
 	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
 		step.Fault = "COPY is not supported"
 	case *pgproto3.ParameterStatus, *pgproto3.NotificationResponse:
--- a/session_test.go
+++ b/session_test.go
@@ -31,6 +31,32 @@
 	})
 }
 
+// Guards against a write taken for a read that fails because the server parsed
+// and described it before it refused to run it.
+func TestSelectThatWritesByExtendedProtocol(t *testing.T) {
+	modes := map[string]pgx.QueryExecMode{
+		"unnamed statement":   pgx.QueryExecModeExec,
+		"described statement": pgx.QueryExecModeDescribeExec,
+		"named statement":     pgx.QueryExecModeCacheStatement,
+	}
+	for name, mode := range modes {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(w *world) {
+				c := w.connect(0, "")
+				for _, value := range []string{"1", "2"} {
+					if got := w.query(c, "SELECT write_kv($1, $2)", mode, "a", value); got != value {
+						t.Errorf("answer %q, want %q", got, value)
+					}
+				}
+				if n := len(w.group.Commits()); n != 2 {
+					t.Errorf("%d commits, want 2", n)
+				}
+				w.close(c)
+			})
+		})
+	}
+}
+
 // Guards against settings and prepared statements of one session showing up in
 // another that gets the same backend connection.
 func TestSessionStateStaysWithItsSession(t *testing.T) {
--- a/standin/history/check_reads.go
+++ b/standin/history/check_reads.go
@@ -128,8 +128,8 @@
 
 func (c *checker) checkReturned(r *Request) {
 	var want []string
-	if r.Returning {
-		for _, change := range r.Changes {
+	for _, change := range r.Changes {
+		if r.Returning && change.Key != "" {
 			want = append(want, change.Value)
 		}
 	}
--- a/standin/history/history.go
+++ b/standin/history/history.go
@@ -60,7 +60,7 @@
 	Kind       Kind
 	Key        string   // of a Read
 	Changes    []Change // of a Write, in order
-	Returning  bool     // the answer repeats the values of Changes
+	Returning  bool     // the answer repeats the values that Changes give to keys
 	Idempotent bool     // the client allows it to run more than once
 	Invoked    time.Time
 	Result
