Decide whether a process may spend from its VM's shares

Two processes can run under one VM name, and only one of them may spend. A hold starts with confirmations of a majority that does not count the process's own vote, and is kept by a majority that does. A voter confirms no other incarnation until its last confirmation is out of use, so that two holds never rely on one voter at the same time.

--- /dev/null
+++ b/coordination/lease/lease.go
@@ -0,0 +1,133 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+const (
+	// Term is how long a confirmation may be used, from the sending of the query.
+	Term = 3 * time.Second
+	// QueryInterval is how often every voter is asked.
+	QueryInterval = 500 * time.Millisecond
+)
+
+// Margin is added to a period by the side that must not be the first to see it
+// end. It covers clocks that run up to 1 % fast or slow on both sides, and
+// 100 ms for a reading of the clock that is used late.
+func Margin(d time.Duration) time.Duration { return d/50 + 100*time.Millisecond }
+
+// exclusive is how long a voter that confirmed one incarnation, or a process
+// that may have done so before a restart, confirms no other one.
+const exclusive = Term + Term/50 + 100*time.Millisecond
+
+// Outgoing is a query to be sent to a voter. Store names the platform's store.
+type Outgoing struct {
+	Voter string
+	Query Query
+}
+
+// Start records when this process started. Before that it confirms nothing.
+func Start(t *state.LeaseTable, now time.Time) {
+	t.With(func(l *state.Lease) { l.Started = now })
+}
+
+// Valid reports whether this process may spend from its shares now. It is
+// checked before every spend.
+func Valid(t *state.LeaseTable, now time.Time) bool { return t.Hold().Valid(now) }
+
+// Queries returns the queries to send to the voters now. now must not be later
+// than the moment of sending, because confirmations are counted from it.
+func Queries(tables *state.Tables, now time.Time) []Outgoing {
+	config := tables.Config.Current()
+	voters := VotersOf(config, tables.Self.Name)
+	var out []Outgoing
+	tables.Lease.With(func(l *state.Lease) {
+		forgetOld(l, now)
+		if l.Superseded {
+			return
+		}
+		for _, voter := range voters.names() {
+			l.NextQuery++
+			l.Queries[l.NextQuery] = state.LeaseQuery{Voter: voter, SentAt: now}
+			out = append(out, Outgoing{Voter: voter, Query: Query{
+				Number:      l.NextQuery,
+				Incarnation: tables.Self.Incarnation,
+				Ticket:      config.Ticket.Number,
+				Voters:      voters.digest(),
+			}})
+		}
+	})
+	return out
+}
+
+// forgetOld drops queries whose answers could no longer be used.
+func forgetOld(l *state.Lease, now time.Time) {
+	for number, q := range l.Queries {
+		if now.Sub(q.SentAt) >= Term {
+			delete(l.Queries, number)
+		}
+	}
+}
+
+// Receive handles a voter's answer. Late and repeated answers have no effect.
+func Receive(tables *state.Tables, voter string, a Answer, now time.Time) {
+	voters := VotersOf(tables.Config.Current(), tables.Self.Name)
+	tables.Lease.With(func(l *state.Lease) {
+		if a.Highest > tables.Self.Incarnation {
+			l.Superseded = true
+		}
+		q, known := l.Queries[a.Number]
+		if !known || q.Voter != voter {
+			return
+		}
+		delete(l.Queries, a.Number)
+		if !a.Confirmed || voter == Store && !storeSettled(l, now) {
+			return
+		}
+		if q.SentAt.After(l.Confirmed[voter]) {
+			l.Confirmed[voter] = q.SentAt
+		}
+		extend(l, voters, now)
+	})
+}
+
+// storeSettled reports whether the store's confirmations count yet. The store
+// has no clock to wait by, so the new process waits itself, until every reading
+// of the object by an earlier process is out of use.
+func storeSettled(l *state.Lease, now time.Time) bool {
+	if l.StoreSince.IsZero() {
+		l.StoreSince = now
+	}
+	return now.Sub(l.StoreSince) >= exclusive
+}
+
+// extend derives the hold from the confirmations.
+func extend(l *state.Lease, voters Voters, now time.Time) {
+	if l.Superseded || voters.others() == 0 {
+		return
+	}
+	sent := confirmedAt(l, voters)
+	if !l.Hold.Valid(now) {
+		if !sent[voters.toTake()-1].Add(Term).After(now) {
+			return
+		}
+		l.Hold.Since = now
+	}
+	if until := sent[voters.toRenew()-1].Add(Term); until.After(l.Hold.Until) {
+		l.Hold.Until = until
+	}
+}
+
+// confirmedAt returns the sending times of the voters' latest confirmed
+// queries, the most recent first.
+func confirmedAt(l *state.Lease, voters Voters) []time.Time {
+	var sent []time.Time
+	for _, voter := range voters.names() {
+		sent = append(sent, l.Confirmed[voter])
+	}
+	slices.SortFunc(sent, func(a, b time.Time) int { return b.Compare(a) })
+	return sent
+}
--- a/state/tables.go
+++ b/state/tables.go
@@ -4,6 +4,8 @@
 type Tables struct {
 	Self     Self
 	Config   *ConfigTable
+	Lease    *LeaseTable
+	Shares   *ShareTable
 	Sessions *SessionTable
 	Groups   *GroupTable
 	Backends *BackendTable
@@ -21,6 +23,8 @@
 	return &Tables{
 		Self:     self,
 		Config:   NewConfigTable(),
+		Lease:    NewLeaseTable(),
+		Shares:   NewShareTable(),
 		Sessions: NewSessionTable(),
 		Groups:   NewGroupTable(),
 		Backends: NewBackendTable(),
