--- /dev/null
+++ b/transport/store/client.go
@@ -0,0 +1,175 @@
+// Package store is the client of the platform's object API. It executes calls
+// and reports what came of them; it decides nothing beyond when to try again.
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/chestnutdyke/chestnutdyke/protocol/storeapi"
+	"github.com/chestnutdyke/chestnutdyke/transport/network"
+)
+
+const (
+	// DefaultCallTimeout is the longest time for a call, beyond the wait of a
+	// watch. The store answers in milliseconds, so a call that takes this long is
+	// taken for lost.
+	DefaultCallTimeout = 2 * time.Second
+	// idleTimeout is how long an unused connection is kept. It is above the longest
+	// wait of a watch, so that the next call finds a connection.
+	idleTimeout = 60 * time.Second
+	// maxIdle is the number of unused connections kept: one for a watch, one for
+	// calls beside it.
+	maxIdle = 2
+	// maxBody is the longest answer read in bytes. JSON may escape a value to more
+	// than its own size.
+	maxBody = 2 * storeapi.MaxValue
+)
+
+// Options are the parts and limits of a client. Network and Address are needed.
+type Options struct {
+	Network     network.Network
+	Address     string // host:port
+	CallTimeout time.Duration
+	Log         log.Interface
+	Random      func() float64 // in [0, 1), for jitter
+}
+
+// Client calls the object API over kept-alive connections. It is safe for
+// concurrent use.
+type Client struct {
+	http    *http.Client
+	base    string
+	timeout time.Duration
+	log     log.Interface
+	random  func() float64
+	counts  counters
+}
+
+// New returns a client. It connects with the first call.
+func New(o Options) *Client {
+	if o.CallTimeout <= 0 {
+		o.CallTimeout = DefaultCallTimeout
+	}
+	if o.Log == nil {
+		o.Log = log.Log
+	}
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return o.Network.Dial(ctx, address)
+		},
+		MaxIdleConnsPerHost: maxIdle,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return &Client{
+		http: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		base:    "http://" + o.Address,
+		timeout: o.CallTimeout,
+		log:     o.Log,
+		random:  o.Random,
+	}
+}
+
+// Close closes the connections that are not in use.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get reads an object. found is false if it does not exist.
+func (c *Client) Get(ctx context.Context, name string) (object storeapi.Object, found bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	status, body, err := c.get(ctx, Get, objectPath(name))
+	if err != nil {
+		return storeapi.Object{}, false, err
+	}
+	switch status {
+	case http.StatusOK:
+		object, err = decodeObject(body)
+		return object, err == nil, err
+	case http.StatusNotFound:
+		return storeapi.Object{}, false, nil
+	default:
+		return storeapi.Object{}, false, unexpected(status, body)
+	}
+}
+
+// VMs reads the platform's list of VMs.
+func (c *Client) VMs(ctx context.Context) ([]storeapi.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	status, body, err := c.get(ctx, VMs, storeapi.PathVMs)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, unexpected(status, body)
+	}
+	var vms []storeapi.VM
+	if err := json.Unmarshal(body, &vms); err != nil {
+		return nil, eris.Wrap(err, "the store's list of VMs cannot be read")
+	}
+	return vms, nil
+}
+
+// get sends a GET request and reads the whole answer.
+func (c *Client) get(ctx context.Context, kind Kind, path string) (status int, body []byte, err error) {
+	defer func() { c.counts.add(kind, err != nil || status >= http.StatusInternalServerError) }()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return 0, nil, eris.Wrap(err, "the store's address cannot be used")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0, nil, eris.Wrap(err, "the store cannot be reached")
+	}
+	body, err = readBody(response)
+	return response.StatusCode, body, err
+}
+
+func readBody(r *http.Response) ([]byte, error) {
+	defer func() { _ = r.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	switch {
+	case err != nil:
+		return nil, eris.Wrap(err, "the store's answer broke off")
+	case len(body) > maxBody:
+		return nil, eris.Errorf("the store's answer has more than %d bytes", maxBody)
+	default:
+		return body, nil
+	}
+}
+
+func objectPath(name string) string {
+	return storeapi.PathObjects + (&url.URL{Path: name}).EscapedPath()
+}
+
+func decodeObject(body []byte) (storeapi.Object, error) {
+	var o storeapi.Object
+	if err := json.Unmarshal(body, &o); err != nil {
+		return storeapi.Object{}, eris.Wrap(err, "the store's answer cannot be read")
+	}
+	return o, nil
+}
+
+// maxQuoted is how much of an unexpected answer an error quotes, in bytes.
+const maxQuoted = 200
+
+func unexpected(status int, body []byte) error {
+	return eris.Errorf("the store answered with status %d: %.*s", status, maxQuoted, bytes.TrimSpace(body))
+}
--- /dev/null
+++ b/transport/store/put.go
@@ -0,0 +1,80 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/chestnutdyke/chestnutdyke/protocol/storeapi"
+)
+
+// Outcome says what is known about a conditional update.
+type Outcome int
+
+// Outcomes.
+const (
+	Unknown  Outcome = iota // sent, and no answer arrived: it may have taken effect, or may still
+	Done                    // it took effect
+	Conflict                // it did not and will not: the version differs
+	NotDone                 // it did not and will not, for another reason
+)
+
+// PutResult is the result of a conditional update.
+type PutResult struct {
+	Outcome Outcome
+	Object  storeapi.Object // Conflict: the object as it is
+	Err     error           // Unknown, NotDone: the reason
+}
+
+// Put makes a conditional update. It is sent at most once.
+func (c *Client) Put(ctx context.Context, name string, put storeapi.Put) (result PutResult) {
+	defer func() { c.counts.add(Put, result.Outcome == Unknown || result.Outcome == NotDone) }()
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	body, err := json.Marshal(put)
+	if err != nil {
+		return PutResult{Outcome: NotDone, Err: eris.Wrap(err, "the update cannot be encoded")}
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, c.base+objectPath(name), bytes.NewReader(body))
+	if err != nil {
+		return PutResult{Outcome: NotDone, Err: eris.Wrap(err, "the store's address cannot be used")}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	switch {
+	case err != nil && !connected.Load():
+		return PutResult{Outcome: NotDone, Err: eris.Wrap(err, "the store cannot be reached")}
+	case err != nil:
+		return PutResult{Outcome: Unknown, Err: eris.Wrap(err, "the store's answer was lost")}
+	}
+	return putResult(response)
+}
+
+// putResult interprets an answer. Status 4xx says that the store refused the
+// update. Status 5xx says nothing: a gateway may have lost the store's answer.
+func putResult(response *http.Response) PutResult {
+	body, err := readBody(response)
+	switch status := response.StatusCode; {
+	case status == http.StatusOK, status == http.StatusCreated, status == http.StatusNoContent:
+		return PutResult{Outcome: Done}
+	case status == http.StatusConflict:
+		object, decodeErr := decodeObject(body)
+		if err != nil || decodeErr != nil {
+			return PutResult{Outcome: NotDone, Err: eris.New("the store reported a conflict without the object")}
+		}
+		return PutResult{Outcome: Conflict, Object: object}
+	case status >= 400 && status < 500:
+		return PutResult{Outcome: NotDone, Err: unexpected(status, body)}
+	default:
+		return PutResult{Outcome: Unknown, Err: unexpected(status, body)}
+	}
+}
