Make the failover model cut off data centres and share promoter indexes

The model now isolates whole data centres and lets VMs share a promoter index, as VMs with different tickets can. It also drops late messages to an earlier run of a VM, which it had mixed up.

--- a/coordination/failover/model_servers_test.go
+++ b/coordination/failover/model_servers_test.go
@@ -27,6 +27,9 @@
 	servers map[string]*simServer
 	vms     []*simVM
 	cut     map[[2]string]bool // pairs that cannot talk; an empty name stands for all others
+	// dataCentres holds the data centre of each VM and server. One that is cut
+	// off reaches only itself.
+	dataCentres map[string]string
 
 	leaders  map[uint64]string // server that was promoted in a term
 	acked    map[int]time.Time // when a write was acknowledged
@@ -83,7 +86,9 @@
 func (s *sim) chance(p float64) bool { return s.rng.Float64() < p }
 
 func (s *sim) reach(a, b string) bool {
-	return !s.cut[[2]string{a, b}] && !s.cut[[2]string{b, a}] && !s.cut[[2]string{a, ""}] && !s.cut[[2]string{b, ""}]
+	da, db := s.dataCentres[a], s.dataCentres[b]
+	return !s.cut[[2]string{a, b}] && !s.cut[[2]string{b, a}] && !s.cut[[2]string{a, ""}] && !s.cut[[2]string{b, ""}] &&
+		(da == db || !s.cut[[2]string{da, ""}] && !s.cut[[2]string{db, ""}])
 }
 
 // send delivers f after a delay; in the faulty phase it may be lost, late or
--- a/coordination/failover/model_test.go
+++ b/coordination/failover/model_test.go
@@ -28,7 +28,7 @@
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), faulty: true, writing: true,
 		servers: make(map[string]*simServer), cut: make(map[[2]string]bool),
-		leaders: make(map[uint64]string), acked: make(map[int]time.Time),
+		leaders: make(map[uint64]string), acked: make(map[int]time.Time), dataCentres: make(map[string]string),
 	}
 	s.group = &state.Group{Name: "g"}
 	for i := range 3 + 2*int(seed%3/2) {
@@ -37,6 +37,7 @@
 		srv := &simServer{sim: s, name: name, up: true, adopted: 1, role: state.Replica, follows: "a"}
 		srv.append(record{term: 1})
 		s.servers[name] = srv
+		s.dataCentres[name] = s.group.Servers[i].DataCentre
 		s.after(s.between(0, 5), srv.replicate)
 	}
 	s.servers["a"].role, s.servers["a"].follows = state.Primary, ""
@@ -47,6 +48,7 @@
 		s.vms = append(s.vms, v)
 	}
 	for _, v := range s.vms {
+		s.dataCentres[v.name] = v.dataCentre
 		v.start()
 	}
 	return s
@@ -68,7 +70,11 @@
 	case 0, 1:
 		s.cutFor(lasts, server.name, "")
 	case 2:
-		s.cutFor(lasts, server.name, vm.name)
+		if s.chance(0.5) {
+			s.cutFor(lasts, server.name, vm.name)
+		} else {
+			s.cutFor(lasts, s.dataCentres[server.name], "")
+		}
 	case 3:
 		s.cutFor(lasts, server.name, s.group.Servers[s.rng.IntN(len(s.group.Servers))].Name)
 	case 4:
--- a/coordination/failover/model_vms_test.go
+++ b/coordination/failover/model_vms_test.go
@@ -48,8 +48,9 @@
 }
 
 // local returns f bound to the current run of the VM. A paused VM runs it later.
-func (v *simVM) local(f func()) func() {
-	run := v.run
+func (v *simVM) local(f func()) func() { return v.localTo(v.run, f) }
+
+func (v *simVM) localTo(run int, f func()) func() {
 	var bound func()
 	bound = func() {
 		switch {
@@ -77,7 +78,8 @@
 }
 
 func (v *simVM) input() failover.Input {
-	part := failover.Part{Watcher: v.watches(), Rank: v.index, Index: uint16(v.index), HasIndex: true, DataCentre: v.dataCentre}
+	// VMs that apply different tickets can have the same index.
+	part := failover.Part{Watcher: v.watches(), Rank: v.index, Index: uint16(v.index / 2), HasIndex: true, DataCentre: v.dataCentre}
 	return failover.Input{State: v.g, Config: v.cfg, Group: v.grp(), Part: part, Now: v.now}
 }
 
@@ -162,9 +164,9 @@
 // call sends f to a server. end gets its answer or, after the timeout, a
 // failure; sometimes it then still gets the answer, or gets it twice.
 func (v *simVM) call(server string, timeout time.Duration, f func(s *simServer, reply func(failover.Result)), end func(failover.Outcome)) {
-	ended := false
+	ended, run := false, v.run
 	answer := func(o failover.Outcome) func() {
-		return v.local(func() {
+		return v.localTo(run, func() {
 			if ended && !v.chance(0.3) {
 				return
 			}
