--- a/state/tables.go
+++ b/state/tables.go
@@ -4,6 +4,7 @@
 type Tables struct {
 	Self     Self
 	Config   *ConfigTable
+	Members  *MemberTable
 	Sessions *SessionTable
 	Groups   *GroupTable
 	Backends *BackendTable
@@ -21,6 +22,7 @@
 	return &Tables{
 		Self:     self,
 		Config:   NewConfigTable(),
+		Members:  NewMemberTable(),
 		Sessions: NewSessionTable(),
 		Groups:   NewGroupTable(),
 		Backends: NewBackendTable(),
