--- a/state/tables.go
+++ b/state/tables.go
@@ -6,6 +6,7 @@
 	Config   *ConfigTable
 	Lease    *LeaseTable
 	Shares   *ShareTable
+	Members  *MemberTable
 	Sessions *SessionTable
 	Groups   *GroupTable
 	Backends *BackendTable
@@ -25,6 +26,7 @@
 		Config:   NewConfigTable(),
 		Lease:    NewLeaseTable(),
 		Shares:   NewShareTable(),
+		Members:  NewMemberTable(),
 		Sessions: NewSessionTable(),
 		Groups:   NewGroupTable(),
 		Backends: NewBackendTable(),
