Give operators a command line for tickets, keys and status

Operators need to check, apply and follow tickets from scripts. chestnutctl carries out the steps that coordination/ticket decides, prints the difference, and compares the ticket in force with what the VMs report on their admin interface (protocol/adminapi). A ticket with warnings is applied only with -accept-warnings. Exit codes tell a lost race, a VM that lags and an unknown outcome apart.

--- /dev/null
+++ b/cmd/chestnutctl/ctl/apply.go
@@ -0,0 +1,172 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"math/rand/v2"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/ticket"
+	"github.com/chestnutdyke/chestnutdyke/protocol/storeapi"
+	"github.com/chestnutdyke/chestnutdyke/protocol/ticketfile"
+	"github.com/chestnutdyke/chestnutdyke/transport/store"
+)
+
+var applyCommand = command{
+	name:    "ticket apply",
+	args:    "FILE",
+	summary: "Apply a ticket",
+	help: `The ticket is checked against the configuration in force, merged into it, and
+written by one conditional update, so it takes effect as a whole or not at all.
+
+If the store's answer is lost, the command reads the configuration back and
+reports whether the ticket took effect. With exit code 5 it could not find out
+within -timeout; run the same command again: it does nothing if the ticket has
+taken effect, and applies it otherwise.
+
+With exit code 4 another operator applied a ticket with the same or a higher
+number, or changed one of the same objects while this command ran. Look at
+"ticket history", and check the ticket again under a new number.
+
+A ticket with warnings is applied only with -accept-warnings.
+`,
+	setup: func(f *flag.FlagSet) func(context.Context, Env, []string) int {
+		var c connection
+		c.register(f)
+		accept := f.Bool("accept-warnings", false, "apply the ticket although there are warnings")
+		return func(ctx context.Context, env Env, args []string) int {
+			return apply(ctx, env, &c, *accept, args)
+		}
+	},
+}
+
+func apply(ctx context.Context, env Env, c *connection, accept bool, args []string) int {
+	file, err := readTicket(env, args)
+	if err != nil {
+		return env.fail(err)
+	}
+	client, err := c.client(env)
+	if err != nil {
+		return env.fail(err)
+	}
+	defer client.Close()
+	if found := ticket.CheckAlone(file.Ticket); file.Err(found) != nil {
+		return printResult(env, file, ticket.Result{Outcome: ticket.Invalid, Problems: found})
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	runner := &applier{store: client, backoff: store.NewBackoff(rand.Float64)}
+	return printResult(env, file, runner.run(ctx, ticket.NewApply(file.Ticket, accept)))
+}
+
+// configStore is what an application needs of the store.
+type configStore interface {
+	Get(ctx context.Context, name string) (object storeapi.Object, found bool, err error)
+	Put(ctx context.Context, name string, put storeapi.Put) store.PutResult
+}
+
+// applier carries out the steps of an application.
+type applier struct {
+	store   configStore
+	backoff store.Backoff
+	reason  string // why the latest step failed
+}
+
+func (r *applier) run(ctx context.Context, a *ticket.Apply) ticket.Result {
+	step := a.Start()
+	for {
+		switch s := step.(type) {
+		case ticket.Read:
+			step = a.Next(r.read(ctx, s))
+		case ticket.Write:
+			step = a.Next(r.write(ctx, s))
+		case ticket.Finish:
+			return s.Result
+		}
+	}
+}
+
+func (r *applier) read(ctx context.Context, s ticket.Read) ticket.Event {
+	if s.Failures > 0 {
+		r.backoff.Wait(ctx, s.Failures)
+	}
+	if ctx.Err() != nil {
+		if r.reason == "" {
+			r.reason = context.Cause(ctx).Error()
+		}
+		return ticket.GiveUp{Reason: r.reason}
+	}
+	object, found, err := r.store.Get(ctx, storeapi.ConfigObject)
+	switch {
+	case err != nil:
+		r.reason = err.Error()
+		return ticket.ReadFailed{Reason: r.reason}
+	case !found:
+		return ticket.Stored{At: time.Now()}
+	default:
+		return stored(object)
+	}
+}
+
+// stored turns the store's object into an event. An object that cannot be read
+// in full must not be written back.
+func stored(object storeapi.Object) ticket.Event {
+	decoded, err := ticketfile.DecodeObjectForUpdate(object.Value)
+	if err != nil {
+		return ticket.GiveUp{Reason: err.Error()}
+	}
+	return ticket.Stored{Version: object.Version, Object: decoded, At: time.Now()}
+}
+
+func (r *applier) write(ctx context.Context, s ticket.Write) ticket.Event {
+	value, err := ticketfile.EncodeObject(s.Object)
+	if err != nil {
+		return ticket.GiveUp{Reason: err.Error()}
+	}
+	result := r.store.Put(ctx, storeapi.ConfigObject, storeapi.Put{Version: s.Version, Value: value})
+	if result.Err != nil {
+		r.reason = result.Err.Error()
+	}
+	switch result.Outcome {
+	case store.Done:
+		return ticket.Written{}
+	case store.Conflict:
+		return stored(result.Object)
+	case store.NotDone:
+		return ticket.NotWritten{Reason: r.reason}
+	default:
+		return ticket.WriteLost{Reason: r.reason}
+	}
+}
+
+// printResult reports the end of an application and returns the exit code.
+func printResult(env Env, file *ticketfile.File, r ticket.Result) int {
+	number := file.Ticket.ID.Number
+	printProblems(env, file, r.Problems)
+	switch r.Outcome {
+	case ticket.Applied:
+		if r.Earlier {
+			env.printf("ticket %d was applied before; nothing to do\n", number)
+			return ExitOK
+		}
+		env.printf("ticket %d applied, %d objects changed\n", number, len(r.Changes))
+		printDiff(env, r.Changes)
+		return ExitOK
+	case ticket.Invalid:
+		if file.Err(r.Problems) == nil {
+			env.errorf("ticket %d was not applied; -accept-warnings applies it in spite of the warnings", number)
+			return ExitError
+		}
+		env.errorf("ticket %d was not applied; it is not valid", number)
+		return ExitError
+	case ticket.LostRace:
+		env.errorf("ticket %d was not applied: %s by %s", number, r.Reason, describeRecord(r.Winner))
+		return ExitLost
+	case ticket.NotDone:
+		env.errorf("ticket %d was not applied: %s", number, r.Reason)
+		return ExitError
+	default:
+		env.errorf("ticket %d may have been applied: %s; run the same command again", number, r.Reason)
+		return ExitUnknown
+	}
+}
--- /dev/null
+++ b/cmd/chestnutctl/ctl/ctl_test.go
@@ -0,0 +1,318 @@
+package ctl
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/chestnutdyke/chestnutdyke/internal/testnet"
+	"github.com/chestnutdyke/chestnutdyke/protocol/adminapi"
+	"github.com/chestnutdyke/chestnutdyke/protocol/storeapi"
+	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/transport/store"
+)
+
+const storeAddress = "10.0.0.5:8080"
+
+// fleet is a store and VMs on an in-memory network.
+type fleet struct {
+	t     *testing.T
+	net   *testnet.Net
+	store *fakeStore
+	files map[string]string
+	stop  []func()
+	mu    sync.Mutex // guards the statuses that the VMs answer with
+}
+
+// withFleet calls f in a bubble with a store and no VMs.
+func withFleet(t *testing.T, f func(t *testing.T, x *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &fleet{t: t, net: testnet.New(), store: &fakeStore{}, files: make(map[string]string)}
+		x.serve(storeAddress, x.serveStore)
+		f(t, x)
+		for _, stop := range x.stop {
+			stop()
+		}
+	})
+}
+
+func (x *fleet) serve(address string, handler http.HandlerFunc) {
+	l, err := x.net.Listen(address)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	done := make(chan error)
+	go func() { done <- server.Serve(l) }()
+	x.stop = append(x.stop, func() {
+		_ = server.Close()
+		<-done
+	})
+}
+
+// serveStore is the HTTP form of the fake store.
+func (x *fleet) serveStore(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		o, found, err := x.store.Get(r.Context(), "")
+		switch {
+		case err != nil:
+			panic(http.ErrAbortHandler)
+		case !found:
+			w.WriteHeader(http.StatusNotFound)
+		default:
+			_ = json.NewEncoder(w).Encode(o)
+		}
+		return
+	}
+	var p storeapi.Put
+	if err := json.NewDecoder(r.Body).Decode(&p); err != nil {
+		x.t.Error(err)
+	}
+	result := x.store.Put(r.Context(), "", p)
+	switch result.Outcome {
+	case store.Unknown:
+		panic(http.ErrAbortHandler)
+	case store.Conflict:
+		w.WriteHeader(http.StatusConflict)
+	}
+	_ = json.NewEncoder(w).Encode(result.Object)
+}
+
+// run runs a command line, in which STORE stands for -store and its address.
+func (x *fleet) run(line string) (code int, stdout, stderr string) {
+	var out, errs bytes.Buffer
+	args := strings.Fields(strings.ReplaceAll(line, "STORE", "-store "+storeAddress))
+	env := Env{Network: x.net, Stdout: &out, Stderr: &errs, Random: bytes.NewReader(bytes.Repeat([]byte{7}, 64)),
+		ReadFile: func(path string) ([]byte, error) {
+			text, ok := x.files[path]
+			if !ok {
+				return nil, os.ErrNotExist
+			}
+			return []byte(text), nil
+		}}
+	code = Run(x.t.Context(), env, args)
+	return code, out.String(), errs.String()
+}
+
+// expect runs a command line and checks its exit code and parts of its output.
+func (x *fleet) expect(line string, code int, parts ...string) {
+	x.t.Helper()
+	got, stdout, stderr := x.run(line)
+	if got != code {
+		x.t.Errorf("%s: exit code %d, want %d\n%s%s", line, got, code, stdout, stderr)
+	}
+	for _, p := range parts {
+		if !strings.Contains(stdout+stderr, p) {
+			x.t.Errorf("%s: output lacks %q:\n%s%s", line, p, stdout, stderr)
+		}
+	}
+}
+
+// Guards against wrong exit codes and messages, which scripts and operators act
+// on.
+func TestTicketCommands(t *testing.T) {
+	withFleet(t, func(t *testing.T, x *fleet) {
+		x.files["4.yaml"] = ticketText(4, "brahim", "seffarine")
+		x.files["5.yaml"] = ticketText(5, "amina", "seffarine")
+		x.files["taken.yaml"] = ticketText(5, "chama", "talaa")
+		x.files["bad.yaml"] = strings.Replace(ticketText(6, "amina", "talaa"), "burst: 20", "burst: 0\n    colour: red", 1)
+		x.files["route.yaml"] = "ticket: 6\noperator: amina\nreason: test\nroutes:\n  r: {group: nowhere, access: read_only}\n"
+		x.files["warn.yaml"] = "ticket: 6\noperator: amina\nreason: test\ndata_centres:\n  rif: {}\n"
+
+		x.expect("ticket history STORE", ExitOK, "ticket  time")
+		x.expect("ticket check 4.yaml", ExitOK, "ticket 4 is well formed")
+		x.expect("ticket apply STORE 4.yaml", ExitOK, "ticket 4 applied, 1 objects changed", "+ customers/seffarine", "+ rate: 14")
+		x.expect("ticket apply STORE 4.yaml", ExitOK, "ticket 4 was applied before")
+		x.expect("ticket check STORE 5.yaml", ExitOK, "ticket 5 changes 1 objects", "~ rate: 14 -> 15")
+		x.expect("ticket apply STORE 5.yaml", ExitOK, "~ customers/seffarine")
+		x.expect("ticket apply STORE taken.yaml", ExitLost, "the number 5 was taken by ticket 5 of amina, 2000-01-01T00:00:00Z")
+		x.expect("ticket check STORE 4.yaml", ExitError, "4.yaml:1: ticket 4 is not above ticket 5")
+		x.expect("ticket diff STORE 4.yaml", ExitOK, "~ rate: 15 -> 14")
+		x.expect("ticket check bad.yaml", ExitError, "bad.yaml:7: burst must be at least 1", "bad.yaml:8: unknown field \"colour\"")
+		x.expect("ticket apply STORE bad.yaml", ExitError, "bad.yaml:7: burst", "ticket 6 was not applied; it is not valid")
+		x.expect("ticket check route.yaml", ExitOK)
+		x.expect("ticket check STORE route.yaml", ExitError, "route.yaml:5: route r leads to the unknown group nowhere")
+		x.expect("ticket apply STORE warn.yaml", ExitError, "warn.yaml:5: warning: data centre rif is in service without a VM", "-accept-warnings")
+		x.expect("ticket apply STORE -accept-warnings warn.yaml", ExitOK, "warning: data centre rif", "+ data_centres/rif")
+		x.expect("ticket history STORE", ExitOK, "5       2000-01-01T00:00:00Z  amina     customers/seffarine  test")
+		x.expect("ticket history STORE -json", ExitOK, `"operator": "brahim"`)
+		x.expect("ticket show STORE -json", ExitOK, `"rate": 15`)
+
+		_, shown, _ := x.run("ticket show STORE")
+		x.files["shown.yaml"] = shown
+		x.expect("ticket diff STORE shown.yaml", ExitOK, "ticket 6 changes 0 objects")
+	})
+}
+
+// Guards against an exit code that hides an unknown outcome.
+func TestStoreFailures(t *testing.T) {
+	withFleet(t, func(t *testing.T, x *fleet) {
+		x.files["4.yaml"] = ticketText(4, "brahim", "seffarine")
+		x.store.fault = func(n int) string { return map[bool]string{true: "after"}[n > 1] }
+		x.expect("ticket apply STORE 4.yaml", ExitUnknown, "ticket 4 may have been applied", "run the same command again")
+		x.expect("ticket show STORE", ExitError, "the store cannot be reached")
+		x.store.fault = nil
+		x.expect("ticket apply STORE 4.yaml", ExitOK, "was applied before")
+		x.net.SetDown(storeAddress, true)
+		x.expect("ticket apply STORE -timeout 1s 4.yaml", ExitError, "ticket 4 was not applied: the store cannot be reached")
+	})
+}
+
+// Guards against mistakes on the command line that are executed or reported as
+// other errors, and against commands without help.
+func TestUsage(t *testing.T) {
+	withFleet(t, func(t *testing.T, x *fleet) {
+		x.files["4.yaml"] = ticketText(4, "brahim", "seffarine")
+		for _, line := range []string{"", "tickets", "ticket", "ticket apply", "ticket apply 4.yaml", "ticket apply STORE 4.yaml 5.yaml",
+			"ticket apply STORE -nonsense 4.yaml", "ticket show", "status", "status STORE more", "key new now"} {
+			x.expect(line, ExitUsage, "chestnutctl: ")
+		}
+		x.expect("ticket apply STORE none.yaml", ExitError, "the ticket cannot be read")
+		for _, line := range []string{"-h", "help", "ticket -h"} {
+			x.expect(line, ExitOK, "usage: chestnutctl COMMAND", exitCodes)
+		}
+		for _, c := range commands {
+			x.expect(c.name+" -h", ExitOK, "usage: chestnutctl "+c.name, exitCodes)
+		}
+	})
+}
+
+// Guards against a hash that does not belong to the key.
+func TestKeyNew(t *testing.T) {
+	withFleet(t, func(t *testing.T, x *fleet) {
+		_, out, _ := x.run("key new")
+		var key, hash string
+		if _, err := fmt.Sscanf(out, "key: %s\nsha256: %s", &key, &hash); err != nil {
+			t.Fatal(err)
+		}
+		if sum := fmt.Sprintf("%x", sha256.Sum256([]byte(key))); sum != hash || len(key) != len(keyPrefix)+43 {
+			t.Errorf("key %s, hash %s", key, hash)
+		}
+	})
+}
+
+// vm serves the status of a VM.
+func (x *fleet) vm(s *adminapi.Status) {
+	x.serve(s.Name+":7001", func(w http.ResponseWriter, r *http.Request) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		answer := *s
+		if r.URL.Query().Get(adminapi.QueryBrief) == "true" {
+			answer.VMs, answer.Members, answer.Groups, answer.Shares = nil, nil, nil, nil
+		}
+		_ = json.NewEncoder(w).Encode(answer)
+	})
+}
+
+// vms are six VMs: one that has the ticket, one that lags, one that another
+// hears lagging, one silent, one leaving and silent, one out.
+func (x *fleet) vms() (current, lagging *adminapi.Status) {
+	x.files["7.yaml"] = `ticket: 7
+operator: amina
+reason: test
+data_centres:
+  atlas:
+    vms:
+      - {name: a1, address: 'a1:7000', admin_address: 'a1:7001'}
+      - {name: a2, address: 'a2:7000'}
+      - {name: a3, address: 'a3:7000', admin_address: 'a3:7001', state: leaving}
+  medina:
+    vms:
+      - {name: m1, address: 'm1:7000', admin_address: 'm1:7001'}
+      - {name: m2, address: 'm2:7000', admin_address: 'm2:7001'}
+      - {name: m3, address: 'm3:7000', admin_address: 'm3:7001', state: out}
+`
+	x.expect("ticket apply STORE 7.yaml", ExitOK)
+	current = &adminapi.Status{Name: "m1", DataCentre: "medina", State: state.InService,
+		Config:   adminapi.Config{Ticket: 7, Applied: 7, Confirmed: true, Age: 1500 * time.Millisecond, StoreReached: true},
+		Sessions: adminapi.Sessions{Open: 12, InTransaction: 3, Waiting: 1},
+		VMs:      []adminapi.VM{{Name: "m1", DataCentre: "medina", AdminAddress: "m1:7001", State: state.InService}, {Name: "a1", DataCentre: "atlas", AdminAddress: "a1:7001", State: state.InService}},
+		Members:  []adminapi.Member{{Name: "a2", Applied: 5, Age: time.Second}, {Name: "m2", Applied: 7, Age: time.Minute}},
+		Groups:   []adminapi.Group{{Name: "g", Term: 3 << 16, Primary: "g-a"}},
+		Shares:   []adminapi.Share{{Customer: "talaa", Rate: 10}}}
+	lagging = &adminapi.Status{Name: "a1", DataCentre: "atlas", State: state.InService, Config: adminapi.Config{Ticket: 7, Applied: 6},
+		Groups: []adminapi.Group{{Name: "g", Term: 2 << 16, Primary: "g-b"}}, Shares: []adminapi.Share{{Customer: "talaa", Rate: 5.5}}}
+	x.vm(current)
+	x.vm(lagging)
+	return current, lagging
+}
+
+// Guards against VMs that lag or are silent and are not shown, or are shown as
+// the other.
+func TestStatus(t *testing.T) {
+	withFleet(t, func(t *testing.T, x *fleet) {
+		x.vms()
+		code, out, _ := x.run("ticket status STORE")
+		want := `ticket 7 of amina, 2000-01-01T00:00:00Z
+
+data centre  in force  applied  lagging  silent
+atlas        5 to 6    0 of 2   2        0
+medina       7         1 of 2   0        1
+lagging: a1 in atlas has applied ticket 6
+lagging: a2 in atlas has applied ticket 5: the ticket has no admin_address for it
+silent: m2 in medina: no answer: Get "http://m2:7001/v1/status?brief=true": dial m2:7001: connection refused
+`
+		if diff := cmp.Diff(want, out); diff != "" || code != ExitLagging {
+			t.Errorf("exit code %d, output (-want +got):\n%s", code, diff)
+		}
+		x.expect("status STORE", ExitLagging, "m1  medina       in_service  7        1.5s ago   reached      12        3               1",
+			"g      196608  g-a      1 of 2", "talaa     15.5")
+		x.expect("ticket status STORE -ticket 5", ExitOK, "ticket 5\n")
+		x.expect("ticket status STORE -ticket 5 -strict", ExitLagging)
+		_, out, _ = x.run("status STORE -json")
+		var r report
+		if err := json.Unmarshal([]byte(out), &r); err != nil || r.Ticket != 7 || len(r.Lagging) != 2 || len(r.Silent) != 1 || len(r.VMs) != 2 {
+			t.Errorf("JSON %+v, %v", r, err)
+		}
+	})
+}
+
+// Guards against an outage of the store that also hides the state of the VMs,
+// and against success when nothing is known.
+func TestStatusWithoutStore(t *testing.T) {
+	withFleet(t, func(t *testing.T, x *fleet) {
+		x.vms()
+		x.net.SetDown(storeAddress, true)
+		x.expect("status STORE -vm m2:7001,m1:7001", ExitLagging, "warning: the store was not read", "lagging: a1", "medina       7         1 of 1")
+		x.expect("status STORE", ExitError, "give -vm to ask VMs instead")
+		x.expect("status -vm m2:7001", ExitError, "VM at m2:7001")
+		x.net.SetDown(storeAddress, false)
+		x.net.SetDown("m1:7001", true)
+		x.net.SetDown("a1:7001", true)
+		x.expect("ticket status STORE", ExitError, "none of 5 VMs answered")
+	})
+}
+
+// Guards against a wait that ends too early, too late or not at all.
+func TestWait(t *testing.T) {
+	withFleet(t, func(t *testing.T, x *fleet) {
+		current, lagging := x.vms()
+		start := time.Now()
+		x.expect("ticket status STORE -wait 3s", ExitLagging)
+		if took := time.Since(start); took != 3*time.Second {
+			t.Errorf("gave up after %v", took)
+		}
+		timer := time.AfterFunc(4*time.Second, func() {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			current.Members[0].Applied = 7
+			lagging.Config.Applied = 7
+		})
+		defer timer.Stop()
+		start = time.Now()
+		x.expect("ticket status STORE -wait 1m", ExitOK, "atlas        7         2 of 2")
+		if took := time.Since(start); took < 4*time.Second || took > 4*time.Second+pollInterval {
+			t.Errorf("noticed after %v", took)
+		}
+	})
+}
--- a/coordination/ticket/apply.go
+++ b/coordination/ticket/apply.go
@@ -12,18 +12,23 @@
 //	step := a.Start()
 //	for { switch step := step.(type) { ... step = a.Next(event) } }
 type Apply struct {
-	ticket    *Ticket
-	first     *Object // the state that the ticket was first checked against
-	uncertain *uint64 // version that a write with a lost answer depends on; nil if there is none
-	written   uint64  // version that the latest write depends on
-	sent      bool    // a write was sent
-	failures  int     // failed steps in a row
-	changes   []Difference
-	warnings  []Problem
+	ticket         *Ticket
+	acceptWarnings bool
+	first          *Object // the state that the ticket was first checked against
+	uncertain      *uint64 // version that a write with a lost answer depends on; nil if there is none
+	written        uint64  // version that the latest write depends on
+	sent           bool    // a write was sent
+	failures       int     // failed steps in a row
+	changes        []Difference
+	warnings       []Problem
 }
 
-// NewApply returns the decisions for one ticket.
-func NewApply(t *Ticket) *Apply { return &Apply{ticket: t} }
+// NewApply returns the decisions for one ticket. A ticket with warnings is
+// applied only if acceptWarnings is set: they tell of requests that will be
+// interrupted and of conditions that only the operator can check.
+func NewApply(t *Ticket, acceptWarnings bool) *Apply {
+	return &Apply{ticket: t, acceptWarnings: acceptWarnings}
+}
 
 // A Step is what the caller does next: Read, Write or Finish.
 type Step interface{ step() }
@@ -190,7 +195,7 @@
 
 func (a *Apply) write(e Stored, o *Object) Step {
 	merged, problems := Check(o.Config, a.ticket)
-	if HasErrors(problems) {
+	if HasErrors(problems) || len(problems) > 0 && !a.acceptWarnings {
 		return Finish{Result{Outcome: Invalid, Problems: problems}}
 	}
 	a.warnings, a.changes = problems, Diff(o.Config, merged)
--- a/coordination/ticket/apply_test.go
+++ b/coordination/ticket/apply_test.go
@@ -27,7 +27,7 @@
 	t.Helper()
 	s := Stored{}
 	for _, one := range tickets {
-		a := NewApply(one)
+		a := NewApply(one, false)
 		w, ok := a.Next(s).(Write)
 		if !ok {
 			t.Fatalf("ticket %d of %s was not written", one.ID.Number, one.Operator)
@@ -79,7 +79,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			a := NewApply(mine)
+			a := NewApply(mine, false)
 			step := a.Start()
 			for _, e := range test.events {
 				step = a.Next(e)
@@ -98,7 +98,7 @@
 // Guards against "not applied" for a ticket whose record may have been dropped.
 func TestRecordDropped(t *testing.T) {
 	mine := newTicket(1, "amina", "rif")
-	a := NewApply(mine)
+	a := NewApply(mine, false)
 	a.Next(Stored{})
 	a.Next(WriteLost{})
 	many := Stored{Version: 900, Object: &Object{Config: EmptyConfig()}}
@@ -191,7 +191,7 @@
 		applies, steps := make([]*Apply, len(names)), make([]Step, len(names))
 		for i, name := range names {
 			number := rapid.Uint64Range(1, 3).Draw(t, "number")
-			applies[i] = NewApply(newTicket(number, name, rapid.SampledFrom([]string{"rif", "atlas"}).Draw(t, "object")))
+			applies[i] = NewApply(newTicket(number, name, rapid.SampledFrom([]string{"rif", "atlas"}).Draw(t, "object")), false)
 			steps[i] = applies[i].Start()
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
--- a/protocol/ticketfile/ticketfile.go
+++ b/protocol/ticketfile/ticketfile.go
@@ -72,6 +72,7 @@
 
 // File is a ticket as read from a file.
 type File struct {
+	Name   string
 	Ticket *ticket.Ticket
 	doc    *yamldoc.Document
 }
@@ -92,7 +93,7 @@
 		Remove:      raw.Remove.toTicket(),
 	}
 	t.ID.Digest = digest(t)
-	return &File{Ticket: t, doc: doc}
+	return &File{Name: name, Ticket: t, doc: doc}
 }
 
 // convert turns one kind of objects into their form in package state. What
--- a/transport/store/backoff.go
+++ b/transport/store/backoff.go
@@ -1,6 +1,9 @@
 package store
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 const (
 	// BackoffBase is the shortest pause after a failure.
@@ -31,3 +34,6 @@
 	bound = min(bound, BackoffMax)
 	return BackoffBase + time.Duration(b.random()*float64(bound-BackoffBase))
 }
+
+// Wait pauses for Delay(failures), or until ctx is done.
+func (b Backoff) Wait(ctx context.Context, failures int) { sleep(ctx, b.Delay(failures)) }
