--- a/coordination/share/borrow.go
+++ b/coordination/share/borrow.go
@@ -66,7 +66,7 @@
 		}
 		if receive(s, book, answer, from, sentAt, now, tokens) {
 			planAt(book, now)
-			advanceNow = askToAdvance(s, now)
+			advanceNow = true
 		}
 	})
 	return advanceNow
@@ -210,7 +210,7 @@
 	if !low || demand < smallestDemand || shortRate < smallestRate {
 		shortRate = 0
 	}
-	if at, ok := payableAt(c, waiting, 1, now); ok && at.Sub(now) <= patience {
+	if at, ok := viewOf(c).payableAt(waiting, 1, now); ok && at.Sub(now) <= patience {
 		shortTokens = 0
 	}
 	return shortRate, max(0, shortTokens)
--- a/coordination/share/bucket.go
+++ b/coordination/share/bucket.go
@@ -87,19 +87,27 @@
 	}
 }
 
+// bucketView is a bucket at one moment.
+type bucketView struct {
+	level, capacity, rate float64
+}
+
+func viewOf(c *state.CustomerShare) bucketView {
+	return bucketView{level: c.Level, capacity: capacity(c), rate: rate(c) * refill}
+}
+
 // payableAt returns when the bucket can pay for the given total, or false if it
 // cannot at its present rate. Tokens beyond the capacity are gained and spent in
 // turn, so only a single cost must fit into the capacity.
-func payableAt(c *state.CustomerShare, total, single float64, now time.Time) (time.Time, bool) {
-	missing := total - c.Level
+func (b bucketView) payableAt(total, single float64, now time.Time) (time.Time, bool) {
+	missing := total - b.level
 	if missing <= 0 {
 		return now, true
 	}
-	r := rate(c) * refill
-	if r <= 0 || single > capacity(c) {
+	if b.rate <= 0 || single > b.capacity {
 		return time.Time{}, false
 	}
-	seconds := missing / r
+	seconds := missing / b.rate
 	if seconds > longestWait.Seconds() {
 		return time.Time{}, false
 	}
--- a/coordination/share/connections.go
+++ b/coordination/share/connections.go
@@ -102,7 +102,7 @@
 		limits := limitsOf(s, c, now)
 		if wanted > limits.Open || wanted < limits.Open && len(c.Loans.Borrowed) > 0 {
 			planAt(&c.Loans, now)
-			advance = askToAdvance(s, now)
+			advance = true
 		}
 	})
 	return advance
--- a/coordination/share/plan.go
+++ b/coordination/share/plan.go
@@ -30,7 +30,6 @@
 	var effects Effects
 	tables.Shares.With(func(s *state.Shares) {
 		syncHold(s, hold)
-		s.PlanAsked = time.Time{}
 		p := planner{tables: tables, s: s, hold: hold, now: now, room: make(map[string]int)}
 		for _, c := range s.Customers {
 			if due(&c.Loans, now) {
@@ -94,27 +93,28 @@
 	}
 }
 
-// askToAdvance reports whether the caller should be told to call Advance, which
-// it is not if it has just been told so.
-func askToAdvance(s *state.Shares, now time.Time) bool {
-	if !s.PlanAsked.IsZero() && now.Sub(s.PlanAsked) < advanceRepeat {
-		return false
-	}
-	s.PlanAsked = now
-	return true
-}
-
-// wantsPlan reports whether a customer's new request calls for Advance: if it
-// has to wait, or if the demand is about to outgrow the bucket.
-func wantsPlan(s *state.Shares, c *state.CustomerShare, now time.Time) bool {
-	if len(c.Waiters) == 0 {
+// wantsPlan returns when a customer's new request calls for Advance, or zero if
+// it does not: it does if the request has to wait, or if the demand is about to
+// outgrow the bucket.
+func wantsPlan(s *state.Shares, c *state.CustomerShare, now time.Time) time.Time {
+	at := now
+	switch len(c.Waiters) {
+	case 0:
 		recent := now.Sub(c.Loans.PlannedAt) < planInterval
 		if s.Static || recent || c.Level >= capacity(c)/2 || demandNow(&c.Demand, now) < smallestDemand {
-			return false
+			return time.Time{}
 		}
+	case 1:
+	default:
+		if next := c.Loans.PlannedAt.Add(advanceInterval); next.After(now) {
+			at = next
+		}
+	}
+	if due := c.Loans.PlanAt; !due.IsZero() && !due.After(at) {
+		return time.Time{} // it was asked for already
 	}
-	planAt(&c.Loans, now)
-	return askToAdvance(s, now)
+	planAt(&c.Loans, at)
+	return at
 }
 
 func (p *planner) planCustomer(c *state.CustomerShare) {
@@ -141,7 +141,7 @@
 func (p *planner) planForWaiters(c *state.CustomerShare) {
 	earliest := p.now.Add(shortestPlanInterval)
 	at := p.now.Add(planInterval)
-	if until, ok := payableAt(c, c.Waiters[0].Cost, c.Waiters[0].Cost, p.now); ok && p.hold.Valid(p.now) {
+	if until, ok := viewOf(c).payableAt(c.Waiters[0].Cost, c.Waiters[0].Cost, p.now); ok && p.hold.Valid(p.now) {
 		at = earlier(at, until)
 	}
 	for i := range c.Waiters {
--- a/coordination/share/take.go
+++ b/coordination/share/take.go
@@ -22,7 +22,7 @@
 	Verdict Verdict
 	Until   time.Time // Wait: when the tokens are expected; call Advance then at the latest
 	RetryAt time.Time // Refused: from when a retry can succeed, as far as can be foreseen
-	Advance bool      // call Advance at once: a loan may be needed
+	Advance time.Time // call Advance then at the latest, because a loan may be needed; zero if not
 }
 
 const (
@@ -40,8 +40,9 @@
 	queueTime = time.Second
 	minQueue  = 16
 	maxQueue  = 1024
-	// advanceRepeat is how long Advance is not asked for again after it was.
-	advanceRepeat = 10 * time.Millisecond
+	// advanceInterval is the shortest time between two looks at a customer whose
+	// requests wait already.
+	advanceInterval = 5 * time.Millisecond
 )
 
 // Take decides on a request of a customer. id names the request in the decisions
@@ -111,7 +112,7 @@
 
 // prospects are what a waiting request can hope for.
 type prospects struct {
-	customer *state.CustomerShare
+	bucket   bucketView
 	now      time.Time
 	leased   bool      // the lease hold is valid
 	loan     bool      // a loan may come
@@ -119,7 +120,7 @@
 }
 
 func prospectsOf(s *state.Shares, c *state.CustomerShare, hold state.Hold, now time.Time) prospects {
-	p := prospects{customer: c, now: now, leased: hold.Valid(now)}
+	p := prospects{bucket: viewOf(c), now: now, leased: hold.Valid(now)}
 	p.loanFrom, p.loan = loanFrom(s, c, now)
 	return p
 }
@@ -128,7 +129,7 @@
 // cannot be served in time. total is its cost and that of those before it.
 func (p prospects) until(w state.ShareWaiter, total float64) (time.Time, bool) {
 	if p.leased {
-		until, ok := payableAt(p.customer, total, w.Cost, p.now)
+		until, ok := p.bucket.payableAt(total, w.Cost, p.now)
 		if ok && !until.After(earlier(w.Deadline, w.Joined.Add(longestWait))) {
 			return until, true
 		}
@@ -162,7 +163,7 @@
 
 // retryAt foresees when a request refused now could be granted.
 func retryAt(c *state.CustomerShare, total, cost float64, now time.Time) time.Time {
-	if at, ok := payableAt(c, total, cost, now); ok {
+	if at, ok := viewOf(c).payableAt(total, cost, now); ok {
 		return at
 	}
 	return now.Add(retryUnknown)
@@ -171,6 +172,7 @@
 // Decision is the admission of a request that waited.
 type Decision struct {
 	ID        state.WaiterID
+	Customer  string
 	Admission Admission
 }
 
@@ -183,25 +185,25 @@
 	var decisions []Decision
 	refuse := func(w state.ShareWaiter, total float64) {
 		refusal := Admission{Verdict: Refused, RetryAt: retryAt(c, total, w.Cost, now)}
-		decisions = append(decisions, Decision{w.ID, refusal})
+		decisions = append(decisions, Decision{w.ID, c.Name, refusal})
 	}
-	waiting := c.Waiters
-	c.Waiters = nil
 	p := prospectsOf(s, c, hold, now)
-	total := 0.0
-	for _, w := range waiting {
+	kept, total := c.Waiters[:0], 0.0
+	for _, w := range c.Waiters {
 		switch _, viable := p.until(w, total+w.Cost); {
 		case !now.Before(w.Deadline):
 			refuse(w, total+w.Cost)
-		case len(c.Waiters) == 0 && pay(c, hold, w.Cost, now):
-			decisions = append(decisions, Decision{w.ID, Admission{Verdict: Granted}})
+		case len(kept) == 0 && pay(c, hold, w.Cost, now):
+			decisions = append(decisions, Decision{w.ID, c.Name, Admission{Verdict: Granted}})
+			p.bucket.level = c.Level
 		case viable:
-			c.Waiters = append(c.Waiters, w)
+			kept = append(kept, w)
 			total += w.Cost
 		default:
 			refuse(w, total+w.Cost)
 		}
 	}
+	c.Waiters = kept
 	return decisions
 }
 
--- a/state/share.go
+++ b/state/share.go
@@ -148,7 +148,6 @@
 	NextLoan  uint64
 	Borrowed  map[uint64]LoanRef       // by loan number
 	Returned  map[string]ReturnedLoans // by borrower
-	PlanAsked time.Time                // when the driver was last told to plan; zero once it did
 
 	HeldSince        time.Time // start of the lease hold that the buckets were started in
 	FirstProcess     bool      // no earlier process of this VM's name can have a loan out
