Wire up the exchange, the store, fleet-wide limits and the admin interface

VMs get their configuration from the store or from each other, confirm each other's incarnations, lend shares, and follow service states. A session's request takes a token of its customer's limit, or waits for one.

A new process learns from a neighbour which ticket all VMs have applied; otherwise it would have no base share while another VM is silent.

--- a/chestnutdyke.go
+++ b/chestnutdyke.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -15,25 +17,40 @@
 	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/drain"
+	"github.com/chestnutdyke/chestnutdyke/coordination/membership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/queueing"
-	"github.com/chestnutdyke/chestnutdyke/coordination/replication"
 	"github.com/chestnutdyke/chestnutdyke/coordination/session"
 	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/transport/admin"
+	"github.com/chestnutdyke/chestnutdyke/transport/exchange"
 	"github.com/chestnutdyke/chestnutdyke/transport/groupctl"
 	"github.com/chestnutdyke/chestnutdyke/transport/groups"
+	"github.com/chestnutdyke/chestnutdyke/transport/lifecycle"
+	"github.com/chestnutdyke/chestnutdyke/transport/limits"
 	"github.com/chestnutdyke/chestnutdyke/transport/network"
 	"github.com/chestnutdyke/chestnutdyke/transport/pgbackend"
 	"github.com/chestnutdyke/chestnutdyke/transport/pgserver"
 	"github.com/chestnutdyke/chestnutdyke/transport/pool"
 	"github.com/chestnutdyke/chestnutdyke/transport/sessions"
+	"github.com/chestnutdyke/chestnutdyke/transport/store"
 )
 
 // Options describe a VM. Fields without a default are required.
 type Options struct {
-	Name       string // unique among the VMs that run at a time
+	Name       string // as in the tickets; unique among the VMs that run at a time
 	DataCentre string
-	// ClientAddress is where clients connect, host:port.
-	ClientAddress string
+	// ClientAddress, PeerAddress and AdminAddress are where the VM listens for
+	// clients, other VMs and operators, host:port. Without an AdminAddress there
+	// is no admin interface.
+	ClientAddress, PeerAddress, AdminAddress string
+	// Advertise is where other VMs reach PeerAddress; default PeerAddress.
+	Advertise string
+	// Store is the address of the platform's store, host:port; empty if there is
+	// none, and then Seeds must lead to a VM that has a configuration.
+	Store string
+	// Seeds are VMs to contact before the configuration is known.
+	Seeds []membership.Partner
 	// Secret is shared by all VMs. It signs session tokens and messages.
 	Secret []byte
 	// Backend is the login of the VM at backend servers.
@@ -44,19 +61,27 @@
 	Workers         int           // default 8
 	MaxSessions     int           // default 4096
 	DefaultDeadline time.Duration // of requests on routes that state none; default 5 s
+	// FirstProcess says that no process of this name ran within the last 30 s, so
+	// that none can have lent connections. Leave it false unless that is certain.
+	FirstProcess bool
 
 	// Network defaults to the operating system's TCP.
 	Network network.Network
 	Logger  log.Interface // default: the log package's
 	Scope   tally.Scope   // default: none
+	Metrics http.Handler  // shown by the admin interface; default: none
 	Tracer  trace.Tracer  // default: none
 
-	// Session and Queueing choose baselines for measurements.
-	Session  session.Options
-	Queueing queueing.Options
+	// Session, Queueing and StaticShares choose baselines for measurements.
+	Session      session.Options
+	Queueing     queueing.Options
+	StaticShares bool
 }
 
 func (o *Options) setDefaults() {
+	if o.Advertise == "" {
+		o.Advertise = o.PeerAddress
+	}
 	if o.Workers == 0 {
 		o.Workers = 8
 	}
@@ -82,136 +107,144 @@
 
 // VM is one process of the fleet.
 type VM struct {
-	options  Options
-	tables   *state.Tables
-	pool     *pool.Pool
-	sessions *sessions.Sessions
-	backends *pgbackend.Backends
-	groups   *groups.Driver
-	control  *groupctl.HTTP
-	listener net.Listener
+	options   Options
+	tables    *state.Tables
+	pool      *pool.Pool
+	sessions  *sessions.Sessions
+	backends  *pgbackend.Backends
+	groups    *groups.Driver
+	views     *groups.Views
+	limits    *limits.Limits
+	exchange  *exchange.Exchange
+	lifecycle *lifecycle.Lifecycle
+	control   *groupctl.HTTP
+	store     *store.Client // nil if there is none
+	roster    roster
+	clients   net.Listener
+	admin     net.Listener // nil if there is none
 }
 
 // New returns a VM that listens but does not serve yet.
 func New(o Options) (*VM, error) {
 	o.setDefaults()
-	listener, err := o.Network.Listen(o.ClientAddress)
-	if err != nil {
-		return nil, eris.Wrap(err, "listen for clients")
-	}
-	v := &VM{options: o, listener: listener, pool: pool.New(o.Workers), control: groupctl.NewHTTP(o.Network)}
+	v := &VM{options: o, pool: pool.New(o.Workers), control: groupctl.NewHTTP(o.Network)}
 	v.tables = state.NewTables(state.Self{
 		Name:        o.Name,
 		DataCentre:  o.DataCentre,
 		Incarnation: uint64(time.Now().UnixNano()),
 	})
-	v.sessions = sessions.New(sessions.Options{
-		Pool:   v.pool,
-		Tables: v.tables,
-		Decider: &session.Decider{
-			Tables:  v.tables,
-			Limiter: unlimited{},
-			Options: o.Session,
-		},
-		Secret:          o.Secret,
-		MaxSessions:     o.MaxSessions,
-		DefaultDeadline: o.DefaultDeadline,
-		Logger:          o.Logger,
-		Scope:           o.Scope,
-		Tracer:          o.Tracer,
-	})
-	v.groups = groups.New(groups.Options{
-		Pool:    v.pool,
-		Tables:  v.tables,
-		Control: v.control.Client,
-		Resolve: func(id state.WaiterID, r replication.Result) { v.sessions.Resolved(id, r) },
-		Rank:    func(string) (int, bool) { return 0, true },
-		Index:   v.index,
-		Logger:  o.Logger,
-		Scope:   o.Scope,
-		Tracer:  o.Tracer,
-	})
-	v.backends = pgbackend.New(pgbackend.Options{
-		Tables:      v.tables,
-		Network:     o.Network,
-		Credentials: o.Backend,
-		Waiters:     v.sessions,
-		Queueing:    o.Queueing,
-		Limit:       func(s *state.BackendServer) int { return s.Connections },
-		Failed:      v.serverFailed,
-		Logger:      o.Logger,
-		Scope:       o.Scope,
-	})
-	v.sessions.Connect(v.backends, v.groups)
+	if err := v.listen(); err != nil {
+		return nil, err
+	}
+	v.buildSessions()
+	v.buildGroups()
+	v.buildLimits()
+	v.buildBackends()
+	v.sessions.Connect(v.backends, v.groups, v.limits)
+	v.buildLifecycle()
+	if err := v.buildExchange(); err != nil {
+		return nil, errors.Join(err, v.closeListeners())
+	}
 	return v, nil
 }
 
-// unlimited admits every request.
-type unlimited struct{}
+func (v *VM) listen() error {
+	var err error
+	if v.clients, err = v.options.Network.Listen(v.options.ClientAddress); err != nil {
+		return eris.Wrap(err, "listen for clients")
+	}
+	if v.options.AdminAddress == "" {
+		return nil
+	}
+	if v.admin, err = v.options.Network.Listen(v.options.AdminAddress); err != nil {
+		return errors.Join(eris.Wrap(err, "listen for operators"), v.closeListeners())
+	}
+	return nil
+}
 
-func (unlimited) Take(string, time.Time, time.Time, bool) session.Admission {
-	return session.Admission{}
+func (v *VM) closeListeners() error {
+	err := v.clients.Close()
+	if v.admin != nil {
+		err = errors.Join(err, v.admin.Close())
+	}
+	return err
 }
 
 // Tables returns the VM's tables.
 func (v *VM) Tables() *state.Tables { return v.tables }
 
 // Address returns the address at which clients connect.
-func (v *VM) Address() string { return v.listener.Addr().String() }
-
-// index returns the number that makes the VM's terms unique.
-func (v *VM) index() (uint16, bool) {
-	cfg := v.tables.Config.Current()
-	if cfg == nil {
-		return 0, false
-	}
-	i, listed := cfg.VMIndex(v.options.Name)
-	return uint16(i), listed
-}
-
-func (v *VM) serverFailed(server string) {
-	cfg := v.tables.Config.Current()
-	if cfg == nil {
-		return
-	}
-	for name, g := range cfg.Groups {
-		if g.Server(server) != nil {
-			v.groups.Suspect(name, server)
-		}
-	}
-}
+func (v *VM) Address() string { return v.clients.Addr().String() }
 
 // Run serves until ctx is done. Then it stops at once; call Drain before to
 // stop without cutting requests.
 func (v *VM) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	server := &pgserver.Server{
-		Listener: v.listener,
-		TLS:      v.options.TLS,
-		Sessions: v.sessions,
-		Logger:   v.options.Logger,
-	}
 	poolCtx, stopPool := context.WithCancel(context.Background())
 	defer stopPool()
 	var workers errgroup.Group
 	workers.Go(func() error { return v.pool.Run(poolCtx) })
+
+	g, ctx := errgroup.WithContext(ctx)
 	stop := context.AfterFunc(ctx, v.sessions.Close)
 	defer stop()
-	g.Go(func() error { return server.Run(ctx) })
-	g.Go(func() error { return v.backends.Run(ctx) })
+	clients := &pgserver.Server{
+		Listener: v.clients,
+		TLS:      v.options.TLS,
+		Sessions: v.sessions,
+		Logger:   v.options.Logger,
+	}
+	g.Go(func() error { return clients.Run(ctx) })
+	if v.admin != nil {
+		g.Go(func() error { return v.adminServer().Run(ctx) })
+	}
+	g.Go(func() error { return v.limits.Run(ctx) })
+	g.Go(func() error { return v.exchange.Run(ctx) })
 	g.Go(func() error { return v.groups.Run(ctx) })
+	g.Go(func() error { return v.backends.Run(ctx) })
+	g.Go(func() error { return v.lifecycle.Run(ctx) })
 	err := g.Wait()
 	v.control.Close()
+	if v.store != nil {
+		v.store.Close()
+	}
 	stopPool()
-	if poolErr := workers.Wait(); err == nil {
-		err = poolErr
+	return errors.Join(err, workers.Wait())
+}
+
+func (v *VM) adminServer() *admin.Server {
+	return admin.New(admin.Options{
+		Listener: v.admin,
+		Status:   v.Status,
+		Ready:    v.notReady,
+		Metrics:  v.options.Metrics,
+		Logger:   v.options.Logger,
+	})
+}
+
+// notReady returns why the VM takes no work, or an empty text if it does.
+func (v *VM) notReady() string {
+	self := v.tables.Self
+	cfg := v.tables.Config.Current()
+	switch {
+	case cfg == nil:
+		return "no configuration"
+	case !drain.TakesWork(drain.VMState(cfg, self.Name, self.DataCentre)):
+		return "leaving"
+	case !v.limits.Usable():
+		return "not confirmed by its voters"
 	}
-	return err
+	return ""
 }
 
-// Drain refuses new sessions and waits until each session has ended its request
-// and transaction, or ctx is done.
+// Ready reports whether the VM takes work: it has a configuration, is in
+// service, and a majority of its voters confirms it.
+func (v *VM) Ready() bool { return v.notReady() == "" }
+
+// Drain refuses new sessions, lends the VM's shares to others, and waits until
+// each session has ended its request and transaction, or ctx is done.
 func (v *VM) Drain(ctx context.Context) error {
+	v.exchange.SetState(state.Leaving)
+	v.limits.Leave()
 	select {
 	case <-v.sessions.Drain():
 		return nil
--- a/cmd/chestnutdemo/main.go
+++ b/cmd/chestnutdemo/main.go
@@ -55,6 +55,10 @@
 		return err
 	}
 	defer f.Close()
+	fmt.Fprintln(out, "Waiting until the VMs confirm each other.")
+	if err := f.WaitReady(ctx); err != nil {
+		return err
+	}
 	d := &demo{ctx: ctx, out: out, fleet: f}
 	token, err := d.write()
 	if err != nil {
--- a/coordination/session/decider.go
+++ b/coordination/session/decider.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutdyke/chestnutdyke/coordination/access"
 	"github.com/chestnutdyke/chestnutdyke/coordination/queueing"
 	"github.com/chestnutdyke/chestnutdyke/coordination/routing"
+	"github.com/chestnutdyke/chestnutdyke/coordination/share"
 	"github.com/chestnutdyke/chestnutdyke/state"
 )
 
@@ -21,34 +22,14 @@
 // position that it must cover before it goes to the primary.
 const coverWait = 5 * time.Millisecond
 
+// requestCost is the number of tokens that a request takes from its customer's
+// limit.
+const requestCost = 1
+
 // maxWriteRefusals bounds how often a request is routed again because the
 // server refused it as a write; after that its answer goes to the client.
 const maxWriteRefusals = 3
 
-// AdmissionKind says whether a request may run now.
-type AdmissionKind int
-
-// Kinds of admissions.
-const (
-	Admitted     AdmissionKind = iota
-	AdmitLater                 // ask again at Admission.At
-	AdmitRefused               // the limit is used up until after the deadline
-)
-
-// Admission is the answer of a Limiter.
-type Admission struct {
-	Kind       AdmissionKind
-	At         time.Time     // with AdmitLater
-	RetryAfter time.Duration // with AdmitRefused; zero if unknown
-}
-
-// Limiter keeps customers inside their limits.
-type Limiter interface {
-	// Take asks for one request of the customer to run. Retry says that an
-	// earlier call for the same request was answered with AdmitLater.
-	Take(customer string, now, deadline time.Time, retry bool) Admission
-}
-
 // Options choose between variants of the policy. All but the zero value are
 // baselines for measurements.
 type Options struct {
@@ -59,7 +40,6 @@
 // Decider makes the decisions for all sessions of a VM.
 type Decider struct {
 	Tables  *state.Tables
-	Limiter Limiter
 	Options Options
 }
 
@@ -108,7 +88,7 @@
 	if s.InTransaction && (r.Class == state.ClassEnd || r.Class == state.ClassRollback) {
 		return append([]Effect{wake}, d.send(s, now)...)
 	}
-	return append([]Effect{wake}, d.admit(s, now, false)...)
+	return append([]Effect{wake}, d.admit(s, now)...)
 }
 
 // begin resets the per-request fields. The connection, the server and the term
@@ -129,14 +109,34 @@
 	return d.refuse(s, out)
 }
 
-func (d *Decider) admit(s *state.Session, now time.Time, retry bool) []Effect {
+// admit spends a token of the customer's limit on the request, or waits for one.
+func (d *Decider) admit(s *state.Session, now time.Time) []Effect {
 	s.Phase = state.PhaseAdmission
-	a := d.Limiter.Take(s.Customer, now, s.Request.Deadline, retry)
-	switch a.Kind {
-	case AdmitLater:
-		return []Effect{Wake{Request: s.Request.Number, At: a.At}}
-	case AdmitRefused:
-		return d.refuse(s, Outcome{Kind: NotRun, Reason: RateExceeded, RetryAfter: a.RetryAfter})
+	a := share.Take(d.Tables, waiterID(s), s.Customer, requestCost, now, s.Request.Deadline)
+	effects := d.admitted(s, a, now)
+	if a.Verdict == share.Wait {
+		effects = append(effects, AdvanceLimits{At: a.Until})
+	}
+	if !a.Advance.IsZero() {
+		effects = append(effects, AdvanceLimits{At: a.Advance})
+	}
+	return effects
+}
+
+// Admitted takes the decision on a request that waited for a token.
+func (d *Decider) Admitted(s *state.Session, request uint64, a share.Admission, now time.Time) []Effect {
+	if s.Phase != state.PhaseAdmission || s.Request.Number != request {
+		return nil
+	}
+	return d.admitted(s, a, now)
+}
+
+func (d *Decider) admitted(s *state.Session, a share.Admission, now time.Time) []Effect {
+	switch a.Verdict {
+	case share.Wait:
+		return nil
+	case share.Refused:
+		return d.refuse(s, Outcome{Kind: NotRun, Reason: RateExceeded, RetryAfter: max(0, a.RetryAt.Sub(now))})
 	}
 	if s.InTransaction {
 		return d.send(s, now)
@@ -147,6 +147,12 @@
 	return d.route(s, now)
 }
 
+// leaveAdmission forgets the session's request among those that wait for a
+// token.
+func (d *Decider) leaveAdmission(s *state.Session) {
+	share.Cancel(d.Tables.Shares, waiterID(s), s.Customer)
+}
+
 // groupOf returns the database group of the session's route, or an empty name.
 func (d *Decider) groupOf(s *state.Session) string {
 	_, _, group := d.lookup(s)
--- a/coordination/session/effects.go
+++ b/coordination/session/effects.go
@@ -93,6 +93,10 @@
 	Server string
 }
 
+// AdvanceLimits asks for a look at requests that wait for tokens, and at loans,
+// at the given time at the latest.
+type AdvanceLimits struct{ At time.Time }
+
 // CloseClient ends the session after the client was told the reason.
 type CloseClient struct{ Outcome Outcome }
 
@@ -112,4 +116,5 @@
 func (Wake) effect()            {}
 func (ReportToken) effect()     {}
 func (Suspect) effect()         {}
+func (AdvanceLimits) effect()   {}
 func (CloseClient) effect()     {}
--- a/coordination/session/end.go
+++ b/coordination/session/end.go
@@ -22,8 +22,6 @@
 		return d.expire(s, now)
 	}
 	switch s.Phase {
-	case state.PhaseAdmission:
-		return d.admit(s, now, true)
 	case state.PhaseBackoff:
 		return d.route(s, now)
 	case state.PhaseExecuting:
@@ -45,6 +43,7 @@
 func (d *Decider) expire(s *state.Session, now time.Time) []Effect {
 	switch s.Phase {
 	case state.PhaseAdmission:
+		d.leaveAdmission(s)
 		return d.refuse(s, Refused(RateExceeded))
 	case state.PhasePosition:
 		effects := []Effect{WithdrawAwait{Group: d.groupOf(s), ID: waiterID(s)}}
@@ -68,7 +67,10 @@
 func (d *Decider) Cancel(s *state.Session) []Effect {
 	cancelled := Refused(CancelRequested)
 	switch s.Phase {
-	case state.PhaseAdmission, state.PhaseBackoff:
+	case state.PhaseAdmission:
+		d.leaveAdmission(s)
+		return d.refuse(s, cancelled)
+	case state.PhaseBackoff:
 		return d.refuse(s, cancelled)
 	case state.PhasePosition:
 		effects := []Effect{WithdrawAwait{Group: d.groupOf(s), ID: waiterID(s)}}
@@ -87,7 +89,9 @@
 func (d *Decider) Gone(s *state.Session) []Effect {
 	var effects []Effect
 	switch s.Phase {
-	case state.PhasePosition, state.PhaseAcknowledging:
+	case state.PhaseAdmission:
+		d.leaveAdmission(s)
+	case state.PhasePosition, state.PhaseExecuting, state.PhaseAcknowledging:
 		effects = append(effects, WithdrawAwait{Group: d.groupOf(s), ID: waiterID(s)})
 	case state.PhaseConnection:
 		effects = append(effects, WithdrawAcquire{Server: s.Server, ID: waiterID(s)})
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -84,6 +84,7 @@
 	Want    bool                `json:"want,omitempty"` // asks for a snapshot if the receiver has a higher ticket number
 	Heard   []Heard             `json:"heard,omitempty"`
 	Lease   *lease.Query        `json:"lease,omitempty"`
+	Agreed  uint64              `json:"agreed,omitempty"` // highest ticket that all VMs are known to have applied
 	Loans   []share.LoanRequest `json:"loans,omitempty"`
 	Groups  []GroupView         `json:"groups,omitempty"`
 	Members []Member            `json:"members,omitempty"`
@@ -97,6 +98,7 @@
 	Config   ConfigDigest       `json:"config"`
 	Heard    []Heard            `json:"heard,omitempty"`
 	Lease    *lease.Answer      `json:"lease,omitempty"`
+	Agreed   uint64             `json:"agreed,omitempty"`
 	Loans    []share.LoanAnswer `json:"loans,omitempty"`
 	Groups   []GroupView        `json:"groups,omitempty"`
 	Members  []Member           `json:"members,omitempty"`
--- a/standin/fleet/profile.go
+++ b/standin/fleet/profile.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net"
 	"strconv"
@@ -108,7 +109,7 @@
 // Config returns the profile's configuration under the given ticket number.
 func (p *Profile) Config(ticket uint64) *state.Config {
 	c := &state.Config{
-		Ticket:      state.TicketID{Number: ticket},
+		Ticket:      state.TicketID{Number: ticket, Digest: digest(ticket)},
 		Customers:   make(map[string]*state.Customer),
 		Groups:      make(map[string]*state.Group),
 		Routes:      make(map[string]*state.Route),
@@ -131,6 +132,12 @@
 	return c
 }
 
+// digest stands in for the digest of a ticket file.
+func digest(ticket uint64) string {
+	sum := sha256.Sum256([]byte(strconv.FormatUint(ticket, 10)))
+	return hex.EncodeToString(sum[:])
+}
+
 func (p *Profile) customer(c Customer) *state.Customer {
 	return &state.Customer{
 		Name:   c.Name,
@@ -144,7 +151,7 @@
 func (p *Profile) dataCentre(i int, name string) *state.DataCentre {
 	dc := &state.DataCentre{Name: name, Region: "region-1", State: state.InService}
 	for vm := i; vm < p.VMs; vm += len(p.DataCentres) {
-		dc.VMs = append(dc.VMs, state.VM{Name: VMName(vm), Address: address(vmHost(vm), peerPort), State: state.InService})
+		dc.VMs = append(dc.VMs, state.VM{Name: VMName(vm), Address: address(vmHost(vm), peerPort), AdminAddress: address(vmHost(vm), adminPort), State: state.InService})
 	}
 	return dc
 }
--- a/state/backend.go
+++ b/state/backend.go
@@ -47,6 +47,9 @@
 // Open returns the number of connections that count against the limit.
 func (s *ServerConns) Open() int { return s.Opening + len(s.Busy) + len(s.Idle) }
 
+// Wanted returns the number of connections that the VM has a use for.
+func (s *ServerConns) Wanted() int { return len(s.Busy) + len(s.Waiters) }
+
 // RetryBudget bounds the retries of requests to one database group.
 type RetryBudget struct {
 	Tokens  float64
@@ -92,6 +95,17 @@
 	}
 }
 
+// Servers returns the names of the servers that the VM has or had connections to.
+func (t *BackendTable) Servers() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := make([]string, 0, len(t.servers))
+	for name := range t.servers {
+		names = append(names, name)
+	}
+	return names
+}
+
 // WithRetries calls f with the retry budget of the named group under the
 // table's lock.
 func (t *BackendTable) WithRetries(group string, f func(b *RetryBudget)) {
--- a/transport/pgbackend/backends.go
+++ b/transport/pgbackend/backends.go
@@ -35,6 +35,8 @@
 	// Limit returns the number of connections that this VM may have open to the
 	// server now.
 	Limit func(server *state.BackendServer) int
+	// Wanted is told how many connections to a server this VM has a use for.
+	Wanted func(server string, conns int)
 	// Failed is told of a server that cannot be reached.
 	Failed func(server string)
 	Logger log.Interface
@@ -85,14 +87,24 @@
 	b.tasks.Wait()
 }
 
+// tick looks at the servers that this VM has connections or requests for.
 func (b *Backends) tick(now time.Time) {
 	cfg := b.Tables.Config.Current()
 	if cfg == nil {
 		return
 	}
-	for _, g := range cfg.Groups {
-		for i := range g.Servers {
-			b.refresh(&g.Servers[i], now)
+	for _, name := range b.Tables.Backends.Servers() {
+		if server, _ := findServer(cfg, name); server != nil {
+			b.refresh(server, now)
+		}
+	}
+}
+
+// Lower applies a reduced connection limit of a server at once.
+func (b *Backends) Lower(server string) {
+	if cfg := b.Tables.Config.Current(); cfg != nil {
+		if s, _ := findServer(cfg, server); s != nil {
+			b.refresh(s, time.Now())
 		}
 	}
 }
@@ -100,24 +112,32 @@
 func (b *Backends) refresh(server *state.BackendServer, now time.Time) {
 	limit := b.Limit(server)
 	var effects []queueing.Effect
+	wanted := 0
 	b.Tables.Backends.With(server.Name, func(s *state.ServerConns) {
 		if s.Limit != limit {
 			effects = queueing.SetLimit(s, limit, now)
 		}
 		effects = append(effects, queueing.Expire(s, now)...)
+		wanted = s.Wanted()
 	})
 	b.run(server.Name, effects)
+	b.Wanted(server.Name, wanted)
 }
 
 // Acquire asks for a connection. The answer goes to Waiters.
 func (b *Backends) Acquire(server *state.BackendServer, w state.ConnWaiter, now time.Time) {
 	limit := b.Limit(server)
 	var effects []queueing.Effect
+	wanted := 0
 	b.Tables.Backends.With(server.Name, func(s *state.ServerConns) {
 		s.Limit = limit
 		effects = queueing.Acquire(s, w, now, b.Queueing)
+		wanted = s.Wanted()
 	})
 	b.run(server.Name, effects)
+	if wanted > limit {
+		b.Wanted(server.Name, wanted)
+	}
 }
 
 // Withdraw takes back an Acquire.
--- a/transport/sessions/client.go
+++ b/transport/sessions/client.go
@@ -172,6 +172,8 @@
 		c.out.Send(&pgproto3.ParameterStatus{Name: pgwire.SettingSession, Value: c.token()})
 	case session.Suspect:
 		s.groups.Suspect(e.Group, e.Server)
+	case session.AdvanceLimits:
+		s.limits.Advance(e.At)
 	case session.CloseClient:
 		c.close(e.Outcome)
 	}
--- a/transport/sessions/sessions.go
+++ b/transport/sessions/sessions.go
@@ -18,6 +18,7 @@
 	"github.com/chestnutdyke/chestnutdyke/coordination/queueing"
 	"github.com/chestnutdyke/chestnutdyke/coordination/replication"
 	"github.com/chestnutdyke/chestnutdyke/coordination/session"
+	"github.com/chestnutdyke/chestnutdyke/coordination/share"
 	"github.com/chestnutdyke/chestnutdyke/protocol/pgwire"
 	"github.com/chestnutdyke/chestnutdyke/protocol/token"
 	"github.com/chestnutdyke/chestnutdyke/state"
@@ -37,6 +38,12 @@
 	Suspect(group, server string)
 }
 
+// Limits decides on requests that wait for tokens of their customer's limit.
+type Limits interface {
+	// Advance looks at waiting requests and loans at the given time at the latest.
+	Advance(at time.Time)
+}
+
 // Options are the parts that Sessions works with.
 type Options struct {
 	Pool        *pool.Pool
@@ -56,6 +63,7 @@
 	Options
 	backends *pgbackend.Backends
 	groups   Groups
+	limits   Limits
 	metrics  metrics
 
 	mu       sync.Mutex // guards the fields below; no other lock is taken under it
@@ -72,7 +80,9 @@
 }
 
 // Connect sets the parts that need Sessions themselves.
-func (s *Sessions) Connect(b *pgbackend.Backends, g Groups) { s.backends, s.groups = b, g }
+func (s *Sessions) Connect(b *pgbackend.Backends, g Groups, l Limits) {
+	s.backends, s.groups, s.limits = b, g, l
+}
 
 // Login implements pgserver.Sessions. The decision runs on the worker pool.
 func (s *Sessions) Login(out *pgserver.Client, l pgserver.Login) (pgserver.Session, *session.Outcome) {
@@ -266,6 +276,15 @@
 	}
 }
 
+// Admitted takes the decision on a request that waited for a token.
+func (s *Sessions) Admitted(d share.Decision) {
+	if c := s.lookup(d.ID.Session); c != nil {
+		c.post(func(now time.Time) []session.Effect {
+			return s.Decider.Admitted(c.st, d.ID.Request, d.Admission, now)
+		})
+	}
+}
+
 func newSecret() uint32 {
 	var b [4]byte
 	if _, err := rand.Read(b[:]); err != nil {
