--- a/cmd/chestnutctl/ctl/ctl_test.go
+++ b/cmd/chestnutctl/ctl/ctl_test.go
@@ -144,7 +144,7 @@
 		x.expect("ticket check STORE route.yaml", ExitError, "route.yaml:5: route r leads to the unknown group nowhere")
 		x.expect("ticket apply STORE warn.yaml", ExitError, "warn.yaml:5: warning: data centre rif is in service without a VM", "-accept-warnings")
 		x.expect("ticket apply STORE -accept-warnings warn.yaml", ExitOK, "warning: data centre rif", "+ data_centres/rif")
-		x.expect("ticket history STORE", ExitOK, "5       2000-01-01T00:00:00Z  amina     customers/seffarine  test")
+		x.expect("ticket history STORE", ExitOK, "5       2000-01-01T00:00:00Z  amina     test    customers/seffarine")
 		x.expect("ticket history STORE -json", ExitOK, `"operator": "brahim"`)
 		x.expect("ticket show STORE -json", ExitOK, `"rate": 15`)
 
--- a/cmd/chestnutctl/ctl/ticket.go
+++ b/cmd/chestnutctl/ctl/ticket.go
@@ -207,13 +207,13 @@
 		return env.printJSON(list)
 	}
 	w := tabwriter.NewWriter(env.Stdout, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "ticket\ttime\toperator\tchanged\treason")
+	_, _ = fmt.Fprintln(w, "ticket\ttime\toperator\treason\tchanged")
 	for _, r := range list {
 		changed := strings.Join(r.Changed, " ")
 		if r.ChangedMore > 0 {
 			changed += fmt.Sprintf(" and %d more", r.ChangedMore)
 		}
-		_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", r.Ticket, r.Time.Format(time.RFC3339), r.Operator, changed, r.Reason)
+		_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", r.Ticket, r.Time.Format(time.RFC3339), r.Operator, r.Reason, changed)
 	}
 	_ = w.Flush()
 	return ExitOK
--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,116 @@
+package examples
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/ticket"
+	"github.com/chestnutdyke/chestnutdyke/protocol/settings"
+	"github.com/chestnutdyke/chestnutdyke/protocol/ticketfile"
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+// load reads the files of a user. The files that the settings name stand in for
+// secrets and are made here.
+func load(t *testing.T, user string) (*settings.Settings, *state.Config) {
+	t.Helper()
+	certificate, key := certify(t)
+	read := func(path string) ([]byte, error) {
+		switch {
+		case strings.HasSuffix(path, ".crt"):
+			return certificate, nil
+		case strings.HasSuffix(path, ".key"):
+			return key, nil
+		default:
+			return []byte("0123456789abcdef\n"), nil
+		}
+	}
+	path := filepath.Join(user, "settings.yaml")
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := settings.Parse(path, data, read)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path = filepath.Join(user, "ticket.yaml")
+	if data, err = os.ReadFile(path); err != nil {
+		t.Fatal(err)
+	}
+	file := ticketfile.Parse(path, data)
+	config, found := ticket.Check(nil, file.Ticket)
+	for _, p := range file.Problems(found) {
+		t.Error(p.Format(path))
+	}
+	return s, config
+}
+
+func certify(t *testing.T) (certificate, key []byte) {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, private.Public(), private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rawKey, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: raw}), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: rawKey})
+}
+
+// Guards against examples that are refused, and against examples that differ
+// from the sizes in docs/design.md.
+func TestExamples(t *testing.T) {
+	for user, connections := range map[string]int{"fes": 20, "peachtree": 30} {
+		t.Run(user, func(t *testing.T) {
+			s, c := load(t, user)
+			if s.TLS.Certificate == nil {
+				t.Error("the certificate was not read")
+			}
+			vm, dc := c.VM(s.VM)
+			if vm == nil || dc.Name != s.DataCentre || vm.Address != s.Advertise {
+				t.Errorf("VM %s of the settings is not in the ticket", s.VM)
+			}
+			vms, stale := 0, 0
+			for _, dc := range c.DataCentres {
+				vms += len(dc.VMs)
+			}
+			for _, r := range c.Routes {
+				if r.Access == state.ReadOnly && r.MaxStaleness > 0 {
+					stale++
+				}
+			}
+			if len(c.DataCentres) != 3 || len(c.Groups) != 3 || len(c.Customers) != 8 || vms < 7 || vms > 8 || stale == 0 {
+				t.Errorf("%d data centres, %d groups, %d customers, %d VMs, %d routes that accept some staleness",
+					len(c.DataCentres), len(c.Groups), len(c.Customers), vms, stale)
+			}
+			for _, g := range c.Groups {
+				centres := make(map[string]bool)
+				for _, server := range g.Servers {
+					centres[server.DataCentre] = true
+					if server.Connections != connections || server.Slots != 3 {
+						t.Errorf("server %s has %d connections and %d slots", server.Name, server.Connections, server.Slots)
+					}
+				}
+				if len(g.Servers) != 3 || len(centres) != 3 {
+					t.Errorf("group %s has %d servers in %d data centres", g.Name, len(g.Servers), len(centres))
+				}
+			}
+		})
+	}
+}
--- a/protocol/ticketfile/objects.go
+++ b/protocol/ticketfile/objects.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -110,9 +111,13 @@
 	for _, k := range s.Keys {
 		c.Keys = append(c.Keys, key{k.ID, hex.EncodeToString(k.Hash[:]), k.Revoked})
 	}
-	c.WhenCutOff.ServeFor = s.CutOff.ServeFor.String()
-	if s.CutOff.Always {
+	switch {
+	case s.CutOff.Always:
 		c.WhenCutOff.ServeFor = always
+	case s.CutOff.ServeFor == 0:
+		c.WhenCutOff.ServeFor = "0s"
+	default:
+		c.WhenCutOff.ServeFor = formatDuration(s.CutOff.ServeFor)
 	}
 	return c
 }
@@ -238,9 +243,18 @@
 	return parseDuration(text, fail, path...)
 }
 
+// formatDuration writes a duration as operators do: 15m, not 15m0s. Zero is
+// written as nothing.
 func formatDuration(d time.Duration) string {
 	if d == 0 {
 		return ""
 	}
-	return d.String()
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
 }
