--- a/cmd/chestnutctl/ctl/apply.go
+++ b/cmd/chestnutctl/ctl/apply.go
@@ -102,15 +102,18 @@
 		r.reason = err.Error()
 		return ticket.ReadFailed{Reason: r.reason}
 	case !found:
-		return ticket.Stored{At: time.Now()}
+		return stored(storeapi.Object{})
 	default:
 		return stored(object)
 	}
 }
 
-// stored turns the store's object into an event. An object that cannot be read
-// in full must not be written back.
+// stored turns the store's object into an event; version 0 means that it does
+// not exist. An object that cannot be read in full must not be written back.
 func stored(object storeapi.Object) ticket.Event {
+	if object.Version == 0 {
+		return ticket.Stored{At: time.Now()}
+	}
 	decoded, err := ticketfile.DecodeObjectForUpdate(object.Value)
 	if err != nil {
 		return ticket.GiveUp{Reason: err.Error()}
--- a/coordination/ticket/check.go
+++ b/coordination/ticket/check.go
@@ -17,9 +17,6 @@
 	Text    string
 }
 
-// String gives the problem with its path.
-func (p Problem) String() string { return strings.Join(p.Path, ".") + ": " + p.Text }
-
 // HasErrors reports whether one of the problems is no mere warning.
 func HasErrors(problems []Problem) bool {
 	return slices.ContainsFunc(problems, func(p Problem) bool { return !p.Warning })
--- a/protocol/settings/settings_test.go
+++ b/protocol/settings/settings_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
@@ -66,6 +67,23 @@
 	}
 }
 
+// Guards against paths that are taken relative to the working directory.
+func TestLoad(t *testing.T) {
+	folder := t.TempDir()
+	for name, content := range map[string]string{"settings.yaml": valid, "fleet.secret": "0123456789abcdef", "backend.password": "s3cret"} {
+		if err := os.WriteFile(filepath.Join(folder, name), []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, err := Load(filepath.Join(folder, "settings.yaml"))
+	if err != nil || string(s.Backend.Password.Bytes()) != "s3cret" {
+		t.Errorf("got %v, %v", s, err)
+	}
+	if _, err := Load(filepath.Join(folder, "none.yaml")); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("got error %v", err)
+	}
+}
+
 // Guards against errors that are missed, reported without their line, or
 // reported one at a time.
 func TestErrorsHaveLines(t *testing.T) {
--- a/protocol/ticketfile/ticketfile_test.go
+++ b/protocol/ticketfile/ticketfile_test.go
@@ -200,6 +200,13 @@
 	if diff := cmp.Diff(object, decoded); diff != "" {
 		t.Errorf("object changed by the store (-before +after):\n%s", diff)
 	}
+	alone, err := EncodeConfig(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, err := DecodeConfig(alone); err != nil || !cmp.Equal(config, again) {
+		t.Errorf("configuration changed by a message: %v, %s", err, cmp.Diff(config, again))
+	}
 	written, err := Format(&ticket.Ticket{ID: config.Ticket, Operator: "amina", Reason: "First state", Customers: config.Customers,
 		Groups: config.Groups, Routes: config.Routes, DataCentres: config.DataCentres})
 	if err != nil {
--- a/protocol/yamldoc/document.go
+++ b/protocol/yamldoc/document.go
@@ -20,9 +20,6 @@
 // numbers.
 type Path []string
 
-// String joins the elements with dots.
-func (p Path) String() string { return strings.Join(p, ".") }
-
 // Problem is one error or warning. Line 0 means the file as a whole.
 type Problem struct {
 	Line    int
--- a/transport/store/watch.go
+++ b/transport/store/watch.go
@@ -10,6 +10,11 @@
 	"github.com/chestnutdyke/chestnutdyke/protocol/storeapi"
 )
 
+// ConfirmWait is the wait of a watch that also confirms the configuration. The
+// age of a confirmation reaches twice the wait before the next one arrives, and
+// has to stay well below the 5 s that customers' cut-off limits start at.
+const ConfirmWait = time.Second
+
 // Change is the answer to a watch.
 type Change struct {
 	Changed bool            // the object has a version above the one asked about
@@ -56,7 +61,8 @@
 	Err    error // why the store could not be reached; nil if it answered
 }
 
-// Follow watches an object until ctx is done and reports what came of each call.
+// Follow watches an object until ctx is done and calls report with what came of
+// each call; the next call is sent when report returns.
 // wait is the longest time between two reports while the store answers, so it
 // bounds the age of the confirmation that nothing changed.
 //
