--- a/coordination/session/answer.go
+++ b/coordination/session/answer.go
@@ -152,7 +152,7 @@
 // effect or is idempotent, nothing of its answer reached the client, its
 // deadline has not passed and the retry budget allows it.
 func (d *Decider) mayRetry(s *state.Session, now time.Time) bool {
-	repeatable := readOnly(s.Request.Class) || s.Request.Class == state.ClassBegin || s.Request.Idempotent
+	repeatable := readOnly(s.Request.Class) || s.Request.Class == state.ClassBegin || s.Request.Idempotent || d.Options.RetryAnything
 	if !repeatable || s.Forwarded || !now.Before(s.Request.Deadline) {
 		return false
 	}
--- a/coordination/session/decider.go
+++ b/coordination/session/decider.go
@@ -35,6 +35,7 @@
 type Options struct {
 	ReadsOnPrimary bool // no read goes to a replica
 	AckOnCommit    bool // writes are acknowledged when the primary has committed; unsafe
+	RetryAnything  bool // requests that must not be repeated are retried after they were sent; unsafe
 }
 
 // Decider makes the decisions for all sessions of a VM.
