Treat batches that may commit as such

A simple query of several statements now has the class of a write. Batches that may commit are marked, and the loss of their connection leaves the outcome unknown. An answer that completed a COMMIT waits for its acknowledgement whatever is open after it.

--- a/coordination/session/answer.go
+++ b/coordination/session/answer.go
@@ -25,6 +25,7 @@
 	Status        byte   // transaction status as the protocol has it, for the client
 	ErrorCode     string // SQLSTATE of the error in the answer; empty if none
 	RolledBack    bool   // the last statement completed was a rollback
+	Committed     bool   // a statement completed was a commit
 }
 
 // readOnlyViolation is the SQLSTATE with which a backend server refuses a write
@@ -81,7 +82,10 @@
 
 // needsAcknowledgement reports whether the answer may contain a committed write.
 func (d *Decider) needsAcknowledgement(s *state.Session, end End) bool {
-	if end.InTransaction || !s.TargetsPrimary || readOnly(s.Request.Class) {
+	if !s.TargetsPrimary || readOnly(s.Request.Class) {
+		return false
+	}
+	if end.InTransaction && !end.Committed {
 		return false
 	}
 	return s.Completed && !end.RolledBack && !d.Options.AckOnCommit
@@ -121,6 +125,11 @@
 	}
 	s.Conn, s.Cancelled = 0, false
 	suspect := Suspect{Group: d.groupOf(s), Server: s.Server}
+	if s.Phase == state.PhaseAcknowledging {
+		// The request committed one transaction and began another.
+		effects := []Effect{suspect, WithdrawAwait{Group: d.groupOf(s), ID: waiterID(s)}, DropHeld{}}
+		return append(effects, d.close(s, Outcome{Kind: Unknown, Reason: ConnectionLost})...)
+	}
 	if s.Phase != state.PhaseExecuting {
 		if s.InTransaction {
 			return append([]Effect{suspect}, d.close(s, Outcome{Kind: Unknown, Reason: TransactionLost})...)
@@ -134,7 +143,7 @@
 func (d *Decider) afterLoss(s *state.Session, reason Reason, now time.Time) []Effect {
 	if s.InTransaction {
 		out := Outcome{Kind: Unknown, Reason: TransactionLost}
-		if s.Request.Class == state.ClassEnd {
+		if s.Request.Class == state.ClassEnd || s.Request.MayCommit {
 			out.Reason = reason
 		}
 		return append([]Effect{DropHeld{}}, d.close(s, out)...)
--- a/protocol/pgwire/answer.go
+++ b/protocol/pgwire/answer.go
@@ -61,6 +61,7 @@
 		a.add(&step, session.PartError, msg)
 	case *pgproto3.CommandComplete:
 		a.done++
+		a.end.Committed = a.end.Committed || string(m.CommandTag) == "COMMIT"
 		a.end.RolledBack = a.done == 1 && string(m.CommandTag) == "ROLLBACK"
 		a.add(&step, session.PartCompletion, msg)
 	case *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
--- a/protocol/pgwire/batch.go
+++ b/protocol/pgwire/batch.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"strings"
+	"unicode"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -27,7 +28,10 @@
 	// The fields below are set by Statements.Analyse.
 
 	Class state.Class
-	Hints Hints
+	// MayCommit says that the batch has several statements, of which one may end
+	// a transaction.
+	MayCommit bool
+	Hints     Hints
 	// Unsupported says why the batch must be refused; empty if it may run.
 	Unsupported string
 	// Setting is set if the batch is a single SET, RESET or SHOW of a session
@@ -120,11 +124,10 @@
 	b.Class, b.Unsupported = st.class, st.unsupported
 	b.Hints = hintsIn(sql)
 	if severalStatements(sql) {
-		// What follows the first statement is not classified.
-		switch st.class {
-		case state.ClassRead, state.ClassLocal, state.ClassBeginRO:
-			b.Class = state.ClassWrite
-		}
+		// What follows the first statement is not classified. It may commit, so
+		// even a batch that begins a transaction must not be repeated.
+		b.Class = state.ClassWrite
+		b.MayCommit = mentionsEnd(sql)
 		return
 	}
 	if st.class == state.ClassLocal {
@@ -142,6 +145,22 @@
 	return i >= 0 && skipSpace(sql[i+1:]) != ""
 }
 
+// mentionsEnd reports whether the text may hold a statement that ends a
+// transaction. The words count in literals and names too; that only makes a
+// statement about a lost transaction less certain.
+func mentionsEnd(sql string) bool {
+	words := strings.FieldsFunc(strings.ToUpper(sql), func(r rune) bool {
+		return !unicode.IsLetter(r) && !unicode.IsDigit(r) && r != '_'
+	})
+	for _, w := range words {
+		switch w {
+		case "COMMIT", "END", "ROLLBACK", "ABORT":
+			return true
+		}
+	}
+	return false
+}
+
 // analysis is the state of Analyse for a batch of the extended protocol.
 type analysis struct {
 	batch   *Batch
@@ -193,6 +212,7 @@
 	}
 	b.Setting, b.Hints = nil, Hints{}
 	b.Class = combine(b.Class, st.class)
+	b.MayCommit = b.Class == state.ClassEnd || b.Class == state.ClassRollback
 }
 
 // use returns the prepared statement of the given name and notes that the batch
--- a/protocol/pgwire/batch_test.go
+++ b/protocol/pgwire/batch_test.go
@@ -132,3 +132,43 @@
 		Statements{}.Analyse(e)
 	})
 }
+
+// Guards against a batch that may commit and is taken for one that cannot: it
+// would be repeated, or reported as rolled back, after it took effect.
+func TestMayCommit(t *testing.T) {
+	query := func(sql string) *Batch {
+		return &Batch{Messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: sql}}}
+	}
+	pipeline := func(statements ...string) *Batch {
+		b := &Batch{}
+		for _, sql := range statements {
+			b.Messages = append(b.Messages, &pgproto3.Parse{Query: sql}, &pgproto3.Bind{}, &pgproto3.Execute{})
+		}
+		b.Messages = append(b.Messages, &pgproto3.Sync{})
+		return b
+	}
+	tests := []struct {
+		name      string
+		batch     *Batch
+		class     state.Class
+		mayCommit bool
+	}{
+		{"whole transaction", query("BEGIN; INSERT INTO kv VALUES (1); commit"), state.ClassWrite, true},
+		{"write and commit", query("INSERT INTO kv VALUES (1);\n/* ; */ END"), state.ClassWrite, true},
+		{"rollback and write", query("ROLLBACK; INSERT INTO kv VALUES (1)"), state.ClassWrite, true},
+		{"commit and begin", query("COMMIT; BEGIN"), state.ClassWrite, true},
+		{"begin and write", query("BEGIN; INSERT INTO kv VALUES (1)"), state.ClassWrite, false},
+		{"one commit", query("COMMIT"), state.ClassEnd, false},
+		{"pipeline with commit", pipeline("BEGIN", "INSERT INTO kv VALUES (1)", "COMMIT"), state.ClassEnd, true},
+		{"pipeline with rollback", pipeline("ROLLBACK", "INSERT INTO kv VALUES (1)"), state.ClassRollback, true},
+		{"pipeline of writes", pipeline("INSERT INTO kv VALUES (1)", "INSERT INTO kv VALUES (2)"), state.ClassWrite, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			Statements{}.Analyse(tt.batch)
+			if tt.batch.Class != tt.class || tt.batch.MayCommit != tt.mayCommit {
+				t.Errorf("class %d, may commit %v; want %d, %v", tt.batch.Class, tt.batch.MayCommit, tt.class, tt.mayCommit)
+			}
+		})
+	}
+}
--- a/session_test.go
+++ b/session_test.go
@@ -172,6 +172,52 @@
 	}
 }
 
+// Guards against batches that commit in their middle: one that begins like a
+// transaction and is repeated after it ran, one whose commit took effect and is
+// reported as rolled back, and one whose commit is acknowledged before a
+// majority holds it because a transaction is open at its end.
+func TestBatchesThatCommit(t *testing.T) {
+	tests := []struct {
+		name  string
+		setup string // in a transaction, if not empty
+		batch string
+		fault func(g *dbgroup.Group)
+	}{
+		{"whole transaction", "", "BEGIN; APPEND log 'lot 7'; COMMIT", breakAfterCommit},
+		{"last write and commit", "APPEND log 'lot 6'", "APPEND log 'lot 7'; COMMIT", breakAfterCommit},
+		{"rollback and write", "APPEND log 'lot 6'", "ROLLBACK; APPEND log 'lot 7'", breakAfterCommit},
+		{"commit and begin", "APPEND log 'lot 7'", "COMMIT; BEGIN", holdReplicas},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inWorld(t, func(w *world) {
+				c := w.connect(0, "")
+				if tt.setup != "" {
+					w.exec(c, "BEGIN")
+					w.exec(c, tt.setup)
+				}
+				tt.fault(w.group)
+				_, err := c.Exec(background, tt.batch, pgx.QueryExecModeSimpleProtocol)
+				if got := sqlState(err); got != "08007" {
+					t.Errorf("SQLSTATE %q, want 08007 (%v)", got, err)
+				}
+				if n := len(w.group.Commits()); n != 1 {
+					t.Errorf("%d commits, want 1", n)
+				}
+			})
+		})
+	}
+}
+
+func breakAfterCommit(g *dbgroup.Group) {
+	g.Server("ledger-a").BreakConnections(dbgroup.Break{Moment: dbgroup.AfterCommit})
+}
+
+func holdReplicas(g *dbgroup.Group) {
+	g.Server("ledger-b").HoldReplication(true)
+	g.Server("ledger-c").HoldReplication(true)
+}
+
 // Guards against a refusal of requests that the proxy cannot keep apart under
 // transaction pooling going unnoticed.
 func TestUnsupportedStatements(t *testing.T) {
--- a/state/session.go
+++ b/state/session.go
@@ -40,6 +40,7 @@
 type Request struct {
 	Number       uint64
 	Class        Class
+	MayCommit    bool // several statements, of which one may end a transaction
 	Payload      any
 	Idempotent   bool
 	MaxStaleness time.Duration
--- a/transport/sessions/client.go
+++ b/transport/sessions/client.go
@@ -110,6 +110,7 @@
 		r := state.Request{
 			Number:       c.st.Request.Number + 1,
 			Class:        b.Class,
+			MayCommit:    b.MayCommit,
 			Payload:      b,
 			Idempotent:   c.st.Idempotent || b.Hints.Idempotent,
 			MaxStaleness: b.Hints.MaxStaleness,
