--- a/standin/history/check.go
+++ b/standin/history/check.go
@@ -119,7 +119,9 @@
 		open[r.ID] = &unit{first: r}
 		c.units = append(c.units, open[r.ID])
 	case r.Kind == Commit:
-		open[r.Tx].end = r
+		u := open[r.Tx]
+		u.end, u.changes = r, append(u.changes, r.Changes...)
+		c.own(u, r.Changes)
 	case r.Kind == Write && r.Tx == 0:
 		u := &unit{first: r, end: r, changes: r.Changes, idempotent: r.Idempotent}
 		c.units = append(c.units, u)
--- a/standin/history/check_reads.go
+++ b/standin/history/check_reads.go
@@ -120,7 +120,7 @@
 			c.checkReadAnswer(r)
 		case ReadLog:
 			c.checkLogAnswer(r)
-		case Write:
+		case Write, Commit:
 			c.checkReturned(r)
 		}
 	}
--- a/standin/history/check_test.go
+++ b/standin/history/check_test.go
@@ -154,6 +154,18 @@
 			s.read("s", "k", "1")
 			s.readLog("s", "2")
 		}, nil},
+		{"commit with a last change", func(s *script) {
+			tx := s.request(Request{Session: "s", Kind: Begin, Result: Result{Outcome: Answered}})
+			s.inTx(tx, "s", Write, Answered, entry("1"))
+			s.inTx(tx, "s", Commit, Answered, entry("2"))
+			s.commit(1, 2, entry("1"), entry("2"))
+		}, nil},
+		{"last change lost", func(s *script) {
+			tx := s.request(Request{Session: "s", Kind: Begin, Result: Result{Outcome: Answered}})
+			s.inTx(tx, "s", Write, Answered, entry("1"))
+			s.inTx(tx, "s", Commit, Answered, entry("2"))
+			s.commit(1, 2, entry("1"))
+		}, []string{MixedWrites}},
 		{"half a transaction", func(s *script) {
 			tx := s.request(Request{Session: "s", Kind: Begin, Result: Result{Outcome: Answered}})
 			s.inTx(tx, "s", Write, Answered, entry("1"))
--- a/standin/history/history.go
+++ b/standin/history/history.go
@@ -27,7 +27,7 @@
 	ReadLog              // reads all entries of the log; not in a transaction that appends
 	Write                // makes its changes; outside a transaction it commits them
 	Begin                // begins a transaction
-	Commit               // commits it
+	Commit               // makes its changes, and commits the transaction
 	Rollback             // undoes it
 )
 
@@ -59,7 +59,7 @@
 	Tx         int // ID of the Begin of the transaction in which it runs; zero if none
 	Kind       Kind
 	Key        string   // of a Read
-	Changes    []Change // of a Write, in order
+	Changes    []Change // of a Write or Commit, in order
 	Returning  bool     // the answer repeats the values that Changes give to keys
 	Idempotent bool     // the client allows it to run more than once
 	Invoked    time.Time
