--- a/chestnutdyke.go
+++ b/chestnutdyke.go
@@ -60,6 +60,7 @@
 
 	Workers         int           // default 8
 	MaxSessions     int           // default 4096
+	SessionQueue    int           // events that may wait for one session; default 32
 	DefaultDeadline time.Duration // of requests on routes that state none; default 5 s
 	// FirstProcess says that no process of this name ran within the last 30 s, so
 	// that none can have lent connections. Leave it false unless that is certain.
@@ -88,6 +89,9 @@
 	if o.MaxSessions == 0 {
 		o.MaxSessions = 4096
 	}
+	if o.SessionQueue == 0 {
+		o.SessionQueue = 32
+	}
 	if o.DefaultDeadline == 0 {
 		o.DefaultDeadline = 5 * time.Second
 	}
--- a/coordination/queueing/queueing.go
+++ b/coordination/queueing/queueing.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// MaxWaiters bounds the requests that wait for one backend server.
-	MaxWaiters = 4096
 	// minRetryDelay and maxRetryDelay bound the time between attempts to connect
 	// to a backend server that refuses connections.
 	minRetryDelay = 20 * time.Millisecond
@@ -61,6 +59,19 @@
 	// FIFO serves requests in order of arrival. It is the baseline for
 	// measurements of fair queueing.
 	FIFO bool
+	// MaxWaiters bounds the requests that wait for one backend server; zero means
+	// DefaultMaxWaiters.
+	MaxWaiters int
+}
+
+// DefaultMaxWaiters is the default of Options.MaxWaiters.
+const DefaultMaxWaiters = 512
+
+func (o Options) maxWaiters() int {
+	if o.MaxWaiters > 0 {
+		return o.MaxWaiters
+	}
+	return DefaultMaxWaiters
 }
 
 // Acquire asks for a connection for a request.
@@ -77,7 +88,7 @@
 		return []Effect{Refuse{w.ID, TooLate}}
 	}
 	var effects []Effect
-	if len(s.Waiters) >= MaxWaiters {
+	if len(s.Waiters) >= o.maxWaiters() {
 		last := latest(s)
 		if s.Waiters[last].Start <= w.Start {
 			return []Effect{Refuse{w.ID, QueueFull}}
--- a/protocol/settings/check.go
+++ b/protocol/settings/check.go
@@ -110,14 +110,18 @@
 	}
 }
 
-func (c *checker) seeds(seeds []string) {
+func (c *checker) seeds(seeds []Seed) {
 	for i, seed := range seeds {
 		at := yamldoc.Path{"seeds", strconv.Itoa(i)}
-		if err := ticket.CheckAddress(seed); err != nil {
+		if err := ticket.CheckName(seed.VM); err != nil {
 			c.doc.Error(at, "seeds: %v", err)
 		}
-		if slices.Index(seeds, seed) < i {
-			c.doc.Error(at, "seeds: %s appears twice", seed)
+		if err := ticket.CheckAddress(seed.Address); err != nil {
+			c.doc.Error(at, "seeds: %v", err)
+		}
+		sameAddress := func(other Seed) bool { return other.Address == seed.Address }
+		if slices.IndexFunc(seeds, sameAddress) < i {
+			c.doc.Error(at, "seeds: %s appears twice", seed.Address)
 		}
 	}
 }
@@ -134,8 +138,6 @@
 func (c *checker) limits(l *Limits) {
 	c.positive("limits.sessions", l.Sessions)
 	c.positive("limits.session_queue", l.SessionQueue)
-	c.positive("limits.group_queue", l.GroupQueue)
-	c.positive("limits.customer_waiters", l.CustomerWaiters)
 	c.positive("limits.server_waiters", l.ServerWaiters)
 	if l.DefaultDeadline <= 0 {
 		c.fail("limits.default_deadline", "limits.default_deadline must be above zero, not %v", l.DefaultDeadline)
--- a/protocol/settings/reference.go
+++ b/protocol/settings/reference.go
@@ -30,14 +30,12 @@
 		{"fleet_secret.file", "path", "none", "file with the secret that all VMs share; this or fleet_secret.inline is required, at least 16 bytes"},
 		{"fleet_secret.inline", "text", "none", "the secret itself"},
 		{"store", "host:port", required, "the platform's object API"},
-		{"seeds", "list of host:port", "none", "peer addresses that the VM contacts first; without them it needs the store to start"},
+		{"seeds", "list of vm and address", "none", "VMs that this one contacts first; without them it needs the store to start"},
 		{"backend.user", "text", required, "user name towards backend servers"},
 		{"backend.password_file", "path", "none", "file with the password towards backend servers"},
 		{"workers", "whole number", "one per CPU", "workers that run decisions"},
 		{"limits.sessions", "whole number", "4096", "clients connected at once"},
 		{"limits.session_queue", "whole number", "32", "events that wait per session; a full queue stops the reader of the connection"},
-		{"limits.group_queue", "whole number", "4096", "events that wait per database group"},
-		{"limits.customer_waiters", "whole number", "256", "requests per customer that wait for a token of its rate"},
 		{"limits.server_waiters", "whole number", "512", "requests per backend server that wait for a connection"},
 		{"limits.default_deadline", "duration", "5s", "longest time from arrival to answer on routes that state none"},
 		{"log.level", "debug, info, warn or error", "info", "lowest level that is logged"},
@@ -47,7 +45,6 @@
 		{"baselines.reads_on_primary", "true or false", "false", "for measurements: send every read to the primary"},
 		{"baselines.static_shares", "true or false", "false", "for measurements: lend nothing between VMs"},
 		{"baselines.no_fair_queueing", "true or false", "false", "for measurements: serve requests in order of arrival"},
-		{"baselines.no_group_commit", "true or false", "false", "for measurements: one position round per write"},
 	}
 }
 
--- a/protocol/settings/settings.go
+++ b/protocol/settings/settings.go
@@ -32,9 +32,9 @@
 	FleetSecret SecretSource `yaml:"fleet_secret"`
 	// Store is the host:port of the platform's object API.
 	Store string `yaml:"store"`
-	// Seeds are peer addresses that the VM contacts first, when it knows no
+	// Seeds are VMs that this one contacts first, when it knows no
 	// others. Default none; the VM then needs the store to start.
-	Seeds []string `yaml:"seeds"`
+	Seeds []Seed `yaml:"seeds"`
 	// Backend are the credentials that the VM uses towards backend servers.
 	Backend Backend `yaml:"backend"`
 	// Workers is the number of workers that run decisions. Default one per CPU.
@@ -49,6 +49,15 @@
 	Baselines Baselines `yaml:"baselines"`
 }
 
+// Seed is a VM to contact. Messages are addressed to a name, so that a VM which
+// took over an address refuses those of its predecessor.
+type Seed struct {
+	// VM is the name of the VM.
+	VM string `yaml:"vm"`
+	// Address is the host:port of its peer interface.
+	Address string `yaml:"address"`
+}
+
 // Addresses are host:port addresses to listen on. An empty host listens on all
 // interfaces.
 type Addresses struct {
@@ -105,11 +114,6 @@
 	// SessionQueue is the number of events that wait per session; the reader of
 	// the connection stops at a full queue. Default 32.
 	SessionQueue int `yaml:"session_queue"`
-	// GroupQueue is the number of events that wait per database group. Default 4096.
-	GroupQueue int `yaml:"group_queue"`
-	// CustomerWaiters is the number of requests per customer that wait for a token
-	// of its rate; more are refused with 53400. Default 256.
-	CustomerWaiters int `yaml:"customer_waiters"`
 	// ServerWaiters is the number of requests per backend server that wait for a
 	// connection; more are refused with 53300. Default 512.
 	ServerWaiters int `yaml:"server_waiters"`
@@ -146,9 +150,6 @@
 	// NoFairQueueing serves the requests for a backend server in order of arrival.
 	// Default false.
 	NoFairQueueing bool `yaml:"no_fair_queueing"`
-	// NoGroupCommit makes a position round of its own for every write. Default
-	// false.
-	NoGroupCommit bool `yaml:"no_group_commit"`
 }
 
 // Defaults returns settings with every default in place and all else empty.
@@ -158,8 +159,6 @@
 		Limits: Limits{
 			Sessions:        4096,
 			SessionQueue:    32,
-			GroupQueue:      4096,
-			CustomerWaiters: 256,
 			ServerWaiters:   512,
 			DefaultDeadline: 5 * time.Second,
 		},
--- a/transport/sessions/sessions.go
+++ b/transport/sessions/sessions.go
@@ -27,10 +27,6 @@
 	"github.com/chestnutdyke/chestnutdyke/transport/pool"
 )
 
-// queueLimit bounds the events that wait for one session. Parts of an answer
-// fill it; the reader of the backend connection then stops.
-const queueLimit = 64
-
 // Groups waits for positions of database groups.
 type Groups interface {
 	Wait(group string, w state.PositionWaiter)
@@ -51,6 +47,9 @@
 	Decider     *session.Decider
 	Secret      []byte // signs session tokens
 	MaxSessions int
+	// QueueLimit bounds the events that wait for one session. Parts of an answer
+	// fill it; the reader of the backend connection then stops.
+	QueueLimit int
 	// DefaultDeadline is the deadline of requests on routes that state none.
 	DefaultDeadline time.Duration
 	Logger          log.Interface
@@ -96,7 +95,7 @@
 		sessions:   s,
 		st:         st,
 		out:        out,
-		queue:      s.Pool.NewQueue(queueLimit),
+		queue:      s.Pool.NewQueue(s.QueueLimit),
 		statements: make(pgwire.Statements),
 		idle:       make(chan struct{}, 1),
 		ended:      make(chan struct{}),
--- a/wiring.go
+++ b/wiring.go
@@ -27,6 +27,7 @@
 		Decider:         &session.Decider{Tables: v.tables, Options: o.Session},
 		Secret:          o.Secret,
 		MaxSessions:     o.MaxSessions,
+		QueueLimit:      o.SessionQueue,
 		DefaultDeadline: o.DefaultDeadline,
 		Logger:          o.Logger,
 		Scope:           o.Scope,
