Run the stand-ins alone, tell an unconfirmed VM from a used-up rate

The daemon panicked at its start, because the metrics library registers a name that the Prometheus reporter refuses; the metric is now left out, and refused names are logged. A VM without confirmation said that the customer's rate was used up.

--- a/cmd/chestnutdemo/main.go
+++ b/cmd/chestnutdemo/main.go
@@ -24,8 +24,9 @@
 
 func main() {
 	verbose := flag.Bool("v", false, "show the VMs' logs")
+	standIns := flag.String("stand-ins", "", "run the stand-ins alone until stopped, and write the settings of the VMs to this `folder`")
 	flag.Usage = func() {
-		fmt.Fprintf(flag.CommandLine.Output(), "Usage: chestnutdemo [-v]\n\nRuns a fleet with stand-ins in one process and walks through a failover.\n\n")
+		fmt.Fprintf(flag.CommandLine.Output(), "Usage: chestnutdemo [-v] [-stand-ins FOLDER]\n\nRuns a fleet with stand-ins in one process and walks through a failover. With\n-stand-ins it runs the platform's store and the database groups alone, on\nloopback addresses, for VMs that run as processes of their own.\n\n")
 		flag.PrintDefaults()
 	}
 	flag.Parse()
@@ -33,14 +34,21 @@
 	if *verbose {
 		logger.Handler = text.New(os.Stderr)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
-	defer cancel()
-	if err := run(ctx, os.Stdout, logger); err != nil {
+	if err := start(*standIns, logger); err != nil {
 		fmt.Fprintln(os.Stderr, "chestnutdemo:", err)
 		os.Exit(1)
 	}
 }
 
+func start(standIns string, logger log.Interface) error {
+	if standIns != "" {
+		return serveStandIns(os.Stdout, standIns, logger)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
+	defer cancel()
+	return run(ctx, os.Stdout, logger)
+}
+
 // demo is the walk. The first error ends it.
 type demo struct {
 	ctx   context.Context
--- a/cmd/chestnutdyke/main.go
+++ b/cmd/chestnutdyke/main.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	metrics := telemetry.NewMetrics()
+	metrics := telemetry.NewMetrics(logger)
 	defer metrics.Close()
 	tracer, export, err := telemetry.NewTracer(context.Background(), s.Trace.Exporter, s.Trace.Endpoint, s.VM, stdout)
 	if err != nil {
--- a/coordination/session/decider.go
+++ b/coordination/session/decider.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/access"
+	"github.com/chestnutdyke/chestnutdyke/coordination/lease"
 	"github.com/chestnutdyke/chestnutdyke/coordination/queueing"
 	"github.com/chestnutdyke/chestnutdyke/coordination/routing"
 	"github.com/chestnutdyke/chestnutdyke/coordination/share"
@@ -136,7 +137,7 @@
 	case share.Wait:
 		return nil
 	case share.Refused:
-		return d.refuse(s, Outcome{Kind: NotRun, Reason: RateExceeded, RetryAfter: max(0, a.RetryAt.Sub(now))})
+		return d.refuse(s, d.rateRefusal(a, now))
 	}
 	if s.InTransaction {
 		return d.send(s, now)
@@ -147,6 +148,15 @@
 	return d.route(s, now)
 }
 
+// rateRefusal tells a customer that is over its rate from a VM that may spend
+// nothing.
+func (d *Decider) rateRefusal(a share.Admission, now time.Time) Outcome {
+	if !lease.Valid(d.Tables.Lease, now) || d.Tables.Shares.Agreed() == 0 {
+		return Refused(NotConfirmed)
+	}
+	return Outcome{Kind: NotRun, Reason: RateExceeded, RetryAfter: max(0, a.RetryAt.Sub(now))}
+}
+
 // leaveAdmission forgets the session's request among those that wait for a
 // token.
 func (d *Decider) leaveAdmission(s *state.Session) {
--- a/coordination/session/outcome.go
+++ b/coordination/session/outcome.go
@@ -22,6 +22,7 @@
 const (
 	NoReason          Reason = iota
 	RateExceeded             // the customer's rate and burst are used up
+	NotConfirmed             // the VM's voters do not confirm it, so it may spend nothing
 	NoConnection             // no backend connection before the deadline
 	NoPrimary                // no usable primary before the deadline
 	NoConfiguration          // this VM has no configuration yet
@@ -46,6 +47,7 @@
 var reasonNames = map[Reason]string{
 	NoReason:          "none",
 	RateExceeded:      "rate_exceeded",
+	NotConfirmed:      "not_confirmed",
 	NoConnection:      "no_connection",
 	NoPrimary:         "no_primary",
 	NoConfiguration:   "no_configuration",
--- a/protocol/pgwire/refusal.go
+++ b/protocol/pgwire/refusal.go
@@ -17,6 +17,7 @@
 
 var refusals = map[session.Reason]refusal{
 	session.RateExceeded:      {"53400", "the customer's rate is used up", ""},
+	session.NotConfirmed:      {"57P03", "this VM is not confirmed by a majority of its voters and may not spend from its customers' rates", "Connect to another VM or retry later."},
 	session.NoConnection:      {"53300", "no backend connection was free before the deadline", "Retry later."},
 	session.NoPrimary:         {"57P03", "the database group has no usable primary", "Retry later."},
 	session.NoConfiguration:   {"57P03", "this VM has no configuration yet", "Connect to another VM or retry later."},
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -35,6 +35,8 @@
 	// The default is an in-memory network with them.
 	TCP  bool
 	Seed uint64
+	// NoVMs starts no VM; the configuration lists them all the same.
+	NoVMs bool
 	// Adjust changes the options of each VM.
 	Adjust func(o *chestnutdyke.Options)
 	Logger log.Interface
@@ -85,6 +87,9 @@
 		return nil, err
 	}
 	for vm := range p.VMs {
+		if o.NoVMs {
+			break
+		}
 		if err := f.StartVM(vm); err != nil {
 			f.Close()
 			return nil, err
--- a/transport/telemetry/telemetry.go
+++ b/transport/telemetry/telemetry.go
@@ -49,12 +49,17 @@
 }
 
 // NewMetrics returns metrics whose names begin with chestnutdyke_.
-func NewMetrics() *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+func NewMetrics(logger log.Interface) *Metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{
+		// By default the reporter panics.
+		OnRegisterError: func(err error) { logger.WithError(err).Error("metrics: metric was not registered.") },
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "chestnutdyke",
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
+		Prefix:                 "chestnutdyke",
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
