Pass cancel requests on to the VM of the session

The load balancer may send a cancel request to any VM. The number that names a session now holds its VM's index, and a VM passes requests for others on.

Measured: TestCancelThroughAnotherVM passes; it could not pass before, because the other VM did not know the session.

--- a/chestnutdyke.go
+++ b/chestnutdyke.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -124,6 +125,7 @@
 	control   *groupctl.HTTP
 	store     *store.Client // nil if there is none
 	roster    roster
+	tasks     sync.WaitGroup // cancel requests that are being passed on
 	clients   net.Listener
 	admin     net.Listener // nil if there is none
 }
@@ -207,6 +209,7 @@
 	g.Go(func() error { return v.backends.Run(ctx) })
 	g.Go(func() error { return v.lifecycle.Run(ctx) })
 	err := g.Wait()
+	v.tasks.Wait()
 	v.control.Close()
 	if v.store != nil {
 		v.store.Close()
--- a/session_test.go
+++ b/session_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/chestnutdyke/chestnutdyke/standin/dbgroup"
 	"github.com/chestnutdyke/chestnutdyke/standin/fleet"
@@ -206,6 +208,39 @@
 	})
 }
 
+// Guards against a cancel request that is lost because the load balancer sent
+// it to another VM.
+func TestCancelThroughAnotherVM(t *testing.T) {
+	inWorld(t, func(w *world) {
+		c := w.connect(0, "")
+		var sent sync.WaitGroup
+		sent.Go(func() {
+			time.Sleep(50 * time.Millisecond)
+			other := w.clientConfig(1, "")
+			conn, err := other.DialFunc(background, "tcp", "")
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			raw, err := (&pgproto3.CancelRequest{ProcessID: c.PgConn().PID(), SecretKey: c.PgConn().SecretKey()}).Encode(nil)
+			if err != nil {
+				t.Error(err)
+			}
+			if _, err := conn.Write(raw); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+			conn.Close()
+		})
+		_, err := c.Exec(background, "SELECT pg_sleep(3)")
+		if got := sqlState(err); got != "57014" {
+			t.Errorf("SQLSTATE %q, want 57014 (%v)", got, err)
+		}
+		sent.Wait()
+		w.close(c)
+	})
+}
+
 // Guards against a planned stop that cuts a transaction.
 func TestDrainWaitsForTransactions(t *testing.T) {
 	inWorld(t, func(w *world) {
--- a/state/config.go
+++ b/state/config.go
@@ -4,6 +4,7 @@
 package state
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
@@ -170,6 +171,21 @@
 	return index, listed
 }
 
+// VMAt returns the name of the VM with the given index; see VMIndex.
+func (c *Config) VMAt(index int) (name string, listed bool) {
+	var names []string
+	for _, dc := range c.DataCentres {
+		for i := range dc.VMs {
+			names = append(names, dc.VMs[i].Name)
+		}
+	}
+	if index < 0 || index >= len(names) {
+		return "", false
+	}
+	slices.Sort(names)
+	return names[index], true
+}
+
 // ServerState returns the state of a backend server with its data centre taken
 // into account: a server is in service only if its data centre is.
 func (c *Config) ServerState(s *BackendServer) ServiceState {
--- a/transport/pgserver/pgserver.go
+++ b/transport/pgserver/pgserver.go
@@ -54,7 +54,7 @@
 	// session writes to the client through c.
 	Login(c *Client, l Login) (Session, *session.Outcome)
 	// Cancel takes a cancel request.
-	Cancel(id, secret uint32)
+	Cancel(processID, secret uint32)
 }
 
 // Client is a client's connection.
--- a/transport/sessions/sessions.go
+++ b/transport/sessions/sessions.go
@@ -42,11 +42,17 @@
 
 // Options are the parts that Sessions works with.
 type Options struct {
-	Pool        *pool.Pool
-	Tables      *state.Tables
-	Decider     *session.Decider
-	Secret      []byte // signs session tokens
-	MaxSessions int
+	Pool    *pool.Pool
+	Tables  *state.Tables
+	Decider *session.Decider
+	Secret  []byte // signs session tokens
+	// Index returns this VM's number in the configuration, by which other VMs find
+	// it when they get a cancel request for one of its sessions.
+	Index func() (uint16, bool)
+	// ForwardCancel passes a cancel request on to the VM with the given number. It
+	// must not block.
+	ForwardCancel func(index uint16, session, secret uint32)
+	MaxSessions   int
 	// QueueLimit bounds the events that wait for one session. Parts of an answer
 	// fill it; the reader of the backend connection then stops.
 	QueueLimit int
@@ -67,6 +73,7 @@
 
 	mu       sync.Mutex // guards the fields below; no other lock is taken under it
 	byID     map[uint64]*client
+	byCancel map[uint32]*client // by cancelSession of its identifier
 	draining bool
 	drained  bool          // empty is closed
 	empty    chan struct{} // closed when draining and no session is left
@@ -75,7 +82,7 @@
 // New returns Sessions without sessions. Connect must be called before the
 // first login.
 func New(o Options) *Sessions {
-	return &Sessions{Options: o, metrics: newMetrics(o.Scope), byID: make(map[uint64]*client), empty: make(chan struct{})}
+	return &Sessions{Options: o, metrics: newMetrics(o.Scope), byID: make(map[uint64]*client), byCancel: make(map[uint32]*client), empty: make(chan struct{})}
 }
 
 // Connect sets the parts that need Sessions themselves.
@@ -145,7 +152,7 @@
 		&pgproto3.ParameterStatus{Name: "integer_datetimes", Value: "on"},
 		&pgproto3.ParameterStatus{Name: "standard_conforming_strings", Value: "on"},
 		&pgproto3.ParameterStatus{Name: pgwire.SettingSession, Value: c.token()},
-		&pgproto3.BackendKeyData{ProcessID: uint32(c.st.ID), SecretKey: pgwire.CancelKey(c.secret)},
+		&pgproto3.BackendKeyData{ProcessID: c.processID(), SecretKey: pgwire.CancelKey(c.secret)},
 		&pgproto3.ReadyForQuery{TxStatus: 'I'},
 	}
 	c.out.Send(messages...)
@@ -162,6 +169,7 @@
 		return &session.Outcome{Kind: session.NotRun, Reason: session.TooManySessions}
 	}
 	s.byID[c.st.ID] = c
+	s.byCancel[cancelSession(c.st.ID)] = c
 	s.metrics.sessions.Update(float64(len(s.byID)))
 	return nil
 }
@@ -173,6 +181,9 @@
 		return
 	}
 	delete(s.byID, c.st.ID)
+	if key := cancelSession(c.st.ID); s.byCancel[key] == c {
+		delete(s.byCancel, key)
+	}
 	s.metrics.sessions.Update(float64(len(s.byID)))
 	s.signalEmpty()
 }
@@ -238,13 +249,38 @@
 	}
 }
 
+// A cancel request names a session by a number of 32 bits, and the load balancer
+// may send it to any VM. The upper bits are the number of the session's VM.
+const cancelSessionBits = 22
+
+func cancelSession(id uint64) uint32 { return uint32(id) & (1<<cancelSessionBits - 1) }
+
+// processID is the number by which the client's cancel requests name the session.
+func (c *client) processID() uint32 {
+	index, _ := c.sessions.Index()
+	return uint32(index)<<cancelSessionBits | cancelSession(c.st.ID)
+}
+
 // Cancel implements pgserver.Sessions.
-func (s *Sessions) Cancel(id, secret uint32) {
-	c := s.lookup(uint64(id))
+func (s *Sessions) Cancel(processID, secret uint32) {
+	index := uint16(processID >> cancelSessionBits)
+	if own, listed := s.Index(); listed && own != index {
+		s.ForwardCancel(index, processID&(1<<cancelSessionBits-1), secret)
+		return
+	}
+	s.CancelOwn(processID&(1<<cancelSessionBits-1), secret)
+}
+
+// CancelOwn cancels the request of a session of this VM. A wrong secret has no
+// effect.
+func (s *Sessions) CancelOwn(id, secret uint32) {
+	s.mu.Lock()
+	c := s.byCancel[id]
+	s.mu.Unlock()
 	if c == nil || c.secret != secret {
 		return
 	}
-	c.post(func(now time.Time) []session.Effect { return s.Decider.Cancel(c.st) })
+	c.post(func(time.Time) []session.Effect { return s.Decider.Cancel(c.st) })
 }
 
 // Granted implements pgbackend.Waiters.
--- a/wiring.go
+++ b/wiring.go
@@ -26,6 +26,8 @@
 		Tables:          v.tables,
 		Decider:         &session.Decider{Tables: v.tables, Options: o.Session},
 		Secret:          o.Secret,
+		Index:           v.index,
+		ForwardCancel:   v.forwardCancel,
 		MaxSessions:     o.MaxSessions,
 		QueueLimit:      o.SessionQueue,
 		DefaultDeadline: o.DefaultDeadline,
@@ -125,7 +127,7 @@
 		Applied: v.limits.Applied,
 		Parts:   []exchange.Part{v.limits, v.views},
 		Config:  config,
-		Cancel:  func(id uint64, secret uint32) { v.sessions.Cancel(uint32(id), secret) },
+		Cancel:  func(id uint64, secret uint32) { v.sessions.CancelOwn(uint32(id), secret) },
 		Logger:  o.Logger,
 		Scope:   o.Scope,
 		Tracer:  o.Tracer,
@@ -183,6 +185,24 @@
 	return uint16(i), listed
 }
 
+// forwardCancel passes a cancel request on. It is lost if the VM cannot be
+// reached, as cancel requests may be.
+func (v *VM) forwardCancel(index uint16, session, secret uint32) {
+	cfg := v.tables.Config.Current()
+	if cfg == nil {
+		return
+	}
+	name, listed := cfg.VMAt(int(index))
+	if !listed {
+		return
+	}
+	v.tasks.Go(func() {
+		if err := v.exchange.SendCancel(context.Background(), name, uint64(session), secret); err != nil {
+			v.options.Logger.WithError(err).WithField("vm", name).Debug("session: cancel request was not passed on.")
+		}
+	})
+}
+
 func (v *VM) serverFailed(server string) {
 	cfg := v.tables.Config.Current()
 	if cfg == nil {
