Add the baseline without group commit

With the option each position round tells the position of one write only, so that measurements can show what one round for all waiting writes is worth.

--- a/cmd/chestnutdyke/main.go
+++ b/cmd/chestnutdyke/main.go
@@ -155,7 +155,7 @@
 		MaxSessions:     s.Limits.Sessions,
 		SessionQueue:    s.Limits.SessionQueue,
 		DefaultDeadline: s.Limits.DefaultDeadline,
-		Session:         session.Options{ReadsOnPrimary: s.Baselines.ReadsOnPrimary},
+		Session:         session.Options{ReadsOnPrimary: s.Baselines.ReadsOnPrimary, NoGroupCommit: s.Baselines.NoGroupCommit},
 		Queueing:        queueing.Options{FIFO: s.Baselines.NoFairQueueing, MaxWaiters: s.Limits.ServerWaiters},
 		StaticShares:    s.Baselines.StaticShares,
 	}
--- a/coordination/replication/judge.go
+++ b/coordination/replication/judge.go
@@ -17,6 +17,9 @@
 		}
 		if st.Leads(w.Term) {
 			w.Target, w.TargetKnown = st.Position, true
+			if w.Alone {
+				return
+			}
 		}
 	}
 }
--- a/coordination/session/decider.go
+++ b/coordination/session/decider.go
@@ -35,6 +35,7 @@
 // baselines for measurements.
 type Options struct {
 	ReadsOnPrimary bool // no read goes to a replica
+	NoGroupCommit  bool // every write has a position round of its own
 	AckOnCommit    bool // writes are acknowledged when the primary has committed; unsafe
 }
 
--- a/protocol/settings/reference.go
+++ b/protocol/settings/reference.go
@@ -45,6 +45,7 @@
 		{"baselines.reads_on_primary", "true or false", "false", "for measurements: send every read to the primary"},
 		{"baselines.static_shares", "true or false", "false", "for measurements: lend nothing between VMs"},
 		{"baselines.no_fair_queueing", "true or false", "false", "for measurements: serve requests in order of arrival"},
+		{"baselines.no_group_commit", "true or false", "false", "for measurements: one position round per write"},
 	}
 }
 
--- a/protocol/settings/settings.go
+++ b/protocol/settings/settings.go
@@ -150,6 +150,9 @@
 	// NoFairQueueing serves the requests for a backend server in order of arrival.
 	// Default false.
 	NoFairQueueing bool `yaml:"no_fair_queueing"`
+	// NoGroupCommit makes a position round of its own for every write. Default
+	// false.
+	NoGroupCommit bool `yaml:"no_group_commit"`
 }
 
 // Defaults returns settings with every default in place and all else empty.
--- a/state/group.go
+++ b/state/group.go
@@ -142,12 +142,12 @@
 	Server   string        // WaitDurable: the primary that ran the write; WaitCover: the replica
 	Point    Point         // WaitCover
 	MaxAge   time.Duration // WaitCover; zero sets no bound
+	Alone    bool          // WaitDurable: no other write is served by the same round; a baseline for measurements
 
 	// The fields below are written by package replication.
 	FirstRound  uint64 // first round that started after the waiter joined
 	Target      uint64 // WaitDurable: the position to be held
-	TargetKnown bool
-}
+	TargetKnown bool}
 
 // PositionRound is one query of the status of every server of a group.
 type PositionRound struct {
