--- a/state/group.go
+++ b/state/group.go
@@ -147,7 +147,8 @@
 	// The fields below are written by package replication.
 	FirstRound  uint64 // first round that started after the waiter joined
 	Target      uint64 // WaitDurable: the position to be held
-	TargetKnown bool}
+	TargetKnown bool
+}
 
 // PositionRound is one query of the status of every server of a group.
 type PositionRound struct {
