Add the load and experiment tool

There was no way to measure what clients see of a whole fleet, or to check the promises under load.

Steady, failover, roam, overhead and scale run; the other scenarios say which part is not wired yet and exit with 3. The stand-in group counts reads by the role of the server that ran them.

--- /dev/null
+++ b/cmd/chestnutbench/bench/bench_test.go
@@ -0,0 +1,85 @@
+package bench
+
+import (
+	"io"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/standin/fleet"
+	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
+)
+
+func TestMain(m *testing.M) {
+	lockrank.EnableChecks()
+	os.Exit(m.Run())
+}
+
+// testUse is the load in tests relative to the customers' rates. The assertions
+// on the lock order make each request expensive.
+const testUse = 0.1
+
+// Guards against a tool that cannot run, measures nothing, or finds broken
+// promises in a healthy fleet.
+func TestShortRun(t *testing.T) {
+	for _, p := range []fleet.Profile{fleet.Fes(), fleet.Peachtree()} {
+		t.Run(p.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, err := findScenario("steady")
+				if err != nil {
+					t.Fatal(err)
+				}
+				l := loadOf(p)
+				l.moveShare, l.utilise = roamMoves, testUse
+				res, err := newRun(p, l, 1, time.Second, io.Discard).execute(s, asIs)
+				if err != nil {
+					t.Fatal(err)
+				}
+				checkShortRun(t, res)
+			})
+		})
+	}
+}
+
+func checkShortRun(t *testing.T, res *Result) {
+	t.Helper()
+	if res.Offered == 0 || res.ReadsOnReplicas == 0 || res.Moves == 0 {
+		t.Errorf("offered %d, reads on replicas %g, moves %d; want more than 0", res.Offered, res.ReadsOnReplicas, res.Moves)
+	}
+	if res.Worst.InTime < 1 {
+		t.Errorf("%g of the jobs of %s answered in time, want all", res.Worst.InTime, res.Worst.Customer)
+	}
+	for _, c := range res.Checks {
+		if c.NotChecked == "" && c.Breaks > 0 {
+			t.Errorf("check %s: %d breaks, first %s", c.Name, c.Breaks, c.First)
+		}
+	}
+}
+
+// Guards against a failover gap that is not measured, and against lost or
+// doubled writes that go unnoticed because the check does not run.
+func TestShortFailover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, err := findScenario("failover")
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := fleet.Fes()
+		l := loadOf(p)
+		l.utilise = testUse
+		res, err := newRun(p, l, 1, 2*faultInterval, io.Discard).execute(s, asIs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if res.Failover == nil || res.Failover.Failovers != 2 || res.Failover.Unended != 0 {
+			t.Fatalf("failovers: %+v, want 2 that ended", res.Failover)
+		}
+		if res.Failover.P50 <= 0 {
+			t.Errorf("gap %v, want more than 0", res.Failover.P50)
+		}
+		if res.Broken() {
+			t.Errorf("checks: %+v", res.Checks)
+		}
+	})
+}
--- /dev/null
+++ b/cmd/chestnutbench/bench/collector.go
@@ -0,0 +1,186 @@
+package bench
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
+)
+
+// Range of the latency histograms, in microseconds.
+const (
+	lowestLatency  = 1
+	highestLatency = int64(2 * time.Minute / time.Microsecond)
+	latencyDigits  = 3 // significant decimal digits
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
+}
+
+// counts are the ends of the jobs of a customer or a phase. A job is a request
+// or a transaction; a job whose refused request was repeated counts once.
+type counts struct {
+	Offered  int
+	InTime   int // answered before the deadline
+	Answered int
+	Failed   int // an error of the backend server
+	Refused  int
+	Unknown  int
+	Cut      int
+	Unserved int // given up by the client: no free session or no connection in time
+}
+
+// customerStats are the results of one customer.
+type customerStats struct {
+	counts
+	latency *hdrhistogram.Histogram // of answered jobs, from their arrival
+}
+
+// phase is a part of a run.
+type phase struct {
+	name  string
+	start time.Time
+	counts
+}
+
+// violations are broken promises that clients saw.
+type violations struct {
+	StaleReads int
+	StaleViews int // older than the route's bound
+	Doubled    int // an insert of a unique key found its key
+	Cuts       int // connections that ended without a reason during a request
+	First      string
+}
+
+// collector gathers results.
+type collector struct {
+	offered, done atomic.Int64 // for the progress line
+
+	mu            lockrank.Mutex // guards the fields below
+	customers     map[string]*customerStats
+	phases        []*phase
+	codes         map[string]int // errors by SQLSTATE, or "cut" and "timeout"
+	insideRefused map[string]int // refusals of requests inside their rate, by SQLSTATE
+	requests      int            // requests sent, repetitions included
+	insideSent    int            // of these, inside the rate
+	moves         int
+	violations    violations
+}
+
+func newCollector(customers []string) *collector {
+	c := &collector{
+		mu:            lockrank.New(rankCollector),
+		customers:     make(map[string]*customerStats),
+		codes:         make(map[string]int),
+		insideRefused: make(map[string]int),
+	}
+	for _, name := range customers {
+		c.customers[name] = &customerStats{latency: newHistogram()}
+	}
+	return c
+}
+
+// startPhase assigns the jobs that arrive from now on to a new phase.
+func (c *collector) startPhase(name string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phases = append(c.phases, &phase{name: name, start: now})
+}
+
+// job records the end of a job.
+func (c *collector) job(customer string, arrived, ended time.Time, deadline time.Duration, o outcome, served bool) {
+	c.done.Add(1)
+	took := ended.Sub(arrived)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.customers[customer]
+	s.add(o, served, took <= deadline)
+	if p := c.phaseAt(arrived); p != nil {
+		p.add(o, served, took <= deadline)
+	}
+	if o.verdict == answered {
+		_ = s.latency.RecordValue(min(took.Microseconds(), highestLatency))
+	}
+}
+
+func (c *collector) phaseAt(t time.Time) *phase {
+	for i := len(c.phases) - 1; i >= 0; i-- {
+		if !t.Before(c.phases[i].start) {
+			return c.phases[i]
+		}
+	}
+	return nil
+}
+
+func (c *counts) add(o outcome, served, inTime bool) {
+	c.Offered++
+	if !served {
+		c.Unserved++
+		return
+	}
+	switch o.verdict {
+	case answered:
+		c.Answered++
+		if inTime {
+			c.InTime++
+		}
+	case failed:
+		c.Failed++
+	case refused:
+		c.Refused++
+	case unknown, abandoned:
+		c.Unknown++
+	case cut:
+		c.Cut++
+	}
+}
+
+// request records the end of one request.
+func (c *collector) request(o outcome, inside bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests++
+	if inside {
+		c.insideSent++
+	}
+	if o.verdict == answered {
+		return
+	}
+	c.codes[o.name()]++
+	if inside && o.verdict == refused {
+		c.insideRefused[o.code]++
+	}
+	if o.verdict == cut {
+		c.violations.Cuts++
+	}
+}
+
+// name returns the SQLSTATE, or what happened in place of one.
+func (o outcome) name() string {
+	switch {
+	case o.code != "":
+		return o.code
+	case o.verdict == abandoned:
+		return "timeout"
+	}
+	return "cut"
+}
+
+func (c *collector) moved() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.moves++
+}
+
+// violated records a broken promise.
+func (c *collector) violated(count func(v *violations), what string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count(&c.violations)
+	if c.violations.First == "" {
+		c.violations.First = what
+	}
+}
--- /dev/null
+++ b/cmd/chestnutbench/bench/result.go
@@ -0,0 +1,201 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/standin/fleet"
+)
+
+// Result is what one run measured.
+type Result struct {
+	Variant         string
+	Offered         int
+	ReadsOnReplicas float64 // share of the reads outside of explicit transactions
+	ReadsOnServer   map[string]uint64
+	Failover        *FailoverGap `json:",omitempty"`
+	Customers       []CustomerResult
+	Worst           WorstServed
+	RequestsInside  int            // requests sent inside their customer's rate
+	RefusedInside   int            // of these, refused
+	RefusedInsideBy map[string]int // by SQLSTATE
+	Errors          map[string]int // all errors, by SQLSTATE
+	Phases          []PhaseResult
+	Moves           int // connections that sessions changed
+	Warnings        map[string]int
+	Checks          []Check
+}
+
+// CustomerResult is what one customer got. Latencies count from the arrival of
+// a job to its answer.
+type CustomerResult struct {
+	Name    string
+	Rate    float64
+	Offered int
+	InTime  float64 // share answered before the deadline
+	P50     time.Duration
+	P99     time.Duration
+	Max     time.Duration
+	Refused int
+	Unknown int
+	Other   int // errors of backend servers, cut, unserved
+}
+
+// WorstServed compares the customer with the lowest share answered in time, and
+// the one with the highest p99, with the median customer.
+type WorstServed struct {
+	Customer     string
+	InTime       float64
+	MedianInTime float64
+	P99Customer  string
+	P99          time.Duration
+	MedianP99    time.Duration
+}
+
+// PhaseResult is the service in a part of the run.
+type PhaseResult struct {
+	Name    string
+	Offered int
+	InTime  float64 // share answered before the deadline
+}
+
+// Check counts the breaks of a promise. It must be 0.
+type Check struct {
+	Name   string
+	Breaks int
+	First  string `json:",omitempty"` // an example
+	// NotChecked says why the check does not apply to the run.
+	NotChecked string `json:",omitempty"`
+}
+
+// Broken reports whether a check is broken.
+func (r *Result) Broken() bool {
+	return slices.ContainsFunc(r.Checks, func(c Check) bool { return c.NotChecked == "" && c.Breaks > 0 })
+}
+
+// result gathers what the run measured, after all clients have ended.
+func (r *run) result(v variant) (*Result, error) {
+	done, err := commitsOf(r.fleet.Groups)
+	if err != nil {
+		return nil, err
+	}
+	res := &Result{Variant: v.name, Warnings: r.warnings.all(), Failover: r.gaps.measure(r.ledger)}
+	r.countReads(res)
+	seen := r.collector.fill(res, r.profile.Customers)
+	res.Worst = worstServed(res.Customers)
+	res.Checks = r.checks(seen, r.ledger.check(done))
+	return res, nil
+}
+
+// fill copies what was collected into the result, and returns the violations.
+func (c *collector) fill(res *Result, customers []fleet.Customer) violations {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	res.RequestsInside = c.insideSent
+	res.RefusedInsideBy = c.insideRefused
+	res.RefusedInside = sum(c.insideRefused)
+	res.Errors = c.codes
+	res.Moves = c.moves
+	for _, customer := range customers {
+		s := c.customers[customer.Name]
+		res.Offered += s.Offered
+		res.Customers = append(res.Customers, customerResult(customer.Name, customer.Rate, s))
+	}
+	for _, p := range c.phases {
+		res.Phases = append(res.Phases, PhaseResult{p.name, p.Offered, ratio(p.InTime, p.Offered)})
+	}
+	return c.violations
+}
+
+// countReads asks the stand-ins which servers executed the reads.
+func (r *run) countReads(res *Result) {
+	res.ReadsOnServer = make(map[string]uint64)
+	var replica, all uint64
+	for _, g := range r.fleet.Groups {
+		for _, s := range g.Servers() {
+			reads := s.Reads()
+			res.ReadsOnServer[s.Name()] = reads.Primary + reads.Replica
+			replica += reads.Replica
+			all += reads.Primary + reads.Replica
+		}
+	}
+	if all > 0 {
+		res.ReadsOnReplicas = float64(replica) / float64(all)
+	}
+}
+
+func customerResult(name string, rate float64, s *customerStats) CustomerResult {
+	micro := func(v int64) time.Duration { return time.Duration(v) * time.Microsecond }
+	return CustomerResult{
+		Name:    name,
+		Rate:    rate,
+		Offered: s.Offered,
+		InTime:  ratio(s.InTime, s.Offered),
+		P50:     micro(s.latency.ValueAtPercentile(50)),
+		P99:     micro(s.latency.ValueAtPercentile(99)),
+		Max:     micro(s.latency.Max()),
+		Refused: s.Refused,
+		Unknown: s.Unknown,
+		Other:   s.Failed + s.Cut + s.Unserved,
+	}
+}
+
+func worstServed(all []CustomerResult) WorstServed {
+	if len(all) == 0 {
+		return WorstServed{}
+	}
+	byService := slices.Clone(all)
+	slices.SortStableFunc(byService, func(a, b CustomerResult) int {
+		switch {
+		case a.InTime < b.InTime:
+			return -1
+		case a.InTime > b.InTime:
+			return 1
+		}
+		return 0
+	})
+	byLatency := slices.Clone(all)
+	slices.SortStableFunc(byLatency, func(a, b CustomerResult) int { return int(b.P99 - a.P99) })
+	return WorstServed{
+		Customer:     byService[0].Name,
+		InTime:       byService[0].InTime,
+		MedianInTime: byService[len(all)/2].InTime,
+		P99Customer:  byLatency[0].Name,
+		P99:          byLatency[0].P99,
+		MedianP99:    byLatency[len(all)/2].P99,
+	}
+}
+
+func ratio(part, whole int) float64 {
+	if whole == 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
+
+// checks lists the promises that the run checked.
+func (r *run) checks(v violations, w writeFaults) []Check {
+	return []Check{
+		{Name: "stale reads", Breaks: v.StaleReads, First: v.First},
+		{Name: "views older than their bound", Breaks: v.StaleViews, First: v.First},
+		{Name: "acknowledged writes lost", Breaks: w.Lost, First: w.First},
+		{Name: "writes doubled", Breaks: w.Doubled + v.Doubled, First: w.First},
+		{Name: "writes run though refused", Breaks: w.NotRun, First: w.First},
+		{Name: "requests cut", Breaks: v.Cuts},
+		r.limitCheck(),
+		{Name: "requests after a revoked key", NotChecked: "no key is revoked in this scenario"},
+	}
+}
+
+// limitCheck counts the requests by which customers exceeded their limits, in
+// the worst interval of each.
+func (r *run) limitCheck() Check {
+	c := Check{Name: "limits overspent", NotChecked: missing[fleetLimits]}
+	for name, l := range r.limits {
+		if excess := l.overspent(); excess > 0 {
+			c.Breaks += int(excess) + 1
+			c.First = name
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/cmd/chestnutbench/bench/scenarios.go
@@ -0,0 +1,112 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/chestnutdyke/chestnutdyke"
+)
+
+// part is a part of the fleet that a scenario or a baseline needs.
+type part int
+
+const (
+	fleetLimits part = iota
+	tickets
+	storeClient
+	exchange
+	staticShares
+	singleRounds
+)
+
+// missing says which parts are not wired into the VM yet. Scenarios that need
+// one refuse to run, because their figures would describe something else.
+var missing = map[part]string{
+	fleetLimits:  "fleet-wide limits are not wired into the VM yet",
+	tickets:      "tickets cannot be applied to a running fleet yet",
+	storeClient:  "the VM does not use the store yet",
+	exchange:     "the exchange between VMs is not wired yet",
+	staticShares: "static equal shares come with the fleet-wide limits",
+	singleRounds: "position queries without group commit are not available yet",
+}
+
+// scenario is what happens during a run.
+type scenario struct {
+	name    string
+	summary string
+	needs   []part
+	adjust  func(l *load)                           // nil keeps the steady load
+	events  func(ctx context.Context, r *run) error // nil lets nothing happen
+}
+
+func (s *scenario) firstPhase() string {
+	if s.events == nil {
+		return s.name
+	}
+	return "run"
+}
+
+// unavailable returns why the scenario cannot run, or an empty text.
+func (s *scenario) unavailable() string { return missingOf(s.needs) }
+
+func missingOf(needs []part) string {
+	var reasons []string
+	for _, p := range needs {
+		if reason, found := missing[p]; found {
+			reasons = append(reasons, reason)
+		}
+	}
+	return strings.Join(reasons, "; ")
+}
+
+const (
+	// overloadFactor is what the overloading customer offers, relative to its rate.
+	overloadFactor = 5
+	// roamMoves is the share of jobs after which a session moves in roam.
+	roamMoves = 0.3
+)
+
+// scenarios that load a whole fleet. Overhead and scale are apart.
+var scenarios = []*scenario{
+	{name: "steady", summary: "every customer inside its rate"},
+	{
+		name: "overload", summary: "one large customer sends five times its rate",
+		needs: []part{fleetLimits},
+		adjust: func(l *load) {
+			l.overloaded = map[string]float64{"bindery": overloadFactor, "frontdesk": overloadFactor}
+		},
+	},
+	{name: "failover", summary: "primaries crash or stop answering, one group after the other", events: failPrimaries},
+	{name: "dc-leave", summary: "a data centre leaves and returns by ticket", needs: []part{tickets, storeClient}},
+	{name: "cutoff", summary: "a data centre is cut off from the others and the platform", needs: []part{exchange, storeClient}},
+	{name: "store-down", summary: "the store is down for a while", needs: []part{storeClient}},
+	{name: "key-withdraw", summary: "a key is revoked while its clients work", needs: []part{tickets, storeClient}},
+	{name: "roam", summary: "sessions move to another VM after 30 % of their requests", adjust: func(l *load) { l.moveShare = roamMoves }},
+}
+
+func findScenario(name string) (*scenario, error) {
+	for _, s := range scenarios {
+		if s.name == name {
+			return s, nil
+		}
+	}
+	return nil, fmt.Errorf("there is no scenario %q", name)
+}
+
+// variant is the fleet as it is, or a baseline.
+type variant struct {
+	name   string
+	needs  []part
+	adjust func(o *chestnutdyke.Options)
+}
+
+var asIs = variant{name: "as is"}
+
+// baselines are compared with the fleet as it is.
+var baselines = []variant{
+	{name: "reads on primary", adjust: func(o *chestnutdyke.Options) { o.Session.ReadsOnPrimary = true }},
+	{name: "no fair queueing", adjust: func(o *chestnutdyke.Options) { o.Queueing.FIFO = true }},
+	{name: "static shares", needs: []part{staticShares}},
+	{name: "no group commit", needs: []part{singleRounds}},
+}
--- a/standin/dbgroup/faults.go
+++ b/standin/dbgroup/faults.go
@@ -38,6 +38,14 @@
 	breaks     []Break
 	late       []time.Duration
 	statements uint64
+	reads      Reads
+}
+
+// Reads are the reads of data that a server executed outside of explicit
+// transactions, by its role at the time.
+type Reads struct {
+	Primary uint64
+	Replica uint64
 }
 
 func newFaultTable() *faultTable { return &faultTable{mu: lockrank.New(rankFaults)} }
@@ -106,3 +114,19 @@
 	defer t.mu.Unlock()
 	return t.statements
 }
+
+func (t *faultTable) read(asPrimary bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if asPrimary {
+		t.reads.Primary++
+		return
+	}
+	t.reads.Replica++
+}
+
+func (t *faultTable) readCounts() Reads {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads
+}
--- a/standin/dbgroup/run.go
+++ b/standin/dbgroup/run.go
@@ -84,6 +84,10 @@
 	st := c.running.statement
 	r, err := c.perform(st, c.running.args)
 	c.count(st)
+	if !st.Writes() && !c.tx.explicit {
+		_, primary := c.server.node.primaryTerm()
+		c.server.faults.read(primary)
+	}
 	c.finishStatement(r, err)
 }
 
--- a/standin/dbgroup/server.go
+++ b/standin/dbgroup/server.go
@@ -205,6 +205,9 @@
 // statement that is refused before it runs does not count.
 func (s *Server) Statements() uint64 { return s.faults.count() }
 
+// Reads returns the number of reads executed outside of explicit transactions.
+func (s *Server) Reads() Reads { return s.faults.readCounts() }
+
 // Connections returns the present number of connections that count towards the
 // limit, the highest number so far, and the number of startups refused because
 // of the limit.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -28,6 +28,12 @@
 	backendPassword = "password-of-the-proxy"
 )
 
+// BackendLogin returns the login of the VMs at backend servers, for clients that
+// go there directly.
+func BackendLogin() pgbackend.Credentials {
+	return pgbackend.Credentials{User: backendUser, Password: backendPassword}
+}
+
 // Options choose how a fleet runs.
 type Options struct {
 	// TCP uses loopback addresses of the machine, without the profile's delays.
@@ -95,7 +101,8 @@
 
 func (f *Fleet) startGroup(i int, name string) error {
 	p := f.Profile
-	o := dbgroup.Options{Name: name, User: backendUser, Password: backendPassword}
+	login := BackendLogin()
+	o := dbgroup.Options{Name: name, User: login.User, Password: login.Password}
 	for s := range p.ServersPerGroup {
 		dc, host := p.serverDataCentre(i, s), serverHost(i, s)
 		o.Servers = append(o.Servers, dbgroup.ServerOptions{
@@ -103,7 +110,7 @@
 			DataCentre:       dc,
 			Network:          f.Host(host, dc),
 			Address:          address(host, wirePort),
-			ControlAddress:   address(host, controlPort),
+			ControlAddress:   address(host, ControlPort),
 			Slots:            p.Slots,
 			Connections:      p.Connections,
 			ConnectCost:      p.ConnectCost,
@@ -127,7 +134,7 @@
 		DataCentre:    dc,
 		ClientAddress: address(host, wirePort),
 		Secret:        []byte(Secret),
-		Backend:       pgbackend.Credentials{User: backendUser, Password: backendPassword},
+		Backend:       BackendLogin(),
 		Network:       f.Host(host, dc),
 		Logger:        f.options.Logger,
 		Scope:         f.options.Scope,
@@ -245,14 +252,12 @@
 // Connect connects a client of the customer to a VM and a route, with a session
 // token; the text "new" is that of a session that has written nothing.
 func (f *Fleet) Connect(ctx context.Context, customer, route string, vm int, token string) (*pgx.Conn, error) {
-	target := address(vmHost(vm), wirePort)
 	cfg, err := pgx.ParseConfig(fmt.Sprintf("host=%s port=%d sslmode=disable", vmHost(vm), wirePort))
 	if err != nil {
 		return nil, eris.Wrap(err, "client connection")
 	}
 	cfg.User, cfg.Password, cfg.Database = customer, Key(customer), route
-	client := f.Host(clientHost, clientZone)
-	cfg.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) { return client.Dial(ctx, target) }
+	cfg.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) { return f.DialVM(ctx, vm) }
 	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
 	switch token {
 	case "":
@@ -264,6 +269,12 @@
 	return pgx.ConnectConfig(ctx, cfg)
 }
 
+// DialVM opens a connection to the client address of a VM, from the clients'
+// host.
+func (f *Fleet) DialVM(ctx context.Context, vm int) (net.Conn, error) {
+	return f.Host(clientHost, clientZone).Dial(ctx, address(vmHost(vm), wirePort))
+}
+
 // SessionParameter is the name of the session token among the parameters.
 const SessionParameter = "chestnutdyke.session"
 
--- a/standin/fleet/profile.go
+++ b/standin/fleet/profile.go
@@ -144,7 +144,7 @@
 func (p *Profile) dataCentre(i int, name string) *state.DataCentre {
 	dc := &state.DataCentre{Name: name, Region: "region-1", State: state.InService}
 	for vm := i; vm < p.VMs; vm += len(p.DataCentres) {
-		dc.VMs = append(dc.VMs, state.VM{Name: VMName(vm), Address: address(vmHost(vm), peerPort), State: state.InService})
+		dc.VMs = append(dc.VMs, state.VM{Name: VMName(vm), Address: address(vmHost(vm), PeerPort), State: state.InService})
 	}
 	return dc
 }
@@ -157,7 +157,7 @@
 			Name:           fmt.Sprintf("%s-%c", name, 'a'+s),
 			DataCentre:     p.serverDataCentre(i, s),
 			Address:        address(host, wirePort),
-			ControlAddress: address(host, controlPort),
+			ControlAddress: address(host, ControlPort),
 			Connections:    p.Connections,
 			Slots:          p.Slots,
 			State:          state.InService,
@@ -175,8 +175,8 @@
 // Ports of the hosts.
 const (
 	wirePort    = 5432
-	peerPort    = 7432
-	controlPort = 8432
+	PeerPort    = 7432 // of VMs, for other VMs
+	ControlPort = 8432 // of backend servers, for status queries
 	adminPort   = 9432
 )
 
