--- a/cmd/chestnutbench/bench/bench_test.go
+++ b/cmd/chestnutbench/bench/bench_test.go
@@ -37,6 +37,9 @@
 					t.Fatal(err)
 				}
 				checkShortRun(t, res)
+				if err := (&Report{Profile: p.Name, Scenario: s.name, Results: []*Result{res}}).print(t.Output()); err != nil {
+					t.Error(err)
+				}
 			})
 		})
 	}
--- a/cmd/chestnutbench/bench/client.go
+++ b/cmd/chestnutbench/bench/client.go
@@ -56,7 +56,7 @@
 	_ = c.connected(time.Now().Add(c.run.profile.Deadline))
 	for j := range jobs {
 		o, served := c.do(j)
-		c.run.collector.job(c.customer, j.arrived, time.Now(), c.run.profile.Deadline, o, served)
+		c.run.collector.job(c.customer, j, time.Now(), c.run.profile.Deadline, o, served)
 		if c.rng.Float64() < c.run.load.moveShare {
 			c.move()
 		}
--- a/cmd/chestnutbench/bench/collector.go
+++ b/cmd/chestnutbench/bench/collector.go
@@ -61,6 +61,7 @@
 
 	mu            lockrank.Mutex // guards the fields below
 	customers     map[string]*customerStats
+	kinds         map[kind]*hdrhistogram.Histogram // of answered jobs, from their arrival
 	phases        []*phase
 	codes         map[string]int // errors by SQLSTATE, or "cut" and "timeout"
 	insideRefused map[string]int // refusals of requests inside their rate, by SQLSTATE
@@ -74,6 +75,7 @@
 	c := &collector{
 		mu:            lockrank.New(rankCollector),
 		customers:     make(map[string]*customerStats),
+		kinds:         make(map[kind]*hdrhistogram.Histogram),
 		codes:         make(map[string]int),
 		insideRefused: make(map[string]int),
 	}
@@ -91,21 +93,32 @@
 }
 
 // job records the end of a job.
-func (c *collector) job(customer string, arrived, ended time.Time, deadline time.Duration, o outcome, served bool) {
+func (c *collector) job(customer string, j job, ended time.Time, deadline time.Duration, o outcome, served bool) {
 	c.done.Add(1)
-	took := ended.Sub(arrived)
+	took := ended.Sub(j.arrived)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.customers[customer]
 	s.add(o, served, took <= deadline)
-	if p := c.phaseAt(arrived); p != nil {
+	if p := c.phaseAt(j.arrived); p != nil {
 		p.add(o, served, took <= deadline)
 	}
 	if o.verdict == answered {
-		_ = s.latency.RecordValue(min(took.Microseconds(), highestLatency))
+		v := min(took.Microseconds(), highestLatency)
+		_ = s.latency.RecordValue(v)
+		_ = c.kind(j.kind).RecordValue(v)
 	}
 }
 
+func (c *collector) kind(k kind) *hdrhistogram.Histogram {
+	h := c.kinds[k]
+	if h == nil {
+		h = newHistogram()
+		c.kinds[k] = h
+	}
+	return h
+}
+
 func (c *collector) phaseAt(t time.Time) *phase {
 	for i := len(c.phases) - 1; i >= 0; i-- {
 		if !t.Before(c.phases[i].start) {
--- a/cmd/chestnutbench/bench/report.go
+++ b/cmd/chestnutbench/bench/report.go
@@ -136,6 +136,14 @@
 		t.row(c.Name, fmt.Sprint(c.Rate), fmt.Sprint(c.Offered), percent(c.InTime), ms(c.P50), ms(c.P99), ms(c.Max),
 			fmt.Sprint(c.Refused), fmt.Sprint(c.Unknown), fmt.Sprint(c.Other))
 	}
+	if err := t.end(); err != nil {
+		return err
+	}
+	t = newTable(w)
+	t.row("kind", "answered", "p50", "p99", "max")
+	for _, k := range r.Kinds {
+		t.row(k.Name, fmt.Sprint(k.Answered), ms(k.P50), ms(k.P99), ms(k.Max))
+	}
 	return t.end()
 }
 
--- a/cmd/chestnutbench/bench/result.go
+++ b/cmd/chestnutbench/bench/result.go
@@ -1,9 +1,12 @@
 package bench
 
 import (
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/chestnutdyke/chestnutdyke/standin/fleet"
 )
 
@@ -15,6 +18,7 @@
 	ReadsOnServer   map[string]uint64
 	Failover        *FailoverGap `json:",omitempty"`
 	Customers       []CustomerResult
+	Kinds           []KindResult
 	Worst           WorstServed
 	RequestsInside  int            // requests sent inside their customer's rate
 	RefusedInside   int            // of these, refused
@@ -41,6 +45,15 @@
 	Other   int // errors of backend servers, cut, unserved
 }
 
+// KindResult is the latency of one kind of job, from its arrival to its answer.
+type KindResult struct {
+	Name     string
+	Answered int64
+	P50      time.Duration
+	P99      time.Duration
+	Max      time.Duration
+}
+
 // WorstServed compares the customer with the lowest share answered in time, and
 // the one with the highest p99, with the median customer.
 type WorstServed struct {
@@ -101,6 +114,12 @@
 		res.Offered += s.Offered
 		res.Customers = append(res.Customers, customerResult(customer.Name, customer.Rate, s))
 	}
+	for _, k := range slices.Sorted(maps.Keys(c.kinds)) {
+		h := c.kinds[k]
+		res.Kinds = append(res.Kinds, KindResult{
+			kindNames[k], h.TotalCount(), quantileOf(h, 50), quantileOf(h, 99), quantileOf(h, 100),
+		})
+	}
 	for _, p := range c.phases {
 		res.Phases = append(res.Phases, PhaseResult{p.name, p.Offered, ratio(p.InTime, p.Offered)})
 	}
@@ -125,21 +144,24 @@
 }
 
 func customerResult(name string, rate float64, s *customerStats) CustomerResult {
-	micro := func(v int64) time.Duration { return time.Duration(v) * time.Microsecond }
 	return CustomerResult{
 		Name:    name,
 		Rate:    rate,
 		Offered: s.Offered,
 		InTime:  ratio(s.InTime, s.Offered),
-		P50:     micro(s.latency.ValueAtPercentile(50)),
-		P99:     micro(s.latency.ValueAtPercentile(99)),
-		Max:     micro(s.latency.Max()),
+		P50:     quantileOf(s.latency, 50),
+		P99:     quantileOf(s.latency, 99),
+		Max:     quantileOf(s.latency, 100),
 		Refused: s.Refused,
 		Unknown: s.Unknown,
 		Other:   s.Failed + s.Cut + s.Unserved,
 	}
 }
 
+func quantileOf(h *hdrhistogram.Histogram, percent float64) time.Duration {
+	return time.Duration(h.ValueAtPercentile(percent)) * time.Microsecond
+}
+
 func worstServed(all []CustomerResult) WorstServed {
 	if len(all) == 0 {
 		return WorstServed{}
--- a/cmd/chestnutbench/bench/run.go
+++ b/cmd/chestnutbench/bench/run.go
@@ -133,7 +133,7 @@
 		select {
 		case r.queues[queueKey{c.Name, routeOf(group, j.kind)}] <- j:
 		default:
-			r.collector.job(c.Name, j.arrived, time.Now(), r.profile.Deadline, outcome{}, false)
+			r.collector.job(c.Name, j, time.Now(), r.profile.Deadline, outcome{}, false)
 		}
 	}
 }
--- a/cmd/chestnutbench/bench/workload.go
+++ b/cmd/chestnutbench/bench/workload.go
@@ -21,6 +21,17 @@
 	transaction              // reads, inserts and commits
 )
 
+// kindNames are used in reports.
+var kindNames = map[kind]string{
+	readOwn:      "read own write",
+	enquiry:      "enquiry",
+	view:         "view",
+	insertUnique: "insert",
+	appendLog:    "append",
+	updateOwn:    "update",
+	transaction:  "transaction",
+}
+
 // share is the share of a kind of job in the load.
 type share struct {
 	kind kind
