--- a/protocol/settings/settings_test.go
+++ b/protocol/settings/settings_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
@@ -66,6 +67,23 @@
 	}
 }
 
+// Guards against paths that are taken relative to the working directory.
+func TestLoad(t *testing.T) {
+	folder := t.TempDir()
+	for name, content := range map[string]string{"settings.yaml": valid, "fleet.secret": "0123456789abcdef", "backend.password": "s3cret"} {
+		if err := os.WriteFile(filepath.Join(folder, name), []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, err := Load(filepath.Join(folder, "settings.yaml"))
+	if err != nil || string(s.Backend.Password.Bytes()) != "s3cret" {
+		t.Errorf("got %v, %v", s, err)
+	}
+	if _, err := Load(filepath.Join(folder, "none.yaml")); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("got error %v", err)
+	}
+}
+
 // Guards against errors that are missed, reported without their line, or
 // reported one at a time.
 func TestErrorsHaveLines(t *testing.T) {
@@ -80,16 +98,16 @@
 		"unknown nested field": {replace("  user: proxy", "  user: proxy\n  pasword: x"), []string{"12: unknown field \"pasword\"; the fields here are user, password_file"}},
 		"repeated field":       {valid + "vm: other\n", []string{"13: \"vm\" is already defined at line 1"}},
 		"two documents":        {valid + "---\nvm: x\n", []string{"13: the file must hold one YAML document"}},
-		"alias":                {valid + "seeds: &a [10.0.0.1:1]\n", []string{"13: anchors and aliases are not supported"}},
+		"alias":                {valid + "seeds: &a [{vm: b, address: 10.0.0.1:1}]\n", []string{"13: anchors and aliases are not supported"}},
 		"wrong type":           {valid + "workers: many\n", []string{"13: expected a whole number, found \"many\""}},
 		"fraction":             {valid + "workers: 1.5\n", []string{"13: expected a whole number, found \"1.5\""}},
 		"empty value":          {valid + "workers:\n", []string{"13: the value is missing"}},
 		"list for fields":      {valid + "limits: [1]\n", []string{"13: expected fields, found a list"}},
 		"duration without unit": {valid + "limits:\n  default_deadline: 5\n",
 			[]string{"14: expected a duration such as 250ms or 10s, found \"5\""}},
-		"zero and negative limits": {valid + "limits:\n  sessions: 0\n  session_queue: -1\n  group_queue: 0\n  customer_waiters: 0\n  server_waiters: -5\n  default_deadline: 0s\nworkers: -2\n",
-			[]string{"14: limits.sessions must be above zero, not 0", "15: limits.session_queue", "16: limits.group_queue",
-				"17: limits.customer_waiters", "18: limits.server_waiters", "19: limits.default_deadline must be above zero, not 0s", "20: workers"}},
+		"zero and negative limits": {valid + "limits:\n  sessions: 0\n  session_queue: -1\n  server_waiters: -5\n  default_deadline: 0s\nworkers: -2\n",
+			[]string{"14: limits.sessions must be above zero, not 0", "15: limits.session_queue",
+				"16: limits.server_waiters", "17: limits.default_deadline must be above zero, not 0s", "18: workers"}},
 		"missing name":       {replace("vm: fes-a1\n", ""), []string{"1: vm: the name is missing"}},
 		"bad name":           {replace("fes-a1", "fès"), []string{"1: vm: the name \"fès\" contains"}},
 		"no port":            {replace("10.1.0.5:8080", "10.1.0.5"), []string{"9: store: the address \"10.1.0.5\" has no port"}},
@@ -98,7 +116,7 @@
 		"same address twice": {replace("10.1.0.21:7001", "10.1.0.21:7000"), []string{"6: addresses.admin is the same"}},
 		"advertise without host": {replace("10.1.0.21:7000", ":7000"),
 			[]string{"1: advertise must name the host"}},
-		"seeds":                 {valid + "seeds:\n  - 10.0.0.1:1\n  - 10.0.0.1\n  - 10.0.0.1:1\n", []string{"15: seeds: the address", "16: seeds: 10.0.0.1:1 appears twice"}},
+		"seeds":                 {valid + "seeds:\n  - {vm: b, address: 10.0.0.1:1}\n  - {vm: c, address: 10.0.0.1}\n  - {vm: d, address: 10.0.0.1:1}\n  - {address: 10.0.0.2:1}\n", []string{"15: seeds: the address", "16: seeds: 10.0.0.1:1 appears twice", "17: seeds: "}},
 		"missing file":          {replace("fleet.secret", "nowhere"), []string{"8: cannot read the file: file does not exist"}},
 		"empty file named":      {replace("backend.password", "empty"), []string{"12: empty is empty"}},
 		"file of an empty line": {replace("backend.password", "line"), []string{"12: line holds an empty line"}},
