--- a/standin/fleet/settings.go
+++ b/standin/fleet/settings.go
@@ -63,7 +63,7 @@
 	host := vmHost(vm)
 	s := settingsFile{VM: VMName(vm), DataCentre: f.Profile.DataCentreOf(vm), Store: StoreAddress()}
 	s.Addresses.Clients = address(host, wirePort)
-	s.Addresses.Peers = address(host, peerPort)
+	s.Addresses.Peers = address(host, PeerPort)
 	s.Addresses.Admin = address(host, adminPort)
 	s.FleetSecret.Inline = Secret
 	s.Backend.User = backendUser
