Replace a primary sooner if its host refuses connections

Cause: a stopped primary counted as failed after 600 ms of silence, like one that may only be slow. A refused connection says that no process listens, so nothing can be on its way.

Change: two refused status queries and 150 ms are enough.

The failover model passes.

--- a/coordination/failover/detect.go
+++ b/coordination/failover/detect.go
@@ -90,6 +90,9 @@
 	if v == nil || v.SilentSince.IsZero() || v.Missed < pressedMissed {
 		return false
 	}
+	if v.Down && d.due(v.SilentSince.Add(downSilence)) {
+		return true
+	}
 	if (d.waiting() || d.reported()) && d.due(v.SilentSince.Add(pressedSilence)) {
 		return true
 	}
--- a/coordination/failover/failover.go
+++ b/coordination/failover/failover.go
@@ -36,6 +36,9 @@
 	missedSilence  = (missedProbes - 1) * probeInterval
 	pressedSilence = 600 * time.Millisecond
 	pressedMissed  = 2
+	// downSilence is enough if the host of the primary refuses connections: no
+	// process listens there, so nothing can be on its way.
+	downSilence = 150 * time.Millisecond
 	// reportPeriod is how long another VM's report of a failure counts as
 	// requests that wait.
 	reportPeriod = 2 * time.Second
--- a/coordination/failover/model_vms_test.go
+++ b/coordination/failover/model_vms_test.go
@@ -195,7 +195,7 @@
 		func(o failover.Outcome) {
 			v.event(func() ([]replication.Effect, []failover.Effect) {
 				if o.Result == failover.Failed {
-					return replication.Failure(v.g, v.grp(), a, v.now), nil
+					return replication.Failure(v.g, v.grp(), a, false, v.now), nil
 				}
 				return replication.Answer(v.g, v.grp(), a, o.Status, v.now), nil
 			})
--- a/coordination/replication/replication.go
+++ b/coordination/replication/replication.go
@@ -108,7 +108,7 @@
 	if st.Server != ask.Server {
 		// The control address leads to another server, which must not be
 		// counted twice.
-		return Failure(g, grp, ask, now)
+		return Failure(g, grp, ask, false, now)
 	}
 	g.Observe(st, ask.Sent)
 	v := g.View(ask.Server)
@@ -120,8 +120,9 @@
 	return advance(g, grp, now, nil)
 }
 
-// Failure records that a status query was not answered.
-func Failure(g *state.GroupState, grp *state.Group, ask AskStatus, now time.Time) []Effect {
+// Failure records that a status query was not answered. down says that the host
+// refused the connection, so that no process of the server runs.
+func Failure(g *state.GroupState, grp *state.Group, ask AskStatus, down bool, now time.Time) []Effect {
 	if grp == nil || grp.Server(ask.Server) == nil {
 		return advance(g, grp, now, nil)
 	}
@@ -130,6 +131,7 @@
 		endQuery(g, v, ask)
 		if !ask.Sent.Before(v.AskedAt) {
 			v.Missed++
+			v.Down = down
 			v.FailedAt = now
 		}
 	}
--- a/state/group.go
+++ b/state/group.go
@@ -98,6 +98,7 @@
 	Outstanding   uint64    // round of the status query that is unanswered; zero if none
 	SilentSince   time.Time // when the first query after the latest answer was sent; zero if none was
 	Missed        int       // status queries that failed since the latest answer
+	Down          bool      // the latest of them was refused by the host: no process listens
 	DetachedSince time.Time // since when the server is seen not to follow the primary; zero if it follows
 	FollowAt      time.Time // when it may be told again to follow
 }
@@ -310,7 +311,7 @@
 		return
 	}
 	v.Status = st
-	v.Missed = 0
+	v.Missed, v.Down = 0, false
 	v.SilentSince = time.Time{}
 	if asked.After(v.AskedAt) {
 		v.AskedAt = asked
--- a/transport/groupctl/groupctl.go
+++ b/transport/groupctl/groupctl.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 
 	"github.com/chestnutdyke/chestnutdyke/state"
 )
@@ -27,3 +29,7 @@
 type RefusedError struct{ Reason string }
 
 func (e *RefusedError) Error() string { return "refused by the server: " + e.Reason }
+
+// Down reports whether a call failed because the host refused the connection:
+// the host runs, and no process listens at the control address.
+func Down(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/transport/groups/effects.go
+++ b/transport/groups/effects.go
@@ -7,6 +7,7 @@
 	"github.com/chestnutdyke/chestnutdyke/coordination/replication"
 	"github.com/chestnutdyke/chestnutdyke/protocol/peerapi"
 	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/transport/groupctl"
 )
 
 // effects collects the effects of the decisions of one event.
@@ -95,7 +96,7 @@
 	spec := callSpec{order: "status", server: ask.Server, timeout: statusTimeout, do: callStatus}
 	e.call(m, spec, func(st state.ServerStatus, err error, g *state.GroupState, m moment, out *effects) {
 		if err != nil {
-			out.replication(replication.Failure(g, m.group, ask, m.now))
+			out.replication(replication.Failure(g, m.group, ask, groupctl.Down(err), m.now))
 			return
 		}
 		out.replication(replication.Answer(g, m.group, ask, st, m.now))
