Let a client read why its session ended before the connection closes

Cause: on a planned stop the VM closed the connection right after the reason. A request that the client sent at that moment met a closed connection, so the client got a broken pipe in place of 57P01 and could not know that the request had not run.

Change: the VM reads and drops what the client still sends, for at most 2 s, until the client closes.

--- a/session_test.go
+++ b/session_test.go
@@ -317,3 +317,33 @@
 		}
 	})
 }
+
+// Guards against a request that gets an error of the network in place of an
+// answer, because it crossed the end of its session in a planned stop.
+func TestDrainAnswersCrossingRequests(t *testing.T) {
+	inWorld(t, func(w *world) {
+		const clients = 20
+		var working sync.WaitGroup
+		for range clients {
+			c := w.connect(0, "")
+			working.Go(func() {
+				for {
+					_, err := c.Exec(background, "SELECT 1")
+					if err == nil {
+						continue
+					}
+					if got := sqlState(err); got != "57P01" {
+						t.Errorf("SQLSTATE %q, want 57P01 (%v)", got, err)
+					}
+					c.Close(background)
+					return
+				}
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		if err := w.fleet.VM(0).Drain(background); err != nil {
+			t.Error(err)
+		}
+		working.Wait()
+	})
+}
--- a/transport/outbox/outbox.go
+++ b/transport/outbox/outbox.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // Outbox is a queue of bytes in front of a connection.
@@ -18,6 +19,7 @@
 	size    int // bytes pending or being written
 	high    int // size from which Wait waits
 	writing bool
+	sealed  bool // no more bytes are taken
 	closing bool // close the connection when everything is written
 	err     error
 }
@@ -31,12 +33,12 @@
 }
 
 // Write queues bytes, which must not be changed afterwards. Bytes queued after
-// a failure or after Finish are dropped; the reader of the connection sees the
+// a failure, Seal or Finish are dropped; the reader of the connection sees the
 // failure.
 func (o *Outbox) Write(b []byte) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.err != nil || o.closing || len(b) == 0 {
+	if o.err != nil || o.sealed || len(b) == 0 {
 		return
 	}
 	o.pending = append(o.pending, b)
@@ -62,6 +64,18 @@
 	return o.size > o.high
 }
 
+// Seal takes no more bytes, writes what is queued and leaves the connection
+// open, so that the other side can read it. Reading from the connection fails
+// after the given time.
+func (o *Outbox) Seal(linger time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sealed = true
+	if err := o.conn.SetReadDeadline(time.Now().Add(linger)); err != nil {
+		o.fail(err)
+	}
+}
+
 // Finish closes the connection after everything queued so far is written.
 func (o *Outbox) Finish() {
 	o.mu.Lock()
@@ -69,7 +83,7 @@
 	if o.closing {
 		return
 	}
-	o.closing = true
+	o.sealed, o.closing = true, true
 	o.startWriter()
 }
 
--- a/transport/pgserver/pgserver.go
+++ b/transport/pgserver/pgserver.go
@@ -26,6 +26,9 @@
 	// flushTimeout bounds the writing of what is left for a client at the end of
 	// its connection.
 	flushTimeout = 2 * time.Second
+	// lingerTimeout is how long a client is left to close its connection after it
+	// was told the reason for the end of its session.
+	lingerTimeout = 2 * time.Second
 	// outputHigh is the number of queued bytes for a client from which on answers
 	// are not read from the backend server.
 	outputHigh = 1 << 20
@@ -85,8 +88,11 @@
 // Full reports whether the client takes its output too slowly.
 func (c *Client) Full() bool { return c.out.Full() }
 
-// Finish closes the connection after everything queued is written.
-func (c *Client) Finish() { c.out.Finish() }
+// Finish ends the connection after everything queued is written. A request that
+// the client sends at the same moment is read and dropped: if the connection was
+// closed at once, the client would get an error of the network in place of the
+// reason.
+func (c *Client) Finish() { c.out.Seal(lingerTimeout) }
 
 // Abort closes the connection at once.
 func (c *Client) Abort() { c.out.Abort() }
@@ -174,19 +180,30 @@
 	sess, refused := s.Sessions.Login(client, login)
 	if refused != nil {
 		client.Send(pgwire.Refuse(*refused, true))
+		client.Finish()
+		skip(backend)
 		return
 	}
 	defer sess.Gone()
 	read(backend, client, sess)
 }
 
+// skip reads until the client closes the connection or its time is over.
+func skip(backend *pgproto3.Backend) {
+	for {
+		if _, err := backend.Receive(); err != nil {
+			return
+		}
+	}
+}
+
 // finish closes the connection once the client has got what was queued for it,
 // such as the reason for the end of its session.
 func finish(conn net.Conn, c *Client) {
 	if err := conn.SetWriteDeadline(time.Now().Add(flushTimeout)); err != nil {
 		return // it is closed
 	}
-	c.Finish()
+	c.out.Finish()
 	c.out.WaitClosed()
 }
 
@@ -272,9 +289,11 @@
 		if err != nil {
 			c.Send(pgwire.Refuse(session.Outcome{Kind: session.NotRun, Reason: session.StatementTooLarge, Detail: err.Error()}, true))
 			c.Finish()
+			skip(backend)
 			return
 		}
 		if batch != nil && !sess.Request(batch) {
+			skip(backend)
 			return
 		}
 	}
