--- a/chestnutdyke.go
+++ b/chestnutdyke.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -60,6 +61,7 @@
 
 	Workers         int           // default 8
 	MaxSessions     int           // default 4096
+	SessionQueue    int           // events that may wait for one session; default 32
 	DefaultDeadline time.Duration // of requests on routes that state none; default 5 s
 	// FirstProcess says that no process of this name ran within the last 30 s, so
 	// that none can have lent connections. Leave it false unless that is certain.
@@ -88,6 +90,9 @@
 	if o.MaxSessions == 0 {
 		o.MaxSessions = 4096
 	}
+	if o.SessionQueue == 0 {
+		o.SessionQueue = 32
+	}
 	if o.DefaultDeadline == 0 {
 		o.DefaultDeadline = 5 * time.Second
 	}
@@ -120,6 +125,7 @@
 	control   *groupctl.HTTP
 	store     *store.Client // nil if there is none
 	roster    roster
+	tasks     sync.WaitGroup // cancel requests that are being passed on
 	clients   net.Listener
 	admin     net.Listener // nil if there is none
 }
@@ -203,6 +209,7 @@
 	g.Go(func() error { return v.backends.Run(ctx) })
 	g.Go(func() error { return v.lifecycle.Run(ctx) })
 	err := g.Wait()
+	v.tasks.Wait()
 	v.control.Close()
 	if v.store != nil {
 		v.store.Close()
