--- a/cmd/chestnutbench/bench/client.go
+++ b/cmd/chestnutbench/bench/client.go
@@ -360,11 +360,13 @@
 	for _, sql := range statements {
 		r := c.repeat(sql, deadline, true)
 		if r.verdict != answered {
+			c.noteCut(r.outcome)
 			c.rollBack(value, r)
 			return r.outcome
 		}
 	}
 	r := c.sendFree("COMMIT")
+	c.noteCut(r.outcome)
 	if r.verdict == answered && r.tag != "COMMIT" {
 		r.verdict = failed
 	}
@@ -375,6 +377,13 @@
 	return r.outcome
 }
 
+// noteCut counts a connection that was closed within a transaction.
+func (c *client) noteCut(o outcome) {
+	if o.code == codeClosed {
+		c.run.collector.violated(func(v *violations) { v.Cuts++ }, c.name+" was closed within a transaction")
+	}
+}
+
 // rollBack ends a transaction that was not committed.
 func (c *client) rollBack(value string, r request) {
 	r.verdict = refused
--- a/cmd/chestnutbench/bench/collector.go
+++ b/cmd/chestnutbench/bench/collector.go
@@ -169,7 +169,7 @@
 		return
 	}
 	c.codes[o.name()]++
-	if inside && o.verdict == refused {
+	if inside && o.verdict == refused && o.code != codeClosed {
 		c.insideRefused[o.code]++
 	}
 	if o.verdict == cut {
--- a/cmd/chestnutbench/bench/outcome.go
+++ b/cmd/chestnutbench/bench/outcome.go
@@ -29,6 +29,10 @@
 	codeDuplicateKey    = "23505"
 	codeRate            = "53400"
 	codeKey             = "28P01"
+
+	// codeClosed stands for a connection that had been closed before the first
+	// byte of the request was sent.
+	codeClosed = "closed"
 )
 
 // notRunDetail is what a refusal says of a request that was not run.
@@ -55,6 +59,9 @@
 		if errors.Is(err, context.DeadlineExceeded) || pgconn.Timeout(err) {
 			return outcome{verdict: abandoned, fatal: true, err: err}
 		}
+		if pgconn.SafeToRetry(err) {
+			return outcome{verdict: refused, code: codeClosed, fatal: true, err: err}
+		}
 		return outcome{verdict: cut, fatal: true, err: err}
 	}
 	o := outcome{verdict: failed, code: pg.Code, fatal: pg.Severity == "FATAL", err: err}
--- a/cmd/chestnutbench/bench/overhead.go
+++ b/cmd/chestnutbench/bench/overhead.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"time"
 
@@ -58,6 +59,8 @@
 	PerSecond       float64
 	P50, P99        time.Duration
 	CPUPerStatement time.Duration
+	Allocations     float64 // for each statement
+	AllocatedBytes  float64 // for each statement
 }
 
 // OverheadReport is the result of the overhead scenario.
@@ -90,6 +93,11 @@
 		return err
 	}
 	defer f.Close()
+	ready, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	if err := f.WaitReady(ready); err != nil {
+		return err
+	}
 	length := o.duration
 	if length == 0 {
 		length = overheadDuration
@@ -165,6 +173,8 @@
 	latency *hdrhistogram.Histogram // in latencyUnit
 	elapsed time.Duration
 	cpu     time.Duration
+	mallocs uint64
+	bytes   uint64
 }
 
 func newOverheadHistogram() *hdrhistogram.Histogram {
@@ -183,6 +193,8 @@
 	parts := make([]*hdrhistogram.Histogram, clients)
 	errs := make([]error, clients)
 	var running sync.WaitGroup
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
 	start, cpu := time.Now(), processCPU()
 	for i, c := range conns {
 		running.Go(func() { parts[i], errs[i] = sendUntil(c.PgConn(), sql, start.Add(length)) })
@@ -190,6 +202,9 @@
 	running.Wait()
 	s.elapsed += time.Since(start)
 	s.cpu += processCPU() - cpu
+	runtime.ReadMemStats(&after)
+	s.mallocs += after.Mallocs - before.Mallocs
+	s.bytes += after.TotalAlloc - before.TotalAlloc
 	for i, p := range parts {
 		if errs[i] != nil {
 			return errs[i]
@@ -243,18 +258,22 @@
 		P50:             time.Duration(s.latency.ValueAtPercentile(50)) * latencyUnit,
 		P99:             time.Duration(s.latency.ValueAtPercentile(99)) * latencyUnit,
 		CPUPerStatement: s.cpu / time.Duration(n),
+		Allocations:     float64(s.mallocs) / float64(n),
+		AllocatedBytes:  float64(s.bytes) / float64(n),
 	}
 }
 
 func (rep *OverheadReport) print(w io.Writer) error {
 	fmt.Fprintf(w, "overhead of one VM over loopback TCP, machine load %s on %d CPUs\n\n", rep.Machine.Load, rep.Machine.CPUs)
 	t := newTable(w)
-	t.row("statement", "clients", "direct/s", "VM/s", "direct p50", "VM p50", "added p50", "direct p99", "VM p99", "added p99", "VM CPU/statement")
+	t.row("statement", "clients", "direct/s", "VM/s", "direct p50", "VM p50", "added p50", "direct p99", "VM p99", "added p99", "VM CPU", "VM allocations", "VM bytes")
 	for _, o := range rep.Speeds {
 		t.row(o.Kind, fmt.Sprint(o.Clients), fmt.Sprintf("%.0f", o.Direct.PerSecond), fmt.Sprintf("%.0f", o.Proxied.PerSecond),
 			micros(o.Direct.P50), micros(o.Proxied.P50), micros(o.Proxied.P50-o.Direct.P50),
 			micros(o.Direct.P99), micros(o.Proxied.P99), micros(o.Proxied.P99-o.Direct.P99),
-			micros(o.Proxied.CPUPerStatement-o.Direct.CPUPerStatement))
+			micros(o.Proxied.CPUPerStatement-o.Direct.CPUPerStatement),
+			fmt.Sprintf("%.0f", o.Proxied.Allocations-o.Direct.Allocations),
+			fmt.Sprintf("%.0f", o.Proxied.AllocatedBytes-o.Direct.AllocatedBytes))
 	}
 	if err := t.end(); err != nil {
 		return err
--- a/coordination/queueing/queueing_test.go
+++ b/coordination/queueing/queueing_test.go
@@ -178,3 +178,15 @@
 		t.Errorf("%d retries of 1000 requests, want at most %g", allowed, limit)
 	}
 }
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	s := newServer(3)
+	s.Idle = []state.IdleConn{{ID: 1}, {ID: 2}, {ID: 3}}
+	w := waiter("a", 1, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, e := range Acquire(s, w, start, Options{}) {
+			Release(s, e.(Grant).Conn, start)
+		}
+	}
+}
--- a/protocol/token/token_test.go
+++ b/protocol/token/token_test.go
@@ -53,3 +53,12 @@
 		}
 	})
 }
+
+func BenchmarkEncode(b *testing.B) {
+	secret := []byte("secret-of-the-fleet")
+	t := state.Token{"ledger-1": {Term: 1 << 16, Position: 12345}}
+	b.ReportAllocs()
+	for b.Loop() {
+		Encode(secret, "bindery", t)
+	}
+}
--- a/transport/pool/pool_test.go
+++ b/transport/pool/pool_test.go
@@ -80,3 +80,25 @@
 		synctest.Wait()
 	})
 }
+
+func BenchmarkPost(b *testing.B) {
+	p := New(8)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		q := p.NewQueue(64)
+		ran := make(chan struct{})
+		event := func() { ran <- struct{}{} }
+		for pb.Next() {
+			q.PostAlways(event)
+			<-ran
+		}
+		q.Close()
+	})
+	cancel()
+	if err := <-done; err != nil {
+		b.Fatal(err)
+	}
+}
