--- a/cmd/chestnutdyke/main.go
+++ b/cmd/chestnutdyke/main.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	metrics := telemetry.NewMetrics()
+	metrics := telemetry.NewMetrics(logger)
 	defer metrics.Close()
 	tracer, export, err := telemetry.NewTracer(context.Background(), s.Trace.Exporter, s.Trace.Endpoint, s.VM, stdout)
 	if err != nil {
@@ -155,7 +155,7 @@
 		MaxSessions:     s.Limits.Sessions,
 		SessionQueue:    s.Limits.SessionQueue,
 		DefaultDeadline: s.Limits.DefaultDeadline,
-		Session:         session.Options{ReadsOnPrimary: s.Baselines.ReadsOnPrimary},
+		Session:         session.Options{ReadsOnPrimary: s.Baselines.ReadsOnPrimary, NoGroupCommit: s.Baselines.NoGroupCommit},
 		Queueing:        queueing.Options{FIFO: s.Baselines.NoFairQueueing, MaxWaiters: s.Limits.ServerWaiters},
 		StaticShares:    s.Baselines.StaticShares,
 	}
