--- a/standin/fleet/platform.go
+++ b/standin/fleet/platform.go
@@ -83,7 +83,7 @@
 		seeds = append(seeds, membership.Partner{
 			Name:       VMName(i),
 			DataCentre: f.Profile.DataCentreOf(i),
-			Address:    address(vmHost(i), PeerPort),
+			Address:    address(vmHost(i), peerPort),
 		})
 	}
 	return seeds
--- a/standin/fleet/profile.go
+++ b/standin/fleet/profile.go
@@ -151,7 +151,7 @@
 func (p *Profile) dataCentre(i int, name string) *state.DataCentre {
 	dc := &state.DataCentre{Name: name, Region: "region-1", State: state.InService}
 	for vm := i; vm < p.VMs; vm += len(p.DataCentres) {
-		dc.VMs = append(dc.VMs, state.VM{Name: VMName(vm), Address: address(vmHost(vm), PeerPort), AdminAddress: address(vmHost(vm), adminPort), State: state.InService})
+		dc.VMs = append(dc.VMs, state.VM{Name: VMName(vm), Address: address(vmHost(vm), peerPort), AdminAddress: address(vmHost(vm), adminPort), State: state.InService})
 	}
 	return dc
 }
@@ -164,7 +164,7 @@
 			Name:           fmt.Sprintf("%s-%c", name, 'a'+s),
 			DataCentre:     p.serverDataCentre(i, s),
 			Address:        address(host, wirePort),
-			ControlAddress: address(host, ControlPort),
+			ControlAddress: address(host, controlPort),
 			Connections:    p.Connections,
 			Slots:          p.Slots,
 			State:          state.InService,
@@ -182,11 +182,17 @@
 // Ports of the hosts.
 const (
 	wirePort    = 5432
-	PeerPort    = 7432 // of VMs, for other VMs
-	ControlPort = 8432 // of backend servers, for status queries
+	peerPort    = 7432
+	controlPort = 8432
 	adminPort   = 9432
 )
 
+// Ports by which control traffic can be told apart.
+const (
+	PeerPort    = peerPort    // of VMs, for other VMs
+	ControlPort = controlPort // of backend servers, for status queries
+)
+
 // Every VM and every backend server has a host of its own.
 func vmHost(vm int) string { return fmt.Sprintf("127.1.%d.%d", vm/200, vm%200+1) }
 func serverHost(group, server int) string {
