Give a session the backend connection that it used last

Idle connections were chosen without regard to who used them last, so with more than one session nearly every request was preceded by DISCARD ALL and by setting the access mode again.

A request now gets the idle connection of its session, else the least recently used one.

It helps where a VM has about as many connections as active sessions; with the profiles' two or three connections for each server and VM it rarely applies.

--- a/coordination/queueing/queueing.go
+++ b/coordination/queueing/queueing.go
@@ -78,8 +78,7 @@
 func Acquire(s *state.ServerConns, w state.ConnWaiter, now time.Time, o Options) []Effect {
 	w.Start = startTime(s, w, o)
 	if len(s.Idle) > 0 && len(s.Waiters) == 0 {
-		conn := s.Idle[len(s.Idle)-1].ID
-		s.Idle = s.Idle[:len(s.Idle)-1]
+		conn := takeIdle(s, w.ID.Session)
 		account(s, w)
 		s.Virtual = w.Start
 		return []Effect{grant(s, w, conn, now)}
@@ -115,7 +114,7 @@
 func Opened(s *state.ServerConns, conn state.ConnID, now time.Time) []Effect {
 	s.Opening--
 	s.Failures = 0
-	return offer(s, conn, now)
+	return offer(s, conn, 0, now)
 }
 
 // OpenFailed records that an attempt to connect failed. Requests are refused if
@@ -141,8 +140,9 @@
 	if _, ok := s.Busy[conn]; !ok {
 		return nil // it failed in the meantime
 	}
+	session := s.Busy[conn].Holder.Session
 	recordService(s, conn, now)
-	return offer(s, conn, now)
+	return offer(s, conn, session, now)
 }
 
 // Closed forgets a connection that was closed or lost.
@@ -194,12 +194,30 @@
 	return effects
 }
 
-func offer(s *state.ServerConns, conn state.ConnID, now time.Time) []Effect {
+// takeIdle removes and returns the idle connection that the session used last,
+// because another one must first discard the state of another session. Without
+// one it takes the least recently used, which its last session is the least
+// likely to ask for.
+func takeIdle(s *state.ServerConns, session uint64) state.ConnID {
+	best := 0
+	for i := range s.Idle {
+		if s.Idle[i].Session == session {
+			best = i
+		}
+	}
+	conn := s.Idle[best].ID
+	s.Idle = append(s.Idle[:best], s.Idle[best+1:]...)
+	return conn
+}
+
+// offer gives a connection to the next request, or keeps it idle. session used
+// it last; zero if none has.
+func offer(s *state.ServerConns, conn state.ConnID, session uint64, now time.Time) []Effect {
 	if s.Open()+1 > s.Limit {
 		return []Effect{Close{conn}}
 	}
 	if len(s.Waiters) == 0 {
-		s.Idle = append(s.Idle, state.IdleConn{ID: conn, Since: now})
+		s.Idle = append(s.Idle, state.IdleConn{ID: conn, Since: now, Session: session})
 		return nil
 	}
 	return []Effect{grant(s, next(s), conn, now)}
--- a/coordination/queueing/queueing_test.go
+++ b/coordination/queueing/queueing_test.go
@@ -179,6 +179,25 @@
 	}
 }
 
+// Guards against connections that change between sessions although each could
+// keep its own, which costs a DISCARD ALL for each request.
+func TestSessionGetsItsConnectionBack(t *testing.T) {
+	s := newServer(3)
+	s.Idle = []state.IdleConn{{ID: 1, Session: 7}, {ID: 2, Session: 8}, {ID: 3, Session: 9}}
+	tests := []struct {
+		session uint64
+		want    state.ConnID
+	}{{8, 2}, {9, 3}, {7, 1}, {10, 2}, {9, 3}, {7, 1}}
+	for i, tt := range tests {
+		effects := Acquire(s, waiter("a", tt.session, 1), start, Options{})
+		want := []Effect{Grant{Waiter: state.WaiterID{Session: tt.session, Request: 1}, Conn: tt.want}}
+		if diff := cmp.Diff(want, effects); diff != "" {
+			t.Fatalf("request %d (-want +got):\n%s", i, diff)
+		}
+		Release(s, tt.want, start)
+	}
+}
+
 func BenchmarkAcquireRelease(b *testing.B) {
 	s := newServer(3)
 	s.Idle = []state.IdleConn{{ID: 1}, {ID: 2}, {ID: 3}}
--- a/state/backend.go
+++ b/state/backend.go
@@ -24,8 +24,9 @@
 
 // IdleConn is a pooled backend connection.
 type IdleConn struct {
-	ID    ConnID
-	Since time.Time
+	ID      ConnID
+	Since   time.Time
+	Session uint64 // that used it last; zero if none has
 }
 
 // ServerConns are this VM's connections to one backend server and the requests
