Count every interruption of planned moves, show warnings with -v

In dc-leave two transactions were rolled back with 40001 and one write ended with 08007, and the check on cut requests said 0 because it counted ended connections only. It now counts unknown outcomes and rolled-back transactions too.

--- a/cmd/chestnutbench/bench/bench.go
+++ b/cmd/chestnutbench/bench/bench.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log/handlers/text"
+
 	"github.com/chestnutdyke/chestnutdyke/standin/fleet"
 )
 
@@ -35,6 +37,7 @@
 	duration time.Duration
 	seed     uint64
 	json     bool
+	verbose  bool
 	vms      []int
 	groups   []int
 	conns    []int
@@ -91,6 +94,7 @@
 	set.Uint64Var(&o.seed, "seed", defaultSeed, "seed of arrivals, mix and moves")
 	set.BoolVar(&o.json, "json", false, "print the results as JSON instead of tables")
 	set.StringVar(&o.cpuProfile, "cpuprofile", "", "write a CPU profile of the whole command to `file`")
+	set.BoolVar(&o.verbose, "v", false, "show the VMs' warnings")
 	vms := set.String("vms", "4,8,16", "with scale: numbers of VMs")
 	groups := set.String("groups", "3,10,30", "with scale: numbers of database groups")
 	conns := set.String("connections", "1000,5000", "with overhead: numbers of idle connections")
@@ -217,7 +221,11 @@
 		if s.adjust != nil {
 			s.adjust(&l)
 		}
-		res, err := newRun(s, p, l, o.seed, rep.Duration, stderr).execute(v)
+		run := newRun(s, p, l, o.seed, rep.Duration, stderr)
+		if o.verbose {
+			run.warnings.show = text.New(stderr)
+		}
+		res, err := run.execute(v)
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", v.name, err)
 		}
--- a/cmd/chestnutbench/bench/checks_test.go
+++ b/cmd/chestnutbench/bench/checks_test.go
@@ -39,6 +39,29 @@
 	}
 }
 
+// Guards against planned moves that interrupt requests unnoticed.
+func TestInterrupted(t *testing.T) {
+	tests := []struct {
+		o    outcome
+		want bool
+	}{
+		{outcome{verdict: answered}, false},
+		{outcome{verdict: refused, code: "57P01"}, false},
+		{outcome{verdict: refused, code: codeClosed}, false},
+		{outcome{verdict: failed, code: "23505"}, false},
+		{outcome{verdict: failed, code: "08006"}, true},
+		{outcome{verdict: failed, code: "40001"}, true},
+		{outcome{verdict: unknown, code: "08007"}, true},
+		{outcome{verdict: cut}, true},
+		{outcome{verdict: abandoned}, true},
+	}
+	for _, tt := range tests {
+		if got := tt.o.interrupted(); got != tt.want {
+			t.Errorf("%+v interrupted: %v, want %v", tt.o, got, tt.want)
+		}
+	}
+}
+
 // Guards against lost, doubled and wrongly refused writes that go unnoticed.
 func TestLedgerCheck(t *testing.T) {
 	tests := []struct {
--- a/cmd/chestnutbench/bench/collector.go
+++ b/cmd/chestnutbench/bench/collector.go
@@ -54,7 +54,7 @@
 	StaleReads int
 	StaleViews int // older than the route's bound
 	Doubled    int // an insert of a unique key found its key
-	Cuts       int // connections that ended without a reason during a request
+	Cuts       int // requests and transactions that were cut short
 	Revoked    int // requests that ran although their key had been revoked
 	First      string
 }
@@ -172,9 +172,9 @@
 	if inside && o.verdict == refused && o.code != codeClosed {
 		c.insideRefused[o.code]++
 	}
-	if o.verdict == cut {
+	if o.interrupted() {
 		c.violations.Cuts++
-		c.violations.note(fmt.Sprint("cut: ", o.err))
+		c.violations.note(fmt.Sprint("interrupted: ", o.err))
 	}
 }
 
--- a/cmd/chestnutbench/bench/outcome.go
+++ b/cmd/chestnutbench/bench/outcome.go
@@ -27,7 +27,7 @@
 	codeUnknown         = "08007"
 	codeTransactionLost = "08006"
 	codeDuplicateKey    = "23505"
-	codeRate            = "53400"
+	codeRolledBack      = "40001" // the server stopped being the primary
 	codeKey             = "28P01"
 
 	// codeClosed stands for a connection that had been closed before the first
@@ -77,3 +77,16 @@
 	}
 	return o
 }
+
+// interrupted reports whether the request was cut short by the fleet, which no
+// planned move may do: its connection ended, its outcome is unknown, or its
+// transaction was rolled back.
+func (o outcome) interrupted() bool {
+	switch o.verdict {
+	case cut, unknown, abandoned:
+		return true
+	case failed:
+		return o.code == codeTransactionLost || o.code == codeRolledBack
+	}
+	return false
+}
--- a/cmd/chestnutbench/bench/warnings.go
+++ b/cmd/chestnutbench/bench/warnings.go
@@ -8,6 +8,8 @@
 
 // warnings counts the VMs' warnings and errors by message.
 type warnings struct {
+	show log.Handler // also gets them; nil if none
+
 	mu     sync.Mutex // guards counts; no other lock is taken under it
 	counts map[string]int
 }
@@ -17,9 +19,12 @@
 // HandleLog implements log.Handler.
 func (w *warnings) HandleLog(e *log.Entry) error {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.counts[e.Message]++
-	return nil
+	w.mu.Unlock()
+	if w.show == nil {
+		return nil
+	}
+	return w.show.HandleLog(e)
 }
 
 func (w *warnings) all() map[string]int {
