--- a/cmd/chestnutbench/bench/client.go
+++ b/cmd/chestnutbench/bench/client.go
@@ -18,6 +18,10 @@
 	clientGrace = 2 * time.Second
 	// connectTimeout bounds one attempt to connect.
 	connectTimeout = 2 * time.Second
+	// queuePatience is the part of the deadline after which a job that waits for
+	// a free session is given up. Without it, all jobs of an overloaded customer
+	// would be sent too late to be answered in time.
+	queuePatience = 2
 	// maxRepeats bounds the repetitions of a request that was refused.
 	maxRepeats = 5
 	// minRepeatDelay is the wait before the first repetition of a refused request
@@ -130,11 +134,11 @@
 	return err
 }
 
-// do carries out a job. It reports false if the client had no connection in
-// time.
+// do carries out a job. It reports false if the client had no session or no
+// connection in time.
 func (c *client) do(j job) (outcome, bool) {
 	deadline := j.arrived.Add(c.run.profile.Deadline)
-	if !c.connected(deadline) {
+	if time.Since(j.arrived) > c.run.profile.Deadline/queuePatience || !c.connected(deadline) {
 		return outcome{}, false
 	}
 	switch j.kind {
@@ -360,11 +364,13 @@
 	for _, sql := range statements {
 		r := c.repeat(sql, deadline, true)
 		if r.verdict != answered {
+			c.noteCut(r.outcome)
 			c.rollBack(value, r)
 			return r.outcome
 		}
 	}
 	r := c.sendFree("COMMIT")
+	c.noteCut(r.outcome)
 	if r.verdict == answered && r.tag != "COMMIT" {
 		r.verdict = failed
 	}
@@ -375,6 +381,13 @@
 	return r.outcome
 }
 
+// noteCut counts a connection that was closed within a transaction.
+func (c *client) noteCut(o outcome) {
+	if o.code == codeClosed {
+		c.run.collector.violated(func(v *violations) { v.Cuts++ }, c.name+" was closed within a transaction")
+	}
+}
+
 // rollBack ends a transaction that was not committed.
 func (c *client) rollBack(value string, r request) {
 	r.verdict = refused
