--- a/session_test.go
+++ b/session_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/chestnutdyke/chestnutdyke/standin/dbgroup"
 	"github.com/chestnutdyke/chestnutdyke/standin/fleet"
@@ -32,6 +34,32 @@
 	})
 }
 
+// Guards against a write taken for a read that fails because the server parsed
+// and described it before it refused to run it.
+func TestSelectThatWritesByExtendedProtocol(t *testing.T) {
+	modes := map[string]pgx.QueryExecMode{
+		"unnamed statement":   pgx.QueryExecModeExec,
+		"described statement": pgx.QueryExecModeDescribeExec,
+		"named statement":     pgx.QueryExecModeCacheStatement,
+	}
+	for name, mode := range modes {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(w *world) {
+				c := w.connect(0, "")
+				for _, value := range []string{"1", "2"} {
+					if got := w.query(c, "SELECT write_kv($1, $2)", mode, "a", value); got != value {
+						t.Errorf("answer %q, want %q", got, value)
+					}
+				}
+				if n := len(w.group.Commits()); n != 2 {
+					t.Errorf("%d commits, want 2", n)
+				}
+				w.close(c)
+			})
+		})
+	}
+}
+
 // Guards against settings and prepared statements of one session showing up in
 // another that gets the same backend connection.
 func TestSessionStateStaysWithItsSession(t *testing.T) {
@@ -206,6 +234,39 @@
 	})
 }
 
+// Guards against a cancel request that is lost because the load balancer sent
+// it to another VM.
+func TestCancelThroughAnotherVM(t *testing.T) {
+	inWorld(t, func(w *world) {
+		c := w.connect(0, "")
+		var sent sync.WaitGroup
+		sent.Go(func() {
+			time.Sleep(50 * time.Millisecond)
+			other := w.clientConfig(1, "")
+			conn, err := other.DialFunc(background, "tcp", "")
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			raw, err := (&pgproto3.CancelRequest{ProcessID: c.PgConn().PID(), SecretKey: c.PgConn().SecretKey()}).Encode(nil)
+			if err != nil {
+				t.Error(err)
+			}
+			if _, err := conn.Write(raw); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+			conn.Close()
+		})
+		_, err := c.Exec(background, "SELECT pg_sleep(3)")
+		if got := sqlState(err); got != "57014" {
+			t.Errorf("SQLSTATE %q, want 57014 (%v)", got, err)
+		}
+		sent.Wait()
+		w.close(c)
+	})
+}
+
 // Guards against a planned stop that cuts a transaction.
 func TestDrainWaitsForTransactions(t *testing.T) {
 	inWorld(t, func(w *world) {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -29,12 +29,20 @@
 	backendPassword = "password-of-the-proxy"
 )
 
+// BackendLogin returns the login of the VMs at backend servers, for clients that
+// go there directly.
+func BackendLogin() pgbackend.Credentials {
+	return pgbackend.Credentials{User: backendUser, Password: backendPassword}
+}
+
 // Options choose how a fleet runs.
 type Options struct {
 	// TCP uses loopback addresses of the machine, without the profile's delays.
 	// The default is an in-memory network with them.
 	TCP  bool
 	Seed uint64
+	// NoVMs starts no VM; the configuration lists them all the same.
+	NoVMs bool
 	// Adjust changes the options of each VM.
 	Adjust func(o *chestnutdyke.Options)
 	Logger log.Interface
@@ -85,6 +93,9 @@
 		return nil, err
 	}
 	for vm := range p.VMs {
+		if o.NoVMs {
+			break
+		}
 		if err := f.StartVM(vm); err != nil {
 			f.Close()
 			return nil, err
@@ -107,7 +118,8 @@
 
 func (f *Fleet) startGroup(i int, name string) error {
 	p := f.Profile
-	o := dbgroup.Options{Name: name, User: backendUser, Password: backendPassword}
+	login := BackendLogin()
+	o := dbgroup.Options{Name: name, User: login.User, Password: login.Password}
 	for s := range p.ServersPerGroup {
 		dc, host := p.serverDataCentre(i, s), serverHost(i, s)
 		o.Servers = append(o.Servers, dbgroup.ServerOptions{
@@ -115,7 +127,7 @@
 			DataCentre:       dc,
 			Network:          f.Host(host, dc),
 			Address:          address(host, wirePort),
-			ControlAddress:   address(host, controlPort),
+			ControlAddress:   address(host, ControlPort),
 			Slots:            p.Slots,
 			Connections:      p.Connections,
 			ConnectCost:      p.ConnectCost,
@@ -141,13 +153,13 @@
 		Name:          VMName(i),
 		DataCentre:    dc,
 		ClientAddress: address(host, wirePort),
-		PeerAddress:   address(host, peerPort),
+		PeerAddress:   address(host, PeerPort),
 		AdminAddress:  address(host, adminPort),
 		Store:         StoreAddress(),
 		Seeds:         f.seeds(),
 		FirstProcess:  first,
 		Secret:        []byte(Secret),
-		Backend:       pgbackend.Credentials{User: backendUser, Password: backendPassword},
+		Backend:       BackendLogin(),
 		Network:       f.Host(host, dc),
 		Logger:        f.options.Logger,
 		Scope:         f.options.Scope,
@@ -278,14 +290,12 @@
 
 // ClientConfig returns the configuration with which Connect connects.
 func (f *Fleet) ClientConfig(customer, route string, vm int, token string) (*pgx.ConnConfig, error) {
-	target := address(vmHost(vm), wirePort)
 	cfg, err := pgx.ParseConfig(fmt.Sprintf("host=%s port=%d sslmode=disable", vmHost(vm), wirePort))
 	if err != nil {
 		return nil, eris.Wrap(err, "client connection")
 	}
 	cfg.User, cfg.Password, cfg.Database = customer, Key(customer), route
-	client := f.Host(clientHost, clientZone)
-	cfg.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) { return client.Dial(ctx, target) }
+	cfg.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) { return f.DialVM(ctx, vm) }
 	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
 	switch token {
 	case "":
@@ -297,6 +307,12 @@
 	return cfg, nil
 }
 
+// DialVM opens a connection to the client address of a VM, from the clients'
+// host.
+func (f *Fleet) DialVM(ctx context.Context, vm int) (net.Conn, error) {
+	return f.Host(clientHost, clientZone).Dial(ctx, address(vmHost(vm), wirePort))
+}
+
 // SessionParameter is the name of the session token among the parameters.
 const SessionParameter = "chestnutdyke.session"
 
