--- a/fleettest/limit_faults_test.go
+++ b/fleettest/limit_faults_test.go
@@ -1,11 +1,11 @@
 package fleettest
 
 import (
-	"os"
 	"testing"
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/standin/fleet"
+	"github.com/chestnutdyke/chestnutdyke/standin/memnet"
 	"github.com/chestnutdyke/chestnutdyke/standin/store"
 	"github.com/chestnutdyke/chestnutdyke/state"
 )
@@ -156,11 +156,82 @@
 		}
 	}
 	e := excess(times, c.Rate, c.Burst)
-	if e > 1e-6 && os.Getenv("DBG") != "" {
-		w.debugExcess(c)
-	}
 	w.t.Logf("%s at rate %v: %d statements, at most %.2f above burst + rate x t", c.Name, c.Rate, len(times), e)
 	if e > 1e-6 {
 		w.t.Errorf("%s: %.2f statements above burst + rate x t in an interval", c.Name, e)
 	}
 }
+
+// Guards against statements that are admitted one by one, wait together for a
+// primary, and then reach it all at once: sessions without a token read from the
+// primary, which a data centre that is cut off does not reach.
+func TestLimitHoldsForRequestsThatWaited(t *testing.T) {
+	t.Parallel()
+	p := fleet.Peachtree()
+	inWorld(t, p, func(w *world) {
+		c := small(p)
+		l := w.start(&load{customer: c.Name, rate: overload * c.Rate, token: unknownSession})
+		time.Sleep(3 * time.Second)
+		cut := w.fleet.Isolate(p.DataCentres[1])
+		time.Sleep(12 * time.Second)
+		cut.Heal()
+		time.Sleep(3 * time.Second)
+		w.checkAdmitted(c, l.finish())
+		w.checkIntervals(c)
+	})
+}
+
+// checkAdmitted fails the test if more requests than burst + rate x t were
+// admitted in an interval for certain: those that the customer sent after its
+// begin and whose statement reached a backend server before its end.
+func (w *world) checkAdmitted(c fleet.Customer, requests []request) {
+	w.t.Helper()
+	sent := make(map[string]time.Time)
+	for _, r := range requests {
+		sent[r.id] = r.sent
+	}
+	statements := w.tap.of(c.Name)
+	worst := -c.Burst
+	for _, first := range statements {
+		begin := sent[first.id]
+		n := 0.0
+		for _, s := range statements {
+			if !sent[s.id].Before(begin) && !s.at.Before(begin) {
+				n++
+				worst = max(worst, n-c.Burst-c.Rate*s.at.Sub(begin).Seconds())
+			}
+		}
+	}
+	w.t.Logf("%s: admitted at most %.2f above burst + rate x t", c.Name, worst)
+	if worst > 1e-6 {
+		w.t.Errorf("%s: %.2f requests above burst + rate x t were admitted in an interval", c.Name, worst)
+	}
+}
+
+// Guards against two processes of one name that both spend: the earlier one is
+// cut off from all VMs and the store, but not from clients and backend servers.
+func TestLimitHoldsWhileTwoProcessesHaveOneName(t *testing.T) {
+	for _, p := range profiles() {
+		t.Run(p.Name, func(t *testing.T) {
+			t.Parallel()
+			inWorld(t, p, func(w *world) {
+				c := small(p)
+				old := w.start(&load{customer: c.Name, rate: overload * c.Rate})
+				time.Sleep(3 * time.Second)
+				cut := w.fleet.Net.Partition(memnet.Hosts(w.vmHosts(0)...), memnet.Hosts(w.vmHosts(1, 2, 3, 4, 5, 6, 7, storeNumber)...))
+				second := w.startSecond(0, "127.120.0.1")
+				beside := w.start(&load{customer: c.Name, rate: overload * c.Rate, vms: []int{0}, connect: second.connect, prefix: "second-"})
+				time.Sleep(10 * time.Second)
+				if !second.vm.Ready() {
+					t.Error("the second process did not take over")
+				}
+				cut.Heal()
+				time.Sleep(4 * time.Second)
+				t.Logf("all VMs: %v", count(old.finish(), c.Rate, c.Burst))
+				t.Logf("second process: %v", count(beside.finish(), c.Rate, c.Burst))
+				w.checkIntervals(c)
+				second.stop()
+			})
+		})
+	}
+}
--- a/fleettest/limit_test.go
+++ b/fleettest/limit_test.go
@@ -74,6 +74,12 @@
 	checkWholeRate(t, 16*time.Second, movesTo(5))
 }
 
+// Guards against loans that stay with a VM whose customer moves to another data
+// centre and back, faster than loans between data centres end.
+func TestLimitWholeRateWhileMovingBackAndForth(t *testing.T) {
+	checkWholeRate(t, 15*time.Second, func(n int) int { return n / 1500 % 2 * 5 })
+}
+
 // movesTo takes the first VM for 2000 requests and another one after that.
 func movesTo(vm int) func(n int) int {
 	return func(n int) int {
--- a/fleettest/load_test.go
+++ b/fleettest/load_test.go
@@ -13,6 +13,13 @@
 	"github.com/chestnutdyke/chestnutdyke/standin/fleet"
 )
 
+// unknownSession makes a load present no token. Such a session may have written
+// before, so it reads the latest.
+const unknownSession = "unknown"
+
+// connector connects a client of the customer to a VM and a route.
+type connector func(ctx context.Context, customer, route string, vm int, token string) (*pgx.Conn, error)
+
 // load sends the requests of one customer at a rate, without waiting for the
 // answers of earlier ones.
 type load struct {
@@ -25,6 +32,9 @@
 	regular  bool                  // equal gaps; the default is random gaps (Poisson)
 	token    string                // session token; the default is that of sessions that have written nothing
 
+	prefix  string    // of the request numbers
+	connect connector // the default connects to a VM of the fleet
+
 	world   *world
 	random  *rand.Rand
 	stop    chan struct{}
@@ -60,11 +70,13 @@
 	if l.route == "" {
 		l.route = w.fleet.Profile.Groups[0]
 	}
+	if l.connect == nil {
+		l.connect = w.fleet.Connect
+	}
 	if l.token == "" {
 		l.token = fleet.NewSession
 	}
 	l.idle = make(map[int][]*pgx.Conn)
-	w.debugLoads = append(w.debugLoads, l)
 	l.running.Go(l.run)
 	return l
 }
@@ -105,7 +117,7 @@
 }
 
 func (l *load) send(n int, due time.Time) {
-	r := request{id: fmt.Sprint(n), vm: l.vm(n), due: due}
+	r := request{id: fmt.Sprint(l.prefix, n), vm: l.vm(n), due: due}
 	ctx, cancel := context.WithTimeout(background, 10*time.Second)
 	defer cancel()
 	conn, code := l.connected(ctx, r.vm)
@@ -133,7 +145,11 @@
 		}
 		_ = conn.Close(ctx)
 	}
-	conn, err := l.world.fleet.Connect(ctx, l.customer, l.route, vm, l.token)
+	token := l.token
+	if token == unknownSession {
+		token = ""
+	}
+	conn, err := l.connect(ctx, l.customer, l.route, vm, token)
 	code, _ = sqlState(err)
 	return conn, code
 }
--- a/fleettest/world_test.go
+++ b/fleettest/world_test.go
@@ -55,10 +55,11 @@
 
 // world is a running fleet and what the test observes of it.
 type world struct {
-	t          *testing.T
-	fleet      *fleet.Fleet
-	tap        *tap
-	debugLoads []*load
+	t     *testing.T
+	fleet *fleet.Fleet
+	tap   *tap
+
+	options map[string]chestnutdyke.Options // of the VMs, by name
 
 	files   map[string]string // tickets, by path
 	tickets uint64            // number of the latest ticket
@@ -74,13 +75,14 @@
 func inWorldWith(t *testing.T, p fleet.Profile, o fleet.Options, test func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, tap: newTap(), files: make(map[string]string), tickets: 1}
+		w := &world{t: t, tap: newTap(), files: make(map[string]string), tickets: 1, options: make(map[string]chestnutdyke.Options)}
 		o.Seed = seed
 		if o.Logger == nil {
 			o.Logger = &log.Logger{Handler: discard.Default}
 		}
 		adjust := o.Adjust
 		o.Adjust = func(v *chestnutdyke.Options) {
+			w.options[v.Name] = *v
 			v.Network = tappedNetwork{Network: v.Network, tap: w.tap, vm: v.Name}
 			if adjust != nil {
 				adjust(v)
