Refuse writes on read-only routes

Cause: the access mode of a route was consulted only when a server had refused a request as a write. A request that begins with a writing keyword, or a BEGIN, went to the primary in read-write mode, also on routes open to all without a key.

Change: outside a transaction a request on a read-only route runs in read-only mode, so that the server refuses it with 25006 before it runs.

An explicit BEGIN READ WRITE or SET TRANSACTION READ WRITE is not covered.

--- a/coordination/session/decider.go
+++ b/coordination/session/decider.go
@@ -86,6 +86,7 @@
 	if out := d.access(s, now); out.Kind != Answered {
 		return d.refuseAccess(s, out)
 	}
+	d.restrict(s)
 	wake := Wake{Request: r.Number, At: r.Deadline}
 	if s.InTransaction && (r.Class == state.ClassEnd || r.Class == state.ClassRollback) {
 		return append([]Effect{wake}, d.send(s, now)...)
@@ -93,6 +94,21 @@
 	return append([]Effect{wake}, d.admit(s, now)...)
 }
 
+// restrict makes a request on a read-only route run in read-only mode, so that
+// the server refuses it if it writes. A transaction has the mode of its BEGIN.
+func (d *Decider) restrict(s *state.Session) {
+	_, route, _ := d.lookup(s)
+	if route == nil || route.Access != state.ReadOnly || s.InTransaction {
+		return
+	}
+	switch s.Request.Class {
+	case state.ClassWrite:
+		s.Request.Class = state.ClassRead
+	case state.ClassBegin:
+		s.Request.Class = state.ClassBeginRO
+	}
+}
+
 // begin resets the per-request fields. The connection, the server and the term
 // of a running transaction stay.
 func begin(s *state.Session, r state.Request) {
