Report every error of a ticket at once when it is applied

Cause: ticket apply stopped at the errors that the file shows by itself, so errors of references came up only after those had been corrected.

Change: if the file has errors and the store answers, the ticket is checked against the configuration in force as ticket check does.

--- a/cmd/chestnutctl/ctl/apply.go
+++ b/cmd/chestnutctl/ctl/apply.go
@@ -51,7 +51,7 @@
 	}
 	defer client.Close()
 	if found := ticket.CheckAlone(file.Ticket); file.Err(found) != nil {
-		return printResult(env, file, ticket.Result{Outcome: ticket.Invalid, Problems: found})
+		return printResult(env, file, ticket.Result{Outcome: ticket.Invalid, Problems: c.allProblems(ctx, env, file, found)})
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
@@ -59,6 +59,17 @@
 	return printResult(env, file, runner.run(ctx, ticket.NewApply(file.Ticket, accept)))
 }
 
+// allProblems adds the problems that only the configuration in force shows, if it
+// can be read, to those of the ticket alone: operators get every error at once.
+func (c *connection) allProblems(ctx context.Context, env Env, file *ticketfile.File, alone []ticket.Problem) []ticket.Problem {
+	object, err := c.readConfig(ctx, env)
+	if err != nil {
+		return alone
+	}
+	_, found := ticket.Check(object.Config, file.Ticket)
+	return found
+}
+
 // configStore is what an application needs of the store.
 type configStore interface {
 	Get(ctx context.Context, name string) (object storeapi.Object, found bool, err error)
