--- a/fleettest/limit_faults_test.go
+++ b/fleettest/limit_faults_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/standin/fleet"
-	"github.com/chestnutdyke/chestnutdyke/standin/memnet"
 	"github.com/chestnutdyke/chestnutdyke/standin/store"
 	"github.com/chestnutdyke/chestnutdyke/state"
 )
@@ -218,7 +217,7 @@
 				c := small(p)
 				old := w.start(&load{customer: c.Name, rate: overload * c.Rate})
 				time.Sleep(3 * time.Second)
-				cut := w.fleet.Net.Partition(memnet.Hosts(w.vmHosts(0)...), memnet.Hosts(w.vmHosts(1, 2, 3, 4, 5, 6, 7, storeNumber)...))
+				cut := w.cutHosts(w.vmHosts(0), w.vmHosts(1, 2, 3, 4, 5, 6, 7, storeNumber))
 				second := w.startSecond(0, "127.120.0.1")
 				beside := w.start(&load{customer: c.Name, rate: overload * c.Rate, vms: []int{0}, connect: second.connect, prefix: "second-"})
 				time.Sleep(10 * time.Second)
--- a/fleettest/world_test.go
+++ b/fleettest/world_test.go
@@ -69,12 +69,14 @@
 // loads have found out what they may spend.
 func inWorld(t *testing.T, p fleet.Profile, test func(w *world)) {
 	t.Helper()
-	inWorldWith(t, p, fleet.Options{}, test)
+	inWorldOptions(t, p, func() fleet.Options { return fleet.Options{} }, test)
 }
 
-func inWorldWith(t *testing.T, p fleet.Profile, o fleet.Options, test func(w *world)) {
+// inWorldOptions is inWorld with options that are made in virtual time.
+func inWorldOptions(t *testing.T, p fleet.Profile, options func() fleet.Options, test func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
+		o := options()
 		w := &world{t: t, tap: newTap(), files: make(map[string]string), tickets: 1, options: make(map[string]chestnutdyke.Options)}
 		o.Seed = seed
 		if o.Logger == nil {
@@ -243,3 +245,8 @@
 	}
 	return "connection", ""
 }
+
+// cutHosts cuts two sets of hosts off from each other.
+func (w *world) cutHosts(a, b []string) *memnet.Cut {
+	return w.fleet.Net.Partition(memnet.Hosts(a...), memnet.Hosts(b...))
+}
