--- a/fleettest/load_test.go
+++ b/fleettest/load_test.go
@@ -32,6 +32,7 @@
 	regular  bool                  // equal gaps; the default is random gaps (Poisson)
 	token    string                // session token; the default is that of sessions that have written nothing
 
+	follow  bool      // go to another VM if this one is leaving
 	prefix  string    // of the request numbers
 	connect connector // the default connects to a VM of the fleet
 
@@ -54,6 +55,9 @@
 	ended time.Time
 	code  string // SQLSTATE; empty if answered, "connection" if it broke
 	hint  string
+	text  string // of the error
+
+	resent int // times that it was sent again because its VM was leaving
 }
 
 // start begins to send.
@@ -118,21 +122,46 @@
 
 func (l *load) send(n int, due time.Time) {
 	r := request{id: fmt.Sprint(l.prefix, n), vm: l.vm(n), due: due}
+	if l.follow {
+		r.vm = l.world.ready.next(r.vm)
+	}
 	ctx, cancel := context.WithTimeout(background, 10*time.Second)
 	defer cancel()
-	conn, code := l.connected(ctx, r.vm)
-	if r.code = code; code == "" {
-		r.sent = time.Now()
-		_, err := conn.Exec(ctx, l.statement(r.id), pgx.QueryExecModeSimpleProtocol)
-		r.code, r.hint = sqlState(err)
+	sent := l.attempt(ctx, &r)
+	for range l.vms {
+		// A VM that is leaving refuses with 57P01, one that has gone accepts no
+		// connection. The request was not run in both cases.
+		if !l.follow || r.code != shuttingDown && (sent || r.code != broken) {
+			break
+		}
+		if sent {
+			r.resent++
+		}
+		r.vm = l.world.ready.next(r.vm + 1)
+		sent = l.attempt(ctx, &r)
 	}
 	r.ended = time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.requests = append(l.requests, r)
-	if conn != nil {
-		l.idle[r.vm] = append(l.idle[r.vm], conn)
+}
+
+// attempt sends the request through its VM, and returns whether it was sent.
+func (l *load) attempt(ctx context.Context, r *request) (sent bool) {
+	conn, code := l.connected(ctx, r.vm)
+	if r.code = code; code != "" {
+		return false
+	}
+	r.sent = time.Now()
+	_, err := conn.Exec(ctx, l.statement(r.id), pgx.QueryExecModeSimpleProtocol)
+	r.code, r.hint = sqlState(err)
+	if err != nil {
+		r.text = err.Error()
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.idle[r.vm] = append(l.idle[r.vm], conn)
+	return true
 }
 
 // connected returns a session without a request. As a client library does, it
@@ -173,6 +202,39 @@
 	return fmt.Sprintf("SELECT value FROM kv WHERE key = 'load/%s/%s'", l.customer, id)
 }
 
+// balancer is the platform's load balancer: it asks VMs whether they are ready,
+// and its view is up to pollReady old.
+type balancer struct {
+	world *world
+
+	mu      sync.Mutex // guards the fields below
+	askedAt time.Time
+	ready   map[int]bool
+}
+
+const pollReady = 500 * time.Millisecond
+
+// next returns the first ready VM from the given one on.
+func (b *balancer) next(vm int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if time.Since(b.askedAt) >= pollReady {
+		b.askedAt = time.Now()
+		b.ready = make(map[int]bool)
+		for _, i := range b.world.allVMs() {
+			v := b.world.fleet.VM(i)
+			b.ready[i] = v != nil && v.Ready()
+		}
+	}
+	n := b.world.fleet.Profile.VMs
+	for i := range n {
+		if b.ready[(vm+i)%n] {
+			return (vm + i) % n
+		}
+	}
+	return vm % n
+}
+
 // tally counts requests by how they ended.
 type tally struct {
 	offered, answered int
--- a/fleettest/tap_test.go
+++ b/fleettest/tap_test.go
@@ -51,11 +51,20 @@
 
 // sentTo returns the statements that were sent to an address in a time.
 func (p *tap) sentTo(address string, from, to time.Time) []statement {
+	return p.sentIn(from, to, func(s *statement) bool { return s.server == address })
+}
+
+// sentBy returns the statements that a VM sent in a time.
+func (p *tap) sentBy(vm string, from, to time.Time) []statement {
+	return p.sentIn(from, to, func(s *statement) bool { return s.vm == vm })
+}
+
+func (p *tap) sentIn(from, to time.Time, wanted func(s *statement) bool) []statement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var found []statement
 	for _, s := range p.statements {
-		if s.server == address && s.at.After(from) && s.at.Before(to) {
+		if s.at.After(from) && s.at.Before(to) && wanted(&s) {
 			found = append(found, s)
 		}
 	}
--- a/fleettest/world_test.go
+++ b/fleettest/world_test.go
@@ -58,6 +58,7 @@
 	t     *testing.T
 	fleet *fleet.Fleet
 	tap   *tap
+	ready balancer
 
 	options map[string]chestnutdyke.Options // of the VMs, by name
 
@@ -95,6 +96,7 @@
 			t.Fatal(err)
 		}
 		w.fleet = f
+		w.ready.world = w
 		defer func() {
 			f.Close()
 			synctest.Wait()
@@ -233,8 +235,14 @@
 	return r.stdout
 }
 
-// sqlState returns the SQLSTATE of an error and its hint; other errors give the
-// text "connection".
+// shuttingDown is the SQLSTATE of a VM that is leaving; broken stands for errors
+// without an SQLSTATE, which are those of the connection.
+const (
+	shuttingDown = "57P01"
+	broken       = "connection"
+)
+
+// sqlState returns the SQLSTATE of an error and its hint.
 func sqlState(err error) (code, hint string) {
 	var pgErr *pgconn.PgError
 	switch {
@@ -243,7 +251,7 @@
 	case errors.As(err, &pgErr):
 		return pgErr.Code, pgErr.Hint
 	}
-	return "connection", ""
+	return broken, ""
 }
 
 // cutHosts cuts two sets of hosts off from each other.
