Test decisions by table, the failover gap, and the driver end to end

Table tests now cover acknowledgement, coverage, rounds, the choice of the candidate, the start of a promotion and switchover; the driver's test runs a failover and a handover in virtual time.

--- /dev/null
+++ b/coordination/failover/failover_test.go
@@ -0,0 +1,234 @@
+package failover
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+var start = time.Unix(1000, 0)
+
+func st(server string, adopted, logTerm, position uint64) state.ServerStatus {
+	s := state.ServerStatus{Server: server, Role: state.Replica, Primary: "a", AdoptedTerm: adopted, LogTerm: logTerm, Position: position}
+	if server == "a" {
+		s.Role, s.Primary = state.Primary, ""
+	}
+	return s
+}
+
+// newInput returns a group of a, b and c, one per data centre, whose primary a
+// answered at start like the others.
+func newInput(part Part, states ...state.ServiceState) Input {
+	grp := &state.Group{Name: "g"}
+	g := &state.GroupState{Name: "g", Servers: map[string]*state.ServerView{}}
+	for i, name := range []string{"a", "b", "c"} {
+		s := state.BackendServer{Name: name, DataCentre: "dc-" + name, State: state.InService}
+		if i < len(states) {
+			s.State = states[i]
+		}
+		grp.Servers = append(grp.Servers, s)
+		g.Observe(st(name, 1, 1, 10), start)
+	}
+	g.Round.Started = start
+	part.HasIndex = true
+	return Input{State: g, Config: &state.Config{}, Group: grp, Part: part, Now: start}
+}
+
+func (in *Input) at(d time.Duration) Input {
+	in.Now = start.Add(d)
+	return *in
+}
+
+// calls returns the orders among the effects, as "order server".
+func calls(effects []Effect) (orders []string, first Call) {
+	for _, e := range effects {
+		if c, ok := e.(Call); ok {
+			if len(orders) == 0 {
+				first = c
+			}
+			orders = append(orders, string(c.Order)+" "+c.Server)
+		}
+	}
+	return orders, first
+}
+
+// Guards against promoting a server that may lack acknowledged writes, and
+// against promoting a server that is leaving although another one will do.
+func TestChoose(t *testing.T) {
+	const in, out = state.InService, state.Leaving
+	for name, c := range map[string]struct {
+		states  []state.ServiceState
+		adopted []state.ServerStatus
+		target  string
+		want    string
+	}{
+		"higher position":              {adopted: []state.ServerStatus{st("b", 9, 1, 10), st("c", 9, 1, 11)}, want: "c"},
+		"later term before position":   {adopted: []state.ServerStatus{st("b", 9, 2, 10), st("c", 9, 1, 11)}, want: "b"},
+		"equal: working primary":       {adopted: []state.ServerStatus{st("c", 9, 1, 10), st("a", 9, 1, 10)}, want: "a"},
+		"equal: target of switchover":  {states: []state.ServiceState{out, in, in}, adopted: []state.ServerStatus{st("a", 9, 1, 10), st("b", 9, 1, 10), st("c", 9, 1, 10)}, target: "c", want: "c"},
+		"target behind":                {adopted: []state.ServerStatus{st("b", 9, 1, 10), st("c", 9, 1, 9)}, target: "c", want: "b"},
+		"leaving, majority without it": {states: []state.ServiceState{out, in, in}, adopted: []state.ServerStatus{st("a", 9, 1, 12), st("b", 9, 1, 10), st("c", 9, 1, 11)}, want: "c"},
+		"leaving, needed":              {states: []state.ServiceState{in, out, in}, adopted: []state.ServerStatus{st("b", 9, 1, 12), st("c", 9, 1, 11)}, want: "b"},
+	} {
+		d := &decision{Input: newInput(Part{}, c.states...)}
+		d.f = &d.State.Failover
+		d.f.Candidate, d.f.Adopted = c.target, map[string]state.ServerStatus{}
+		for _, s := range c.adopted {
+			d.f.Adopted[s.Server] = s
+		}
+		if got := d.choose(); got != c.want {
+			t.Errorf("%s: chose %s, want %s", name, got, c.want)
+		}
+	}
+}
+
+// silence makes queries to the servers fail at once and from then on, while b
+// and c answer unless they are among them.
+func (in *Input) silence(at time.Duration, servers ...string) {
+	for _, s := range in.Group.Servers {
+		in.State.Observe(st(s.Name, 1, 1, 10), start.Add(at))
+	}
+	for _, name := range servers {
+		v := in.State.View(name)
+		v.SilentSince, v.Missed, v.FailedAt = start, missedProbes, start
+	}
+}
+
+// Guards against promotions that start too early, too late, on too many VMs at
+// once, or without a majority.
+func TestStartOfPromotion(t *testing.T) {
+	const never = 0
+	waiters := []state.PositionWaiter{{Kind: state.WaitPrimary}}
+	for name, c := range map[string]struct {
+		part    Part
+		waiting bool
+		silent  []string
+		want    time.Duration
+	}{
+		"first watcher, requests wait":  {Part{Watcher: true, DataCentre: "dc-b"}, true, []string{"a"}, pressedSilence},
+		"second watcher":                {Part{Watcher: true, DataCentre: "dc-c"}, true, []string{"a"}, pressedSilence + watcherStagger},
+		"watcher, nobody waits":         {Part{Watcher: true, DataCentre: "dc-b"}, false, []string{"a"}, missedSilence},
+		"other VM, requests wait":       {Part{Rank: 1, DataCentre: "dc-b"}, true, []string{"a"}, pressedSilence + 2*waiterStagger},
+		"other VM, nobody waits":        {Part{Rank: 0, DataCentre: "dc-b"}, false, []string{"a"}, never},
+		"no majority":                   {Part{Watcher: true, DataCentre: "dc-b"}, true, []string{"a", "c"}, never},
+		"replica silent, primary works": {Part{Watcher: true, DataCentre: "dc-b"}, true, []string{"c"}, never},
+	} {
+		in := newInput(c.part)
+		if c.waiting {
+			in.State.Waiters = waiters
+		}
+		var got time.Duration
+		for at := 10 * time.Millisecond; at <= 3*time.Second && got == 0; at += 10 * time.Millisecond {
+			in.silence(at, c.silent...)
+			if orders, _ := calls(Tick(in.at(at))); len(orders) > 0 {
+				got = at
+				if diff := cmp.Diff([]string{"adopt a", "adopt b", "adopt c"}, orders); diff != "" {
+					t.Errorf("%s: orders (-want +got):\n%s", name, diff)
+				}
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: started after %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// begun returns a watcher's attempt whose adopt orders are out.
+func begun(t *testing.T) (in Input, adopt Call) {
+	t.Helper()
+	in = newInput(Part{Watcher: true, DataCentre: "dc-b", Index: 7})
+	in.State.Waiters = []state.PositionWaiter{{Kind: state.WaitPrimary}}
+	in.silence(pressedSilence, "a")
+	orders, adopt := calls(Tick(in.at(pressedSilence)))
+	if len(orders) != 3 || adopt.Term != 1<<indexBits|7 {
+		t.Fatalf("orders %v, first %+v", orders, adopt)
+	}
+	return in, adopt
+}
+
+// answers passes the end of an order of the given term to the decisions.
+func (in *Input) answers(o Order, server string, term uint64, r Result, s state.ServerStatus) []string {
+	c := Call{Order: o, Server: server, Term: term, Peer: in.State.Failover.Candidate, Sent: in.Now}
+	orders, _ := calls(Answer(*in, c, Outcome{Result: r, Status: s}))
+	return orders
+}
+
+// Guards against a majority that is counted from repeated, refused, late or
+// misdirected answers.
+func TestOnlyOwnAdoptersCount(t *testing.T) {
+	in, adopt := begun(t)
+	term := adopt.Term
+	for name, orders := range map[string][]string{
+		"first":         in.answers(Adopt, "b", term, Done, st("b", term, 1, 10)),
+		"repeated":      in.answers(Adopt, "b", term, Done, st("b", term, 1, 10)),
+		"other server":  in.answers(Adopt, "a", term, Done, st("b", term, 1, 10)),
+		"earlier term":  in.answers(Adopt, "c", term-1, Done, st("c", term-1, 1, 10)),
+		"other's grant": in.answers(Adopt, "a", term, Refused, st("a", term, 1, 10)),
+	} {
+		if len(orders) != 0 {
+			t.Errorf("%s answer led to %v", name, orders)
+		}
+	}
+	if diff := cmp.Diff([]string{"promote c"}, in.answers(Adopt, "c", term, Done, st("c", term, 1, 11))); diff != "" {
+		t.Errorf("orders after a majority (-want +got):\n%s", diff)
+	}
+	leads := st("c", term, term, 12)
+	leads.Role = state.Primary
+	if diff := cmp.Diff([]string{"follow a", "follow b"}, in.answers(Promote, "c", term, Done, leads)); diff != "" {
+		t.Errorf("orders after the promotion (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a term that is used twice after an order without an answer,
+// and against outbidding another promoter at once.
+func TestRetryUsesAHigherTerm(t *testing.T) {
+	for name, c := range map[string]struct {
+		refusedBy uint64 // term that b has adopted; zero if b does not answer
+		earliest  time.Duration
+	}{"no answer": {0, retryBase}, "outbid": {5 << indexBits, promotionPatience}} {
+		in, adopt := begun(t)
+		result := Failed
+		if c.refusedBy != 0 {
+			result = Refused
+		}
+		in.answers(Adopt, "b", adopt.Term, result, st("b", c.refusedBy, 1, 10))
+		in.answers(Adopt, "a", adopt.Term, Failed, state.ServerStatus{})
+		var next Call
+		at := pressedSilence
+		for ; next.Term == 0 && at < 3*time.Second; at += 10 * time.Millisecond {
+			in.State.Observe(st("b", max(c.refusedBy, adopt.Term), 1, 10), start.Add(at))
+			in.State.Observe(st("c", adopt.Term, 1, 10), start.Add(at))
+			_, next = calls(Tick(in.at(at)))
+		}
+		if next.Order != Adopt || next.Term <= max(adopt.Term, c.refusedBy) || at < pressedSilence+c.earliest {
+			t.Errorf("%s: %v after %v", name, next, at-pressedSilence)
+		}
+	}
+	if _, ok := nextTerm(math.MaxUint64, 1); ok {
+		t.Error("a term above the highest possible one was made")
+	}
+}
+
+// Guards against a drained primary that nobody lets work again, and against a
+// resume that breaks another VM's switchover.
+func TestSwitchover(t *testing.T) {
+	for result, want := range map[Result][]string{
+		Done:    {"adopt a", "adopt b", "adopt c"},
+		Refused: nil,
+		Failed:  {"resume a"},
+	} {
+		in := newInput(Part{Watcher: true, DataCentre: "dc-b"}, state.Leaving)
+		orders, first := calls(Tick(in))
+		if len(orders) != 1 || first.Order != Switchover || first.Peer != "b" {
+			t.Fatalf("orders %v, first %+v", orders, first)
+		}
+		got := in.answers(Switchover, "a", 1, result, st("a", 1, 1, 10))
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("orders after result %d (-want +got):\n%s", result, diff)
+		}
+	}
+}
--- a/coordination/failover/model_test.go
+++ b/coordination/failover/model_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -255,3 +256,41 @@
 	}
 	t.Error("no lost write was noticed in 50 seeds")
 }
+
+// Guards against a longer failover gap than promised: less than 1 s between
+// acknowledged writes when the primary is isolated, and hardly any when it is
+// handed over.
+func TestGap(t *testing.T) {
+	for name, limit := range map[string]time.Duration{"isolated": time.Second, "leaving": 100 * time.Millisecond} {
+		var worst time.Duration
+		for seed := uint64(1); seed <= 20; seed++ {
+			s := newSim(seed)
+			s.faulty = false
+			s.runUntil(s.now.Add(time.Second))
+			from, old := s.now, s.primary()
+			if name == "isolated" {
+				s.cut[[2]string{old.name, ""}] = true
+			} else {
+				s.setState(old.name, state.Leaving)
+			}
+			s.runUntil(s.now.Add(4 * time.Second))
+			if s.primary() == old {
+				t.Errorf("%s, seed %d: the primary did not change", name, seed)
+			}
+			acks := []time.Time{from, s.now}
+			for _, at := range s.acked {
+				if at.After(from) {
+					acks = append(acks, at)
+				}
+			}
+			slices.SortFunc(acks, time.Time.Compare)
+			for i := range acks[1:] {
+				worst = max(worst, acks[i+1].Sub(acks[i]))
+			}
+		}
+		t.Logf("%s: longest gap %v", name, worst)
+		if worst >= limit {
+			t.Errorf("%s: gap of %v, want less than %v", name, worst, limit)
+		}
+	}
+}
--- a/coordination/failover/model_vms_test.go
+++ b/coordination/failover/model_vms_test.go
@@ -1,6 +1,7 @@
 package failover_test
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/failover"
@@ -19,8 +20,7 @@
 	pausedUntil time.Time
 	cfg         *state.Config // the ticket that has reached this VM
 	g           *state.GroupState
-	wakes       [2]time.Time // of replication and failover
-	armed       time.Time    // when the timer runs; zero if it does not
+	timer       time.Time // when the timer runs; zero if it does not
 	waits       map[state.WaiterID]*simWait
 }
 
@@ -35,11 +35,16 @@
 	v.up = true
 	v.run++
 	v.g = &state.GroupState{Name: "g", Servers: make(map[string]*state.ServerView)}
-	v.wakes, v.armed = [2]time.Time{}, time.Time{}
+	v.timer = time.Time{}
 	v.waits = make(map[state.WaiterID]*simWait)
-	v.event(func() ([]replication.Effect, []failover.Effect) { return nil, nil })
+	v.event(nil, nil)
 	v.every(250, 400, v.exchange)
 	v.every(10, 120, v.write)
+	v.every(10, 200, func() {
+		if v.writing {
+			v.read(0, state.Point{}, true)
+		}
+	})
 }
 
 // every repeats f at random intervals while this run of the VM lasts.
@@ -83,22 +88,15 @@
 	return failover.Input{State: v.g, Config: v.cfg, Group: v.grp(), Part: part, Now: v.now}
 }
 
-// event runs one decision like the driver: then failover, then positions.
-func (v *simVM) event(decide func() ([]replication.Effect, []failover.Effect)) {
-	positions, orders := decide()
+// event carries out the effects of a decision like the driver: then failover is
+// decided on, then positions.
+func (v *simVM) event(positions []replication.Effect, orders []failover.Effect) {
 	orders = append(orders, failover.Tick(v.input())...)
-	probe := false
-	for _, e := range orders {
-		if _, ok := e.(failover.Probe); ok {
-			probe = true
-		}
-	}
-	if probe {
+	if slices.Contains(orders, failover.Effect(failover.Probe{})) {
 		positions = append(positions, replication.Probe(v.g, v.grp(), v.now)...)
 	} else {
 		positions = append(positions, replication.Tick(v.g, v.grp(), v.now)...)
 	}
-	v.wakes = [2]time.Time{}
 	for _, e := range positions {
 		v.execute(e)
 	}
@@ -120,44 +118,28 @@
 		}
 		v.after(0, v.local(func() { w.then(e.Result) }))
 	case replication.WakeAt:
-		v.wakeAt(0, e.At)
+		v.wakeAt(e.At)
 	case failover.WakeAt:
-		v.wakeAt(1, e.At)
+		v.wakeAt(e.At)
 	case failover.Call:
 		v.order(e)
 	}
 }
 
-func (v *simVM) wakeAt(source int, at time.Time) {
+// wakeAt sets the timer unless it runs earlier.
+func (v *simVM) wakeAt(at time.Time) {
 	if !at.After(v.now) {
-		v.fail("%s: wake-up of source %d is not in the future: the VM would spin", v.name, source)
+		v.fail("%s: a wake-up is not in the future: the VM would spin", v.name)
 	}
-	v.wakes[source] = at
-	v.arm()
-}
-
-// arm schedules the earliest wake-up unless an earlier one is scheduled.
-func (v *simVM) arm() {
-	at := v.wakes[0]
-	if at.IsZero() || !v.wakes[1].IsZero() && v.wakes[1].Before(at) {
-		at = v.wakes[1]
-	}
-	if at.IsZero() || !v.armed.IsZero() && !at.Before(v.armed) {
+	if !v.timer.IsZero() && !at.Before(v.timer) {
 		return
 	}
-	v.armed = at
+	v.timer = at
 	v.at(at, v.local(func() {
-		if !v.armed.Equal(at) {
-			return
+		if v.timer.Equal(at) {
+			v.timer = time.Time{}
+			v.event(nil, nil)
 		}
-		v.armed = time.Time{}
-		for _, w := range v.wakes {
-			if !w.IsZero() && !w.After(v.now) {
-				v.event(func() ([]replication.Effect, []failover.Effect) { return nil, nil })
-				return
-			}
-		}
-		v.arm()
 	}))
 }
 
@@ -193,12 +175,11 @@
 func (v *simVM) ask(a replication.AskStatus) {
 	v.call(a.Server, 200*time.Millisecond, func(_ *simServer, reply func(failover.Result)) { reply(failover.Done) },
 		func(o failover.Outcome) {
-			v.event(func() ([]replication.Effect, []failover.Effect) {
-				if o.Result == failover.Failed {
-					return replication.Failure(v.g, v.grp(), a, v.now), nil
-				}
-				return replication.Answer(v.g, v.grp(), a, o.Status, v.now), nil
-			})
+			if o.Result == failover.Failed {
+				v.event(replication.Failure(v.g, v.grp(), a, v.now), nil)
+			} else {
+				v.event(replication.Answer(v.g, v.grp(), a, o.Status, v.now), nil)
+			}
 		})
 }
 
@@ -211,9 +192,7 @@
 		} else {
 			reply(failover.Done)
 		}
-	}, func(o failover.Outcome) {
-		v.event(func() ([]replication.Effect, []failover.Effect) { return nil, failover.Answer(v.input(), c, o) })
-	})
+	}, func(o failover.Outcome) { v.event(nil, failover.Answer(v.input(), c, o)) })
 }
 
 // drain replies once the successor holds the whole log.
@@ -236,11 +215,7 @@
 	if primary == "" || !to.up {
 		return
 	}
-	v.send(v.name, to.name, to.local(func() {
-		to.event(func() ([]replication.Effect, []failover.Effect) {
-			return nil, failover.Merge(to.input(), term, primary, suspect)
-		})
-	}))
+	v.send(v.name, to.name, to.local(func() { to.event(nil, failover.Merge(to.input(), term, primary, suspect)) }))
 }
 
 // wait adds a waiter; then gets its result.
@@ -249,7 +224,7 @@
 	w.ID = state.WaiterID{Session: uint64(v.nextID)}
 	w.Joined, w.Deadline = v.now, v.now.Add(timeout)
 	v.waits[w.ID] = &simWait{waiter: w, then: then}
-	v.event(func() ([]replication.Effect, []failover.Effect) { return replication.Wait(v.g, v.grp(), w, v.now), nil })
+	v.event(replication.Wait(v.g, v.grp(), w, v.now), nil)
 }
 
 // write is a client's write, from its routing to a read that must see it.
@@ -259,8 +234,12 @@
 	}
 	if server, term, ok := v.g.UsablePrimary(); ok {
 		v.writeTo(server, term)
-		return
+	} else {
+		v.awaitPrimary()
 	}
+}
+
+func (v *simVM) awaitPrimary() {
 	v.wait(state.PositionWaiter{Kind: state.WaitPrimary}, 3*time.Second, func(r replication.Result) {
 		if r.Kind == replication.Satisfied {
 			v.writeTo(r.Server, r.Term)
@@ -282,8 +261,10 @@
 	}, func(o failover.Outcome) {
 		switch {
 		case o.Result == failover.Failed:
-			v.event(func() ([]replication.Effect, []failover.Effect) { return nil, failover.Suspect(v.input(), server) })
-		case accepted && !v.ackOnCommit:
+			v.event(nil, failover.Suspect(v.input(), server))
+		case !accepted:
+			v.awaitPrimary()
+		case !v.ackOnCommit:
 			v.awaitDurable(id, server, term)
 		}
 	})
@@ -294,16 +275,16 @@
 	v.wait(w, 3*time.Second, func(r replication.Result) {
 		if r.Kind == replication.Satisfied {
 			v.acked[id] = v.now
-			v.read(id, r.Point)
+			v.read(id, r.Point, v.chance(0.3))
 		}
 	})
 }
 
-// read waits until a server covers an acknowledged write, with or without a
-// bound of age, and checks what it holds.
-func (v *simVM) read(id int, p state.Point) {
+// read waits until a server covers the point of an acknowledged write, if aged
+// with a bound of age, and checks what it holds.
+func (v *simVM) read(id int, p state.Point, aged bool) {
 	w := state.PositionWaiter{Kind: state.WaitCover, Point: p, Server: v.group.Servers[v.rng.IntN(len(v.group.Servers))].Name}
-	if v.chance(0.3) {
+	if aged {
 		w.MaxAge = 100 * time.Millisecond
 	}
 	v.wait(w, 20*time.Millisecond, func(r replication.Result) {
@@ -311,7 +292,7 @@
 			return
 		}
 		s := v.servers[w.Server]
-		if !s.has(id) {
+		if id != 0 && !s.has(id) {
 			v.fail("%s covers %+v, but lacks write %d", s.name, p, id)
 		}
 		for id, at := range v.acked {
--- a/transport/groups/groups_test.go
+++ b/transport/groups/groups_test.go
@@ -9,9 +9,11 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/replication"
+	"github.com/chestnutdyke/chestnutdyke/protocol/peerapi"
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
 	"github.com/chestnutdyke/chestnutdyke/transport/groupctl"
@@ -91,6 +93,12 @@
 	return b.results[id]
 }
 
+func (b *testbed) set(name string, f func(s *server)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f(b.servers[name])
+}
+
 // order runs f on the server's status after the latency.
 func (s *server) order(ctx context.Context, f func(st *state.ServerStatus) string) (state.ServerStatus, error) {
 	s.bed.mu.Lock()
@@ -178,3 +186,71 @@
 		}
 	})
 }
+
+// Guards against a driver that loses an order or its answer: the primary falls
+// silent while a request waits, a replica is promoted and the other follows it,
+// in less than a second. The old primary follows once it is back.
+func TestFailover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, true)
+		time.Sleep(time.Second)
+		b.set("a", func(s *server) { s.silent = true })
+		time.Sleep(10 * time.Millisecond)
+		from, id := time.Now(), state.WaiterID{Session: 1}
+		b.Suspect("orders", "a")
+		b.wait(state.PositionWaiter{ID: id, Kind: state.WaitPrimary}, 5*time.Second)
+		for len(b.resultsOf(id)) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		const term = 1<<16 | 7
+		got := b.resultsOf(id)[0]
+		if got.Kind != replication.Satisfied || got.Server == "a" || got.Term != term || time.Since(from) >= time.Second {
+			t.Fatalf("got %+v after %v", got, time.Since(from))
+		}
+		b.set("a", func(s *server) { s.silent = false })
+		time.Sleep(3 * time.Second)
+		for name, s := range b.servers {
+			if name != got.Server && (s.status.Primary != got.Server || s.status.AdoptedTerm != term) {
+				t.Errorf("%s does not follow %s: %+v", name, got.Server, s.status)
+			}
+		}
+		want := []peerapi.GroupView{{Group: "orders", Term: term, Primary: got.Server}}
+		if diff := cmp.Diff(want, b.Views()); diff != "" {
+			t.Errorf("views (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Guards against queries for groups that this VM neither watches nor uses.
+func TestIdleGroupsAreNotAsked(t *testing.T) {
+	for watcher, want := range map[bool]int{false: 0, true: 3 * 2 * 60} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestbed(t, watcher)
+			b.MergeView(peerapi.GroupView{Group: "orders", Term: 1, Primary: "a"})
+			time.Sleep(time.Minute)
+			b.set("a", func(*server) {
+				if b.asked < want || b.asked > want+15 {
+					t.Errorf("watcher %v: %d status queries in a minute, want about %d", watcher, b.asked, want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a configuration change that does not hand the primary over.
+func TestLeavingPrimaryIsHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, true)
+		time.Sleep(time.Second)
+		cfg := *b.opts.Tables.Config.Current()
+		cfg.Ticket.Number++
+		cfg.DataCentres = map[string]*state.DataCentre{"dc-a": {Name: "dc-a", State: state.Leaving}}
+		b.opts.Tables.Config.Advance(&cfg)
+		time.Sleep(5 * time.Second) // this VM leaves the task to the watchers of dc-b and dc-c first
+		b.set("a", func(s *server) {
+			if s.status.Role != state.Replica || s.status.Primary != "b" || s.status.AdoptedTerm == 1 {
+				t.Errorf("a is still the primary: %+v", s.status)
+			}
+		})
+	})
+}
