--- a/fleettest/key_test.go
+++ b/fleettest/key_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 				key = key[1:]
 			}
 			changed.Keys = append(changed.Keys, state.Key{
-				ID: string(rune('a' + i)), Hash: sha256.Sum256([]byte(key)), Revoked: revoked,
+				ID: fmt.Sprintf("%s-%d", customer, i+1), Hash: sha256.Sum256([]byte(key)), Revoked: revoked,
 			})
 		}
 		t.Customers[customer] = &changed
