--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -19,9 +19,9 @@
 // 100 ms for a reading of the clock that is used late.
 func Margin(d time.Duration) time.Duration { return d/50 + 100*time.Millisecond }
 
-// exclusive is how long a voter that confirmed one incarnation, or a process
+// Exclusive is how long a voter that confirmed one incarnation, or a process
 // that may have done so before a restart, confirms no other one.
-const exclusive = Term + Term/50 + 100*time.Millisecond
+const Exclusive = Term + Term/50 + 100*time.Millisecond
 
 // Outgoing is a query to be sent to a voter. Store names the platform's store.
 type Outgoing struct {
@@ -42,21 +42,25 @@
 // than the moment of sending, because confirmations are counted from it.
 func Queries(tables *state.Tables, now time.Time) []Outgoing {
 	config := tables.Config.Current()
-	voters := VotersOf(config, tables.Self.Name)
+	if config == nil {
+		return nil
+	}
+	digest := VotersOf(config, tables.Self.Name).digest()
+	names := allNames(voterSets(tables))
 	var out []Outgoing
 	tables.Lease.With(func(l *state.Lease) {
 		forgetOld(l, now)
 		if l.Superseded {
 			return
 		}
-		for _, voter := range voters.names() {
+		for _, voter := range names {
 			l.NextQuery++
 			l.Queries[l.NextQuery] = state.LeaseQuery{Voter: voter, SentAt: now}
 			out = append(out, Outgoing{Voter: voter, Query: Query{
 				Number:      l.NextQuery,
 				Incarnation: tables.Self.Incarnation,
 				Ticket:      config.Ticket.Number,
-				Voters:      voters.digest(),
+				Voters:      digest,
 			}})
 		}
 	})
@@ -74,7 +78,7 @@
 
 // Receive handles a voter's answer. Late and repeated answers have no effect.
 func Receive(tables *state.Tables, voter string, a Answer, now time.Time) {
-	voters := VotersOf(tables.Config.Current(), tables.Self.Name)
+	sets := voterSets(tables)
 	tables.Lease.With(func(l *state.Lease) {
 		if a.Highest > tables.Self.Incarnation {
 			l.Superseded = true
@@ -90,7 +94,7 @@
 		if q.SentAt.After(l.Confirmed[voter]) {
 			l.Confirmed[voter] = q.SentAt
 		}
-		extend(l, voters, now)
+		extend(l, sets, now)
 	})
 }
 
@@ -101,22 +105,29 @@
 	if l.StoreSince.IsZero() {
 		l.StoreSince = now
 	}
-	return now.Sub(l.StoreSince) >= exclusive
+	return now.Sub(l.StoreSince) >= Exclusive
 }
 
 // extend derives the hold from the confirmations.
-func extend(l *state.Lease, voters Voters, now time.Time) {
-	if l.Superseded || voters.others() == 0 {
+func extend(l *state.Lease, sets []Voters, now time.Time) {
+	if l.Superseded || len(sets) == 0 {
 		return
 	}
-	sent := confirmedAt(l, voters)
-	if !l.Hold.Valid(now) {
-		if !sent[voters.toTake()-1].Add(Term).After(now) {
+	held := l.Hold.Valid(now)
+	var until time.Time
+	for i, voters := range sets {
+		sent := confirmedAt(l, voters)
+		if !held && !sent[voters.toTake()-1].Add(Term).After(now) {
 			return
 		}
+		if end := sent[voters.toRenew()-1].Add(Term); i == 0 || end.Before(until) {
+			until = end
+		}
+	}
+	if !held {
 		l.Hold.Since = now
 	}
-	if until := sent[voters.toRenew()-1].Add(Term); until.After(l.Hold.Until) {
+	if until.After(l.Hold.Until) {
 		l.Hold.Until = until
 	}
 }
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -88,7 +88,7 @@
 
 // Guards against each way in which a voter could confirm a second process.
 func TestConfirm(t *testing.T) {
-	config, ready := configOf(2, 3), epoch.Add(exclusive)
+	config, ready := configOf(2, 3), epoch.Add(Exclusive)
 	digest := VotersOf(config, "vm1").digest()
 	query := func(incarnation uint64) Query { return Query{Incarnation: incarnation, Ticket: 2, Voters: digest} }
 	for _, c := range []struct {
@@ -101,8 +101,8 @@
 		{"first query", func(*state.Tables) {}, query(1), ready, true},
 		{"voter has just started", func(*state.Tables) {}, query(1), ready.Add(-1), false},
 		{"higher incarnation known", func(t *state.Tables) { Learn(t, "vm1", 2) }, query(1), ready, false},
-		{"lower incarnation confirmed", func(t *state.Tables) { Confirm(t, "vm1", query(1), ready) }, query(2), ready.Add(exclusive - 1), false},
-		{"confirmation of lower one ended", func(t *state.Tables) { Confirm(t, "vm1", query(1), ready) }, query(2), ready.Add(exclusive), true},
+		{"lower incarnation confirmed", func(t *state.Tables) { Confirm(t, "vm1", query(1), ready) }, query(2), ready.Add(Exclusive - 1), false},
+		{"confirmation of lower one ended", func(t *state.Tables) { Confirm(t, "vm1", query(1), ready) }, query(2), ready.Add(Exclusive), true},
 		{"voter is superseded", func(t *state.Tables) { Learn(t, "vm2", 9) }, query(1), ready, false},
 		{"old list of voters", func(*state.Tables) {}, Query{Incarnation: 1, Ticket: 1, Voters: 1}, ready, false},
 		{"newer list of voters", func(*state.Tables) {}, Query{Incarnation: 1, Ticket: 3, Voters: 1}, ready, true},
@@ -159,12 +159,12 @@
 		t.Error("an older incarnation in the store is not replaced")
 	}
 	ask(epoch)
-	ask(epoch.Add(exclusive - 1))
-	if Valid(tables.Lease, epoch.Add(exclusive-1)) {
+	ask(epoch.Add(Exclusive - 1))
+	if Valid(tables.Lease, epoch.Add(Exclusive-1)) {
 		t.Error("the store's confirmation counts too early")
 	}
-	ask(epoch.Add(exclusive))
-	if !Valid(tables.Lease, epoch.Add(exclusive)) {
+	ask(epoch.Add(Exclusive))
+	if !Valid(tables.Lease, epoch.Add(Exclusive)) {
 		t.Error("the store's confirmation does not count after the wait")
 	}
 }
--- a/coordination/lease/voter.go
+++ b/coordination/lease/voter.go
@@ -17,12 +17,12 @@
 		r.Highest = max(r.Highest, q.Incarnation)
 		answer.Highest = r.Highest
 		switch {
-		case l.Started.IsZero() || now.Sub(l.Started) < exclusive:
+		case l.Started.IsZero() || now.Sub(l.Started) < Exclusive:
 			// The process that ran here before may have confirmed anyone.
 		case l.Superseded:
 			// Another process votes under this VM's name.
 		case q.Incarnation < r.Highest:
-		case r.Confirmed != 0 && r.Confirmed != q.Incarnation && now.Sub(r.ConfirmedAt) < exclusive:
+		case r.Confirmed != 0 && r.Confirmed != q.Incarnation && now.Sub(r.ConfirmedAt) < Exclusive:
 		case outdated(config, agreed, from, q):
 		default:
 			r.Confirmed, r.ConfirmedAt = q.Incarnation, now
--- a/coordination/lease/voters.go
+++ b/coordination/lease/voters.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 
 	"github.com/chestnutdyke/chestnutdyke/state"
 )
@@ -45,6 +46,39 @@
 	return Voters{VMs: Rendezvous(vm, names)[:others]}
 }
 
+// voterSets returns this VM's voters under every ticket that some VM may still
+// act on. A hold needs each of these sets, because another process of this VM's
+// name may act on the older ones.
+func voterSets(tables *state.Tables) []Voters {
+	configs := tables.Shares.Relevant()
+	if current := tables.Config.Current(); current != nil {
+		configs = append(configs, current)
+	}
+	var sets []Voters
+	seen := make(map[uint64]bool)
+	for _, config := range configs {
+		voters := VotersOf(config, tables.Self.Name)
+		if digest := voters.digest(); voters.others() > 0 && !seen[digest] {
+			seen[digest] = true
+			sets = append(sets, voters)
+		}
+	}
+	return sets
+}
+
+// allNames returns the voters of all sets, each once.
+func allNames(sets []Voters) []string {
+	var names []string
+	for _, voters := range sets {
+		for _, name := range voters.names() {
+			if !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
 // others is the number of voters besides the VM itself.
 func (v Voters) others() int {
 	if v.Store {
--- a/coordination/share/fleet_test.go
+++ b/coordination/share/fleet_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/lease"
@@ -29,7 +31,8 @@
 	latency func(from, to *proc) time.Duration
 	onSpend func(p *proc, customer string)
 	onEnd   func(p *proc, id state.WaiterID, a Admission)
-	loanMsg int // messages with loan requests
+	changed func(p *proc) // the limits of connections may have changed
+	loanMsg int           // messages with loan requests
 }
 
 // faults are probabilities for each message.
@@ -101,6 +104,7 @@
 		},
 		onSpend: func(*proc, string) {},
 		onEnd:   func(*proc, state.WaiterID, Admission) {},
+		changed: func(*proc) {},
 	}
 }
 
@@ -178,7 +182,7 @@
 }
 
 // start starts a process of a VM, which becomes the current one of its name.
-func (f *fleet) start(name, dc string, speed float64) *proc {
+func (f *fleet) start(name, dc string, speed float64, config *state.Config) *proc {
 	p := &proc{f: f, name: name, dc: dc, incarnation: 1, speed: speed, reports: make(map[string]uint64)}
 	first := f.current[name] == nil
 	if !first {
@@ -192,7 +196,7 @@
 	if f.hooks.started != nil {
 		f.hooks.started(p)
 	}
-	p.apply(f.config)
+	p.apply(config)
 	f.on(p, time.Duration(f.rng.Int64N(int64(lease.QueryInterval))), p.exchange)
 	return p
 }
@@ -202,9 +206,16 @@
 	return epoch.Add(time.Duration(float64(p.f.now+time.Minute) * p.speed))
 }
 
+// until returns the real time until the clock shows at, and a little more, as
+// timers never fire early.
+func (p *proc) until(at time.Time) time.Duration {
+	return time.Duration(float64(at.Sub(p.local()))/p.speed) + time.Microsecond
+}
+
 func (p *proc) apply(config *state.Config) {
-	p.tables.Config.Advance(config)
-	p.recompute()
+	if p.tables.Config.Advance(config) {
+		p.recompute()
+	}
 }
 
 func (p *proc) recompute() {
@@ -214,6 +225,7 @@
 	if p.f.hooks.recompute != nil {
 		p.f.hooks.recompute(p)
 	}
+	p.f.changed(p)
 }
 
 // exchange sends the lease queries and what the exchange between VMs carries.
@@ -234,8 +246,9 @@
 		})
 	}
 	p.recompute()
+	p.fetchHistory()
 	applied, agreed := p.reports[p.name], p.tables.Shares.Agreed()
-	for name := range f.current {
+	for _, name := range slices.Sorted(maps.Keys(f.current)) {
 		if name != p.name {
 			f.send(p, name, func(q *proc) {
 				lease.Learn(q.tables, p.name, p.incarnation)
@@ -247,6 +260,25 @@
 	}
 }
 
+// fetchHistory asks some VM for the tickets that it keeps to, as a new process
+// does while a ticket is being applied.
+func (p *proc) fetchHistory() {
+	hold := p.tables.Lease.Hold()
+	names := slices.Sorted(maps.Keys(p.f.current))
+	p.f.send(p, names[p.f.rng.IntN(len(names))], func(q *proc) {
+		configs, agreed := q.tables.Shares.Relevant(), q.tables.Shares.Agreed()
+		current := q.tables.Config.Current()
+		p.f.reply(q, p, func() {
+			p.apply(current)
+			if hold.Valid(p.local()) && p.tables.Lease.Hold().Since.Equal(hold.Since) {
+				for _, config := range configs {
+					Recompute(p.tables, config, agreed, p.local())
+				}
+			}
+		})
+	})
+}
+
 func (p *proc) receiveVote(voter string, answer lease.Answer) {
 	if p.f.hooks.query != nil {
 		p.f.hooks.query(p)
@@ -283,7 +315,7 @@
 
 func (p *proc) decided(customer string, id state.WaiterID, a Admission) {
 	if !a.Advance.IsZero() {
-		p.f.on(p, 50*time.Microsecond+time.Duration(float64(a.Advance.Sub(p.local()))/p.speed), p.advance)
+		p.f.on(p, 50*time.Microsecond+p.until(a.Advance), p.advance)
 	}
 	if a.Verdict == Granted {
 		p.f.onSpend(p, customer)
@@ -300,6 +332,7 @@
 	}
 	sentAt := p.local()
 	effects := Advance(p.tables, sentAt)
+	p.f.changed(p)
 	for _, d := range effects.Decisions {
 		p.decided(d.Customer, d.ID, d.Admission)
 	}
@@ -309,8 +342,7 @@
 	if !effects.Next.IsZero() {
 		p.timer++
 		generation := p.timer
-		wait := time.Duration(float64(effects.Next.Sub(sentAt)) / p.speed)
-		p.f.on(p, wait, func() {
+		p.f.on(p, p.until(effects.Next), func() {
 			if p.timer == generation {
 				p.advance()
 			}
@@ -337,6 +369,7 @@
 				f.hooks.granted(q)
 			}
 		}
+		f.changed(q)
 		f.reply(q, p, func() {
 			again := false
 			for _, a := range answers {
@@ -402,7 +435,7 @@
 	for d := range len(f.config.DataCentres) {
 		dc := f.config.DataCentres[fmt.Sprintf("dc%d", d+1)]
 		for _, vm := range dc.VMs {
-			f.start(vm.Name, dc.Name, speed())
+			f.start(vm.Name, dc.Name, speed(), f.config)
 		}
 	}
 }
--- a/coordination/share/tickets.go
+++ b/coordination/share/tickets.go
@@ -84,9 +84,9 @@
 }
 
 // Recompute derives the base shares after a new ticket, or after agreed (see
-// Agreed) has changed. A new process may also pass the Relevant tickets of a
-// neighbour, and what the neighbour knows to be agreed, if it fetched them after
-// its lease hold began.
+// Agreed) has changed. What another VM knows to be agreed may be passed too. A
+// new process may also pass the configurations that a neighbour keeps to
+// (state.ShareTable.Relevant), if it fetched them after its lease hold began.
 func Recompute(tables *state.Tables, config *state.Config, agreed uint64, now time.Time) {
 	hold := tables.Lease.Hold()
 	known := false
@@ -106,6 +106,7 @@
 		advanceAll(s, hold, now)
 		s.Agreed = max(s.Agreed, agreed)
 		if !known {
+			shares.Since = now
 			insertTicket(s, shares)
 		}
 		dropTickets(s)
@@ -113,18 +114,6 @@
 	})
 }
 
-// Relevant returns the tickets that this VM stays below, ascending, and the
-// agreed one.
-func Relevant(t *state.ShareTable) (configs []*state.Config, agreed uint64) {
-	t.With(func(s *state.Shares) {
-		for _, ticket := range s.Tickets {
-			configs = append(configs, ticket.Config)
-		}
-		agreed = s.Agreed
-	})
-	return configs, agreed
-}
-
 // sharesUnder computes this VM's base shares under one ticket.
 func sharesUnder(config *state.Config, self state.Self, static bool) state.TicketShares {
 	l := layoutOf(config, static)
@@ -281,16 +270,20 @@
 
 // AppliedTicket returns the ticket that this VM reports as applied. A new ticket
 // is reported once nothing that exceeds this VM's share under it is lent or in
-// use any more.
+// use any more, and once no confirmation is in use that this VM gave, as a voter
+// for others, under an older list of voters.
 func AppliedTicket(tables *state.Tables, now time.Time) uint64 {
 	hold := tables.Lease.Hold()
+	var started time.Time
+	tables.Lease.With(func(l *state.Lease) { started = l.Started })
 	var reported uint64
 	tables.Shares.With(func(s *state.Shares) {
 		syncHold(s, hold)
 		advanceAll(s, hold, now)
-		if n := len(s.Tickets); n > 0 && hold.Valid(now) {
+		if n := len(s.Tickets); n > 0 && hold.Valid(now) && now.Sub(started) >= lease.Exclusive {
 			newest := &s.Tickets[n-1]
-			if number := newest.Config.Ticket.Number; s.Reported != number && fits(tables, s, newest, now) {
+			number := newest.Config.Ticket.Number
+			if s.Reported != number && votesSettled(s, tables.Self.DataCentre, now) && fits(tables, s, newest, now) {
 				s.Reported = number
 				rebase(s)
 			}
@@ -300,6 +293,22 @@
 	return reported
 }
 
+// votesSettled reports whether the newest ticket leaves the list of VMs of this
+// data centre as it was, or was applied long enough ago.
+func votesSettled(s *state.Shares, dataCentre string, now time.Time) bool {
+	newest := s.Tickets[len(s.Tickets)-1]
+	if now.Sub(newest.Since) >= lease.Exclusive {
+		return true
+	}
+	for _, t := range s.Tickets {
+		old, latest := t.Config.DataCentres[dataCentre], newest.Config.DataCentres[dataCentre]
+		if old == nil || latest == nil || !slices.Equal(old.VMs, latest.VMs) {
+			return false
+		}
+	}
+	return true
+}
+
 // fits reports whether everything lent or in use is within the ticket's shares.
 func fits(tables *state.Tables, s *state.Shares, t *state.TicketShares, now time.Time) bool {
 	for name, c := range s.Customers {
--- a/state/share.go
+++ b/state/share.go
@@ -18,6 +18,7 @@
 	Requests map[string]RateShare // by customer
 	Units    map[string]int       // connections by backend server
 	VMs      int                  // number of VMs that have base shares of connections
+	Since    time.Time            // when this VM applied the ticket
 	Applied  map[string]bool      // VMs that are known to have applied this ticket
 }
 
@@ -188,6 +189,18 @@
 	f(&t.shares)
 }
 
+// Relevant returns the configurations that this VM keeps to, ascending: from the
+// highest one that every VM is known to have applied, as far as this VM has it.
+func (t *ShareTable) Relevant() []*Config {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var configs []*Config
+	for i := range t.shares.Tickets {
+		configs = append(configs, t.shares.Tickets[i].Config)
+	}
+	return configs
+}
+
 // Agreed returns the highest ticket known to be applied by every VM.
 func (t *ShareTable) Agreed() uint64 {
 	t.mu.Lock()
