--- a/fleettest/key_search_test.go
+++ b/fleettest/key_search_test.go
@@ -90,6 +90,7 @@
 // Guards against a client's key, or anything that it can be recognised by, in
 // what backend servers see, in logs, in metrics and in traces.
 func TestKeyIsNowhereElse(t *testing.T) {
+	t.Parallel()
 	p := fleet.Fes()
 	var o observed
 	inWorldOptions(t, p, o.options, func(w *world) {
--- a/fleettest/key_test.go
+++ b/fleettest/key_test.go
@@ -88,6 +88,7 @@
 // Guards against a revoked key that goes on working for connected clients, on
 // any VM, and against a rotation during which a key is refused that should work.
 func TestKeyRevocationAndRotation(t *testing.T) {
+	t.Parallel()
 	for _, p := range profiles() {
 		t.Run(p.Name, func(t *testing.T) {
 			t.Parallel()
--- a/fleettest/load_test.go
+++ b/fleettest/load_test.go
@@ -169,6 +169,7 @@
 // it between requests.
 func (l *load) connected(ctx context.Context, vm int) (conn *pgx.Conn, code string) {
 	for conn = l.takeIdle(vm); conn != nil; conn = l.takeIdle(vm) {
+		//lint:ignore SA1019 Ping is a request that takes a token of the customer.
 		if !conn.IsClosed() && conn.PgConn().CheckConn() == nil {
 			return conn, ""
 		}
--- a/fleettest/ticket_test.go
+++ b/fleettest/ticket_test.go
@@ -64,6 +64,7 @@
 // Guards against a ticket that takes longer than the target to be in force, or
 // is in force on some VMs only.
 func TestTicketInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	for _, p := range profiles() {
 		t.Run(p.Name, func(t *testing.T) {
 			t.Parallel()
--- a/fleettest/walk_test.go
+++ b/fleettest/walk_test.go
@@ -63,6 +63,7 @@
 // something else than the page shows: a higher rate, the change and revocation
 // of a key, and a data centre that leaves and returns.
 func TestTicketWalkThrough(t *testing.T) {
+	t.Parallel()
 	p := fleet.Fes()
 	inWorld(t, p, func(w *world) {
 		k := &walk{world: w}
--- a/fleettest/world_test.go
+++ b/fleettest/world_test.go
@@ -99,6 +99,9 @@
 		w.ready.world = w
 		defer func() {
 			f.Close()
+			// A client whose request ran out of time closes its connection in the
+			// background, for at most 15 s.
+			time.Sleep(time.Minute)
 			synctest.Wait()
 		}()
 		w.waitReady()
