Spend a token when its request is sent

Cause: a request spent its token when it was admitted, then waited for a primary or a connection. Requests that had waited together reached the backend server together: 32 statements more than burst + rate x t in an interval (TestLimitHoldsForRequestsThatWaited).

Change: admission only checks; the token is spent when a connection has been granted. A request that finds none then gives the connection back and waits.

--- a/coordination/session/decider.go
+++ b/coordination/session/decider.go
@@ -128,10 +128,21 @@
 	return d.refuse(s, out)
 }
 
-// admit spends a token of the customer's limit on the request, or waits for one.
+// admit lets the request pass if its customer's limit has a token, or makes it
+// wait for one. The token is spent when the request is sent; inside a
+// transaction that is now.
 func (d *Decider) admit(s *state.Session, now time.Time) []Effect {
+	if s.InTransaction {
+		a := share.Take(d.Tables, waiterID(s), s.Customer, requestCost, now, s.Request.Deadline)
+		return d.afterAdmission(s, a, now)
+	}
+	a := share.Admit(d.Tables, waiterID(s), s.Customer, requestCost, now, s.Request.Deadline)
+	return d.afterAdmission(s, a, now)
+}
+
+// afterAdmission carries out an admission that was just asked for.
+func (d *Decider) afterAdmission(s *state.Session, a share.Admission, now time.Time) []Effect {
 	s.Phase = state.PhaseAdmission
-	a := share.Take(d.Tables, waiterID(s), s.Customer, requestCost, now, s.Request.Deadline)
 	effects := d.admitted(s, a, now)
 	if a.Verdict == share.Wait {
 		effects = append(effects, AdvanceLimits{At: a.Until})
@@ -144,7 +155,11 @@
 
 // Admitted takes the decision on a request that waited for a token.
 func (d *Decider) Admitted(s *state.Session, request uint64, a share.Admission, now time.Time) []Effect {
-	if s.Phase != state.PhaseAdmission || s.Request.Number != request {
+	waits := s.Phase == state.PhaseAdmission && s.Request.Number == request
+	if a.Verdict == share.Granted && !(waits && s.InTransaction) {
+		share.GiveBack(d.Tables, s.Customer, requestCost)
+	}
+	if !waits {
 		return nil
 	}
 	return d.admitted(s, a, now)
@@ -298,8 +313,17 @@
 	if s.TargetsPrimary && !d.isPrimary(s) {
 		return append([]Effect{Release{Server: server, Conn: conn}}, d.route(s, now)...)
 	}
+	a := share.Spend(d.Tables, waiterID(s), s.Customer, requestCost, now, s.Request.Deadline)
+	if a.Verdict != share.Granted {
+		release := Release{Server: server, Conn: conn}
+		return append([]Effect{release}, d.afterAdmission(s, a, now)...)
+	}
 	s.Conn = conn
-	return d.send(s, now)
+	effects := d.send(s, now)
+	if !a.Advance.IsZero() {
+		effects = append(effects, AdvanceLimits{At: a.Advance})
+	}
+	return effects
 }
 
 // isPrimary reports whether the chosen server is still the primary of the term
--- /dev/null
+++ b/coordination/share/spend.go
@@ -0,0 +1,54 @@
+package share
+
+import (
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+// A request that waits for a backend connection between its admission and its
+// sending must not spend its token before: the requests that waited together
+// would reach the backend server together, although their tokens were spent one
+// by one. Such a request is admitted by Admit, and spends its token by Spend when
+// it is sent.
+
+// Admit decides on a request like Take, but spends no token.
+func Admit(tables *state.Tables, id state.WaiterID, customer string, cost float64, now, deadline time.Time) Admission {
+	a := Take(tables, id, customer, cost, now, deadline)
+	if a.Verdict == Granted {
+		GiveBack(tables, customer, cost)
+	}
+	return a
+}
+
+// GiveBack returns the token of a request that Advance has granted, to be spent
+// by Spend later.
+func GiveBack(tables *state.Tables, customer string, cost float64) {
+	tables.Shares.With(func(s *state.Shares) {
+		if c := s.Customers[customer]; c != nil {
+			c.Level = min(capacity(c), c.Level+cost)
+		}
+	})
+}
+
+// Spend takes the token of a request that is about to be sent. If there is none
+// the request has to wait again, or is refused.
+func Spend(tables *state.Tables, id state.WaiterID, customer string, cost float64, now, deadline time.Time) Admission {
+	hold := tables.Lease.Hold()
+	admission := Admission{Verdict: Refused, RetryAt: now.Add(retryUnknown)}
+	tables.Shares.With(func(s *state.Shares) {
+		syncHold(s, hold)
+		c := s.Customers[customer]
+		if c == nil {
+			return
+		}
+		advance(s, c, hold, now)
+		if pay(c, hold, cost, now) {
+			admission = Admission{Verdict: Granted}
+		} else {
+			admission = enqueue(s, c, hold, state.ShareWaiter{ID: id, Cost: cost, Joined: now, Deadline: deadline}, now)
+		}
+		admission.Advance = wantsPlan(s, c, now)
+	})
+	return admission
+}
