Shorten loans of connections to 5 s

Cause: a VM reports a ticket as applied once the connections that it lent beyond its new share have come back, which took up to 30 s. Until then a data centre that returned had no base shares, and a fleet started cold took no work.

--- a/coordination/share/lend.go
+++ b/coordination/share/lend.go
@@ -22,7 +22,7 @@
 	// own demand needs beyond its rate.
 	tokenHorizon = 100 * time.Millisecond
 	// ConnectionLoanPeriod is how long a connection may be borrowed.
-	ConnectionLoanPeriod = 30 * time.Second
+	ConnectionLoanPeriod = 5 * time.Second
 
 	// lendHeadroom is the multiple of its own demand that a lender keeps.
 	lendHeadroom = 1.2
