--- a/cmd/chestnutbench/bench/result.go
+++ b/cmd/chestnutbench/bench/result.go
@@ -167,13 +167,14 @@
 	}
 }
 
-// goodput is relative to what the customer offered inside its rate.
+// goodput is relative to what the customer offered inside its rate. Jobs that
+// are answered after the last arrival could raise it above 1.
 func goodput(c counts, entitled float64) float64 {
 	due := min(float64(c.Offered), entitled)
 	if due <= 0 {
 		return 1
 	}
-	return float64(c.InTime) / due
+	return min(1, float64(c.InTime)/due)
 }
 
 func quantileOf(h *hdrhistogram.Histogram, percent float64) time.Duration {
