--- a/coordination/session/answer.go
+++ b/coordination/session/answer.go
@@ -25,6 +25,7 @@
 	Status        byte   // transaction status as the protocol has it, for the client
 	ErrorCode     string // SQLSTATE of the error in the answer; empty if none
 	RolledBack    bool   // the last statement completed was a rollback
+	Committed     bool   // a statement completed was a commit
 }
 
 // readOnlyViolation is the SQLSTATE with which a backend server refuses a write
@@ -82,7 +83,10 @@
 
 // needsAcknowledgement reports whether the answer may contain a committed write.
 func (d *Decider) needsAcknowledgement(s *state.Session, end End) bool {
-	if end.InTransaction || !s.TargetsPrimary || readOnly(s.Request.Class) {
+	if !s.TargetsPrimary || readOnly(s.Request.Class) {
+		return false
+	}
+	if end.InTransaction && !end.Committed {
 		return false
 	}
 	return s.Completed && !end.RolledBack && !d.Options.AckOnCommit
@@ -122,6 +126,11 @@
 	}
 	s.Conn, s.Cancelled = 0, false
 	suspect := Suspect{Group: d.groupOf(s), Server: s.Server}
+	if s.Phase == state.PhaseAcknowledging {
+		// The request committed one transaction and began another.
+		effects := []Effect{suspect, WithdrawAwait{Group: d.groupOf(s), ID: waiterID(s)}, DropHeld{}}
+		return append(effects, d.close(s, Outcome{Kind: Unknown, Reason: ConnectionLost})...)
+	}
 	if s.Phase != state.PhaseExecuting {
 		if s.InTransaction {
 			return append([]Effect{suspect}, d.close(s, Outcome{Kind: Unknown, Reason: TransactionLost})...)
@@ -135,7 +144,7 @@
 func (d *Decider) afterLoss(s *state.Session, reason Reason, now time.Time) []Effect {
 	if s.InTransaction {
 		out := Outcome{Kind: Unknown, Reason: TransactionLost}
-		if s.Request.Class == state.ClassEnd {
+		if s.Request.Class == state.ClassEnd || s.Request.MayCommit {
 			out.Reason = reason
 		}
 		return append([]Effect{DropHeld{}}, d.close(s, out)...)
@@ -153,7 +162,7 @@
 // effect or is idempotent, nothing of its answer reached the client, its
 // deadline has not passed and the retry budget allows it.
 func (d *Decider) mayRetry(s *state.Session, now time.Time) bool {
-	repeatable := readOnly(s.Request.Class) || s.Request.Class == state.ClassBegin || s.Request.Idempotent
+	repeatable := readOnly(s.Request.Class) || s.Request.Class == state.ClassBegin || s.Request.Idempotent || d.Options.RetryAnything
 	if !repeatable || s.Forwarded || !now.Before(s.Request.Deadline) {
 		return false
 	}
