Keep what a client sends behind its start-up message

A client that sent its password in the same segment could not log in: the messages were read with a new buffer, so what was read ahead was lost. Plain text behind a TLS request is still dropped.

--- /dev/null
+++ b/tls_test.go
@@ -0,0 +1,106 @@
+package chestnutdyke_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/chestnutdyke/chestnutdyke"
+	"github.com/chestnutdyke/chestnutdyke/standin/fleet"
+)
+
+// Guards against a client that cannot log in because it sent its password
+// together with the start-up message.
+func TestLoginInOneSegment(t *testing.T) {
+	inWorld(t, func(w *world) {
+		conn, err := w.fleet.DialVM(background, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		startup := &pgproto3.StartupMessage{
+			ProtocolVersion: pgproto3.ProtocolVersion30,
+			Parameters:      map[string]string{"user": "bindery", "database": "ledger"},
+		}
+		raw, err := startup.Encode(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, err = (&pgproto3.PasswordMessage{Password: fleet.Key("bindery")}).Encode(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write(raw); err != nil {
+			t.Fatal(err)
+		}
+		if err := conn.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		readUntilReady(t, conn)
+	})
+}
+
+// readUntilReady reads messages up to ReadyForQuery.
+func readUntilReady(t *testing.T, conn net.Conn) {
+	t.Helper()
+	f := pgproto3.NewFrontend(conn, conn)
+	for {
+		msg, err := f.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, ready := msg.(*pgproto3.ReadyForQuery); ready {
+			return
+		}
+	}
+}
+
+// Guards against a key that can be read on its way.
+func TestClientsUseTLS(t *testing.T) {
+	certificate := newCertificate(t)
+	adjust := func(o *chestnutdyke.Options) {
+		o.TLS = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+	}
+	inAdjustedWorld(t, adjust, func(w *world) {
+		cfg := w.clientConfig(0, "")
+		cfg.TLSConfig = &tls.Config{InsecureSkipVerify: true}
+		c, err := pgx.ConnectConfig(background, cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, ok := c.PgConn().Conn().(*tls.Conn); !ok {
+			t.Error("connection is not encrypted")
+		}
+		w.exec(c, "INSERT INTO kv VALUES ('skin-1', 'reserved')")
+		w.close(c)
+	})
+}
+
+func newCertificate(t *testing.T) tls.Certificate {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: "vm"},
+		NotBefore:    time.Date(1999, 1, 1, 0, 0, 0, 0, time.UTC),
+		NotAfter:     time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+}
--- a/transport/pgserver/pgserver.go
+++ b/transport/pgserver/pgserver.go
@@ -157,7 +157,7 @@
 	if err := raw.SetDeadline(time.Now().Add(loginTimeout)); err != nil {
 		return
 	}
-	conn, startup, err := s.startup(raw)
+	conn, backend, startup, err := s.startup(raw)
 	if err != nil {
 		s.Logger.WithError(err).Debug("session: client did not start.")
 		return
@@ -165,8 +165,6 @@
 	if startup == nil {
 		return // a cancel request
 	}
-	backend := pgproto3.NewBackend(conn, conn)
-	backend.SetMaxBodyLen(pgwire.MaxBatchBytes)
 	login, err := readLogin(backend, startup)
 	if err != nil {
 		s.Logger.WithError(err).Debug("session: client did not log in.")
@@ -208,35 +206,46 @@
 }
 
 // startup takes the first messages of a client: requests for encryption, a
-// cancel request, or the start-up message.
-func (s *Server) startup(conn net.Conn) (net.Conn, *pgproto3.StartupMessage, error) {
+// cancel request, or the start-up message. What the client sent behind the
+// start-up message stays with the returned backend.
+func (s *Server) startup(conn net.Conn) (net.Conn, *pgproto3.Backend, *pgproto3.StartupMessage, error) {
+	backend := newBackend(conn)
 	for {
-		msg, err := pgproto3.NewBackend(conn, conn).ReceiveStartupMessage()
+		msg, err := backend.ReceiveStartupMessage()
 		if err != nil {
-			return nil, nil, eris.Wrap(err, "start-up message")
+			return nil, nil, nil, eris.Wrap(err, "start-up message")
 		}
 		switch m := msg.(type) {
 		case *pgproto3.StartupMessage:
-			return conn, m, nil
+			return conn, backend, m, nil
 		case *pgproto3.CancelRequest:
 			s.Sessions.Cancel(m.ProcessID, pgwire.CancelSecret(m.SecretKey))
-			return conn, nil, nil
+			return conn, nil, nil, nil
 		case *pgproto3.SSLRequest:
-			conn, err = s.startTLS(conn)
+			if s.TLS == nil {
+				_, err = conn.Write([]byte{'N'})
+				break
+			}
+			if conn, err = s.startTLS(conn); err == nil {
+				// What was sent in plain text behind the request is dropped.
+				backend = newBackend(conn)
+			}
 		default:
 			_, err = conn.Write([]byte{'N'})
 		}
 		if err != nil {
-			return nil, nil, eris.Wrap(err, "encryption request")
+			return nil, nil, nil, eris.Wrap(err, "encryption request")
 		}
 	}
 }
 
+func newBackend(conn net.Conn) *pgproto3.Backend {
+	b := pgproto3.NewBackend(conn, conn)
+	b.SetMaxBodyLen(pgwire.MaxBatchBytes)
+	return b
+}
+
 func (s *Server) startTLS(conn net.Conn) (net.Conn, error) {
-	if s.TLS == nil {
-		_, err := conn.Write([]byte{'N'})
-		return conn, err
-	}
 	if _, err := conn.Write([]byte{'S'}); err != nil {
 		return nil, err
 	}
--- a/vm_test.go
+++ b/vm_test.go
@@ -51,13 +51,22 @@
 
 // inWorld runs a test on a fleet in virtual time, once all VMs take work.
 func inWorld(t *testing.T, test func(w *world)) {
+	t.Helper()
+	inAdjustedWorld(t, func(*chestnutdyke.Options) {}, test)
+}
+
+// inAdjustedWorld is inWorld with other options of the VMs.
+func inAdjustedWorld(t *testing.T, adjust func(o *chestnutdyke.Options), test func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{t: t}
 		f, err := fleet.Start(testProfile(), fleet.Options{
 			Seed:   1,
 			Logger: &log.Logger{Handler: discard.Default},
-			Adjust: func(o *chestnutdyke.Options) { o.Network = worldNetwork{Network: o.Network, w: w} },
+			Adjust: func(o *chestnutdyke.Options) {
+				o.Network = worldNetwork{Network: o.Network, w: w}
+				adjust(o)
+			},
 		})
 		if err != nil {
 			t.Fatal(err)
