Let the VMs of a data centre that is out keep their leases

Cause: a VM did not address VMs of a data centre that is out, not even those of its own. Their leases lapsed, and after the return each counted as a new process: its shares were unusable for 5 s.

The test passes now.

--- a/coordination/membership/schedule.go
+++ b/coordination/membership/schedule.go
@@ -171,7 +171,8 @@
 
 // candidates returns every other VM that can be addressed. A VM that operators
 // took out may be switched off and is left alone; if it runs, it addresses the
-// others itself. Seeds count only while nothing better is known of them.
+// others itself. The VMs of a data centre that is out go on addressing each
+// other, so that they keep their leases and can work as soon as it returns. Seeds count only while nothing better is known of them.
 func candidates(r Round) map[string]Partner {
 	known := make(map[string]Partner)
 	for _, s := range r.Seeds {
@@ -183,19 +184,19 @@
 		}
 	}
 	if r.Config != nil {
-		addListed(known, r.Config)
+		addListed(known, r.Config, r.Self.DataCentre)
 	}
 	delete(known, r.Self.Name)
 	return known
 }
 
-func addListed(known map[string]Partner, c *state.Config) {
+func addListed(known map[string]Partner, c *state.Config, own string) {
 	for _, dc := range c.DataCentres {
 		for i := range dc.VMs {
 			vm := &dc.VMs[i]
 			_, heard := known[vm.Name]
 			switch {
-			case vm.State == state.Out || dc.State == state.Out:
+			case vm.State == state.Out || dc.State == state.Out && dc.Name != own:
 				delete(known, vm.Name)
 			case !heard:
 				known[vm.Name] = Partner{Name: vm.Name, DataCentre: dc.Name, Address: vm.Address}
