Wait for newer tickets before deposing an unknown primary

A VM whose ticket is older than that of its peers sees the group follow a server that it does not know, and deposed it after 250 ms. It now leaves 10 s for the ticket to arrive. The promoter index defaults to the VM's place in the configuration.

--- a/coordination/failover/attempt.go
+++ b/coordination/failover/attempt.go
@@ -96,16 +96,36 @@
 	case state.ConditionFailed:
 		return d.stagger(), true
 	case state.ConditionHeadless:
-		if d.ownAttemptIsLatest() {
+		switch {
+		case d.ticketMayBeOld():
+			return ticketPatience + d.stagger(), true
+		case d.ownAttemptIsLatest():
 			return 0, true
+		default:
+			return promotionPatience + d.stagger(), true
 		}
-		return promotionPatience + d.stagger(), true
 	case state.ConditionStray:
 		return strayPatience + time.Duration(d.watcherOrder())*strayStagger, d.Part.Watcher
 	}
 	return 0, false
 }
 
+// ticketMayBeOld reports whether the group follows a server that this VM's
+// configuration does not have. Then a newer ticket has probably not arrived yet,
+// and a promotion would depose a working primary.
+func (d *decision) ticketMayBeOld() bool {
+	unknown := func(server string) bool { return server != "" && d.Group.Server(server) == nil }
+	if unknown(d.State.Primary) {
+		return true
+	}
+	for name, v := range d.State.Servers {
+		if v.Status.AdoptedTerm >= d.State.Term && unknown(v.Status.Primary) && d.answers(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // ownAttemptIsLatest reports whether no other VM has begun a promotion since
 // this VM's latest attempt.
 func (d *decision) ownAttemptIsLatest() bool {
--- a/coordination/failover/failover.go
+++ b/coordination/failover/failover.go
@@ -48,6 +48,8 @@
 	// promotionPatience is left to a promotion that another VM has begun. One
 	// takes three calls to servers.
 	promotionPatience = 250 * time.Millisecond
+	// ticketPatience covers the time that a ticket takes to reach every VM.
+	ticketPatience = 10 * time.Second
 	// strayPatience is longer, because a working primary has to be promoted
 	// again to get a stray server back.
 	strayPatience = 2 * time.Second
--- a/transport/groups/groups.go
+++ b/transport/groups/groups.go
@@ -32,7 +32,8 @@
 	roleInterval = time.Second
 )
 
-// Options are what a Driver needs. Logger, Scope, Tracer and Announce may be nil.
+// Options are what a Driver needs. Index, Announce, Logger, Scope and Tracer may
+// be nil.
 type Options struct {
 	Pool    *pool.Pool
 	Tables  *state.Tables
@@ -44,8 +45,8 @@
 	// watches the group. It is called without locks, about once a second for
 	// each configured group.
 	Rank func(group string) (rank int, watcher bool)
-	// Index returns this VM's index in the configuration, which makes its terms
-	// unique. Without an index the VM promotes nothing.
+	// Index returns the index that makes this VM's terms unique, or false if the
+	// VM is to promote nothing. If nil, ConfigIndex is used.
 	Index func() (index uint16, ok bool)
 	// Announce is called when a new primary or the suspicion of a failure is
 	// known, so that it can be passed on before the next exchange. It must not
@@ -81,6 +82,11 @@
 	if opts.Tracer == nil {
 		opts.Tracer = noop.NewTracerProvider().Tracer("")
 	}
+	if opts.Index == nil {
+		opts.Index = func() (uint16, bool) {
+			return ConfigIndex(opts.Tables.Config.Current(), opts.Tables.Self.Name)
+		}
+	}
 	d := &Driver{opts: opts, metrics: newMetrics(opts.Scope), groups: make(map[string]*group)}
 	d.base, d.cancel = context.WithCancel(context.Background())
 	return d
