Acknowledge writes that a planned switchover overtakes

Change: servers tell how often they have dropped a tail of their log. As long as the number is the same as while the server led, its writes are in its log, so the end of the log, of whatever term, stands in for the position of the write.

Ruled out: the end of the write's own term.

--- a/coordination/replication/replication.go
+++ b/coordination/replication/replication.go
@@ -116,7 +116,7 @@
 	if endQuery(g, v, ask) {
 		g.Round.Answered++
 	}
-	learnTargets(g, ask, &st)
+	learnTargets(g, ask)
 	return advance(g, grp, now, nil)
 }
 
--- a/standin/dbgroup/node.go
+++ b/standin/dbgroup/node.go
@@ -74,6 +74,7 @@
 		Primary:     n.following,
 		SwitchingTo: n.draining,
 		History:     n.log.Latest(historyLength),
+		Truncations: n.log.Truncations(),
 	}
 }
 
--- a/standin/dbgroup/translog/translog.go
+++ b/standin/dbgroup/translog/translog.go
@@ -38,10 +38,11 @@
 // Log is a log and the data that its records produce. Positions start at 1 and
 // have no gaps.
 type Log struct {
-	records []Record
-	starts  []state.TermStart
-	values  map[string]string
-	entries []string
+	records     []Record
+	starts      []state.TermStart
+	values      map[string]string
+	entries     []string
+	truncations uint64
 }
 
 // New returns an empty log.
@@ -78,13 +79,17 @@
 	if position >= l.Position() {
 		return
 	}
-	kept := l.records[:position]
+	kept, truncations := l.records[:position], l.truncations+1
 	*l = *New()
+	l.truncations = truncations
 	for _, r := range kept {
 		l.Append(r)
 	}
 }
 
+// Truncations returns how often a tail was dropped.
+func (l *Log) Truncations() uint64 { return l.truncations }
+
 // Position returns the position of the last record; zero if there is none.
 func (l *Log) Position() uint64 { return uint64(len(l.records)) }
 
--- a/state/group.go
+++ b/state/group.go
@@ -31,6 +31,7 @@
 	Primary     string      // server that a replica follows
 	SwitchingTo string      // successor for which a primary refuses writes; empty if it accepts them
 	History     []TermStart // starts of the most recent terms in the log, ascending
+	Truncations uint64      // how often the server has dropped a tail of its log; never decreases
 }
 
 // Leads reports whether the server can accept writes under the given term.
@@ -99,6 +100,8 @@
 	SilentSince   time.Time // when the first query after the latest answer was sent; zero if none was
 	Missed        int       // status queries that failed since the latest answer
 	Down          bool      // the latest of them was refused by the host: no process listens
+	IntactFrom    uint64    // lowest term that the server was seen to lead since its latest known truncation; zero if none
+	Truncations   uint64    // as the server said while it led IntactFrom
 	DetachedSince time.Time // since when the server is seen not to follow the primary; zero if it follows
 	FollowAt      time.Time // when it may be told again to follow
 }
@@ -147,7 +150,7 @@
 
 	// The fields below are written by package replication.
 	FirstRound  uint64 // first round that started after the waiter joined
-	Target      uint64 // WaitDurable: the position to be held
+	Target      Point  // WaitDurable: the point to be held
 	TargetKnown bool
 }
 
@@ -319,10 +322,33 @@
 	if !asked.Before(v.FailedAt) {
 		v.FailedAt = time.Time{}
 	}
+	v.noteIntact()
 	g.observePrimary(&st, asked)
 	g.confirmSamples()
 }
 
+// noteIntact notes the server's number of truncations while it leads.
+func (v *ServerView) noteIntact() {
+	st := &v.Status
+	if !st.Leads(st.LogTerm) || v.IntactFrom != 0 && v.Truncations == st.Truncations {
+		return
+	}
+	v.IntactFrom, v.Truncations = st.LogTerm, st.Truncations
+}
+
+// LogEnd returns a point that lies behind every write that the server has
+// executed since it was first seen to lead the given term. It is known while the
+// server leads, and later as long as it has dropped nothing: whichever primary
+// it follows then, these writes are in its log up to its end.
+func (v *ServerView) LogEnd(term uint64) (p Point, known bool) {
+	st := &v.Status
+	intact := v.IntactFrom != 0 && v.IntactFrom <= term && v.Truncations == st.Truncations
+	if !intact && !st.Leads(term) {
+		return Point{}, false
+	}
+	return Point{Term: st.LogTerm, Position: st.Position}, true
+}
+
 func (g *GroupState) observePrimary(st *ServerStatus, asked time.Time) {
 	if !st.Leads(st.LogTerm) || st.LogTerm < g.Term {
 		return
