--- a/session_test.go
+++ b/session_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -342,6 +344,30 @@
 	})
 }
 
+// Guards against a planned stop that cuts an answer which the client has not
+// read yet. The answer is larger than what the network holds.
+func TestStopLeavesAnswersWhole(t *testing.T) {
+	inWorld(t, func(w *world) {
+		c := w.connect(0, "")
+		const entries = 30
+		for i := range entries {
+			w.exec(c, "APPEND log '"+strconv.Itoa(i)+strings.Repeat("x", 64<<10)+"'")
+		}
+		results := c.PgConn().Exec(background, "SELECT entry FROM log")
+		time.Sleep(100 * time.Millisecond)
+		stopped := make(chan error, 1)
+		go func() { stopped <- w.fleet.StopVM(background, 0) }()
+		time.Sleep(time.Second)
+		read, err := results.ReadAll()
+		if err != nil || len(read) != 1 || len(read[0].Rows) != entries {
+			t.Errorf("%d results, %v", len(read), err)
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // Guards against a refusal that the client does not see because its connection
 // is closed first.
 func TestRefusedLoginSaysWhy(t *testing.T) {
--- a/transport/pgserver/pgserver.go
+++ b/transport/pgserver/pgserver.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -104,14 +105,15 @@
 	Sessions Sessions
 	Logger   log.Interface
 
-	mu      sync.Mutex // guards conns; no other lock is taken under it
-	conns   map[net.Conn]struct{}
+	mu      sync.Mutex           // guards conns; no other lock is taken under it
+	conns   map[net.Conn]*Client // nil until the client has logged in
 	readers sync.WaitGroup
 }
 
-// Run accepts clients until ctx is done, then closes those that are left.
+// Run accepts clients until ctx is done. Then it closes the connections that are
+// left once they have been sent what was queued for them.
 func (s *Server) Run(ctx context.Context) error {
-	s.conns = make(map[net.Conn]struct{})
+	s.conns = make(map[net.Conn]*Client)
 	stop := context.AfterFunc(ctx, func() { s.Listener.Close() })
 	defer stop()
 	defer s.readers.Wait()
@@ -135,7 +137,14 @@
 func (s *Server) track(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conns[conn] = struct{}{}
+	s.conns[conn] = nil
+}
+
+// loggedIn notes the client of a connection.
+func (s *Server) loggedIn(conn net.Conn, c *Client) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[conn] = c
 }
 
 func (s *Server) untrack(conn net.Conn) {
@@ -145,12 +154,22 @@
 	delete(s.conns, conn)
 }
 
+// closeAll ends all connections. Answers may be queued still: a stop waits for
+// the sessions to end, but not for their clients to read.
 func (s *Server) closeAll() {
+	for conn, client := range s.open() {
+		if client == nil {
+			conn.Close()
+			continue
+		}
+		flush(conn, client)
+	}
+}
+
+func (s *Server) open() map[net.Conn]*Client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for conn := range s.conns {
-		conn.Close()
-	}
+	return maps.Clone(s.conns)
 }
 
 func (s *Server) serve(raw net.Conn) {
@@ -176,6 +195,7 @@
 		return
 	}
 	client := &Client{out: outbox.New(conn, outputHigh)}
+	s.loggedIn(raw, client)
 	defer finish(raw, client)
 	sess, refused := s.Sessions.Login(client, login)
 	if refused != nil {
@@ -200,11 +220,19 @@
 // finish closes the connection once the client has got what was queued for it,
 // such as the reason for the end of its session.
 func finish(conn net.Conn, c *Client) {
+	if flush(conn, c) {
+		c.out.WaitClosed()
+	}
+}
+
+// flush lets the connection close once what is queued is written. It reports
+// false if the connection is closed already.
+func flush(conn net.Conn, c *Client) bool {
 	if err := conn.SetWriteDeadline(time.Now().Add(flushTimeout)); err != nil {
-		return // it is closed
+		return false
 	}
 	c.out.Finish()
-	c.out.WaitClosed()
+	return true
 }
 
 // startup takes the first messages of a client: requests for encryption, a
