--- a/coordination/membership/schedule.go
+++ b/coordination/membership/schedule.go
@@ -17,7 +17,7 @@
 
 // fullEvery is the number of rounds in which a voter gets one full message. In a
 // data centre of 49 VMs, a VM that is a voter for many others sends and receives
-// 26 KB a second if every message is full and 18 KB with one in four, which
+// 25 KB a second if every message is full and 18 KB with one in four, which
 // keeps the ages that VMs have of each other below 1.6 s.
 const fullEvery = 4
 
@@ -57,8 +57,10 @@
 	// centre is then asked in every round, because customers are refused until
 	// all of them have said the same.
 	Missed bool
-	Random func(n int) int // uniform in [0, n)
-	Now    time.Time
+	// Joining says that this VM has not heard of every listed VM yet.
+	Joining bool
+	Random  func(n int) int // uniform in [0, n)
+	Now     time.Time
 }
 
 // Schedule remembers which data centre is next. The zero value is ready to use.
@@ -74,7 +76,7 @@
 	partners := voters(r, known)
 	s.rounds++
 	for i := range partners {
-		partners[i].Brief = r.Config != nil && (s.rounds+i)%fullEvery != 0
+		partners[i].Brief = r.Config != nil && !r.Joining && (s.rounds+i)%fullEvery != 0
 	}
 	partners = append(partners, neighbours(r, known, partners)...)
 	if r.Now.Before(s.nextRemote) && !r.Missed && r.Config != nil {
@@ -109,13 +111,10 @@
 }
 
 func neighbours(r Round, known map[string]Partner, chosen []Partner) []Partner {
-	var others []Partner
-	for _, p := range sorted(known) {
+	others := filter(known, func(p Partner) bool {
 		near := p.DataCentre == r.Self.DataCentre || p.DataCentre == "" && r.Config == nil
-		if near && !contains(chosen, p.Name) {
-			others = append(others, p)
-		}
-	}
+		return near && !contains(chosen, p.Name)
+	})
 	count := 1
 	if r.Config == nil {
 		count = firstContacts
@@ -126,23 +125,23 @@
 // remote returns a VM of the next data centre in rotation that has one,
 // preferably one that is alive.
 func (s *Schedule) remote(r Round, known map[string]Partner) (Partner, bool) {
-	byDataCentre := make(map[string][]Partner)
-	for _, p := range sorted(known) {
+	dataCentres := make(map[string]bool)
+	for _, p := range known {
 		if p.DataCentre != r.Self.DataCentre {
-			byDataCentre[p.DataCentre] = append(byDataCentre[p.DataCentre], p)
+			dataCentres[p.DataCentre] = true
 		}
 	}
-	names := slices.Sorted(maps.Keys(byDataCentre))
-	if len(names) == 0 {
+	if len(dataCentres) == 0 {
 		return Partner{}, false
 	}
+	names := slices.Sorted(maps.Keys(dataCentres))
 	// The VMs of a data centre start the rotation at different places, so that
 	// together they reach all others sooner.
 	start := score(r.Self.DataCentre, r.Self.Name) % uint64(len(names))
-	name := names[(start+uint64(s.turn))%uint64(len(names))]
+	next := names[(start+uint64(s.turn))%uint64(len(names))]
 	s.turn++
-	choice := alive(byDataCentre[name], r)
-	return pick(choice, 1, Remote, r.Random)[0], true
+	there := filter(known, func(p Partner) bool { return p.DataCentre == next })
+	return pick(alive(there, r), 1, Remote, r.Random)[0], true
 }
 
 // alive returns the partners that are alive, or all of them if none is.
@@ -204,8 +203,16 @@
 	}
 }
 
-func sorted(known map[string]Partner) []Partner {
-	return slices.SortedFunc(maps.Values(known), func(a, b Partner) int { return cmp.Compare(a.Name, b.Name) })
+// filter returns the partners for which keep is true, sorted by name.
+func filter(known map[string]Partner, keep func(Partner) bool) []Partner {
+	var kept []Partner
+	for _, p := range known {
+		if keep(p) {
+			kept = append(kept, p)
+		}
+	}
+	slices.SortFunc(kept, func(a, b Partner) int { return cmp.Compare(a.Name, b.Name) })
+	return kept
 }
 
 func contains(partners []Partner, name string) bool {
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -20,8 +20,9 @@
 
 // Sender says who sent a message. The data centre and the address are left out
 // if the sender's configuration lists them, and the state if it is in service.
+// An answer leaves out the name, which its authentication proves.
 type Sender struct {
-	Name        string             `json:"name"`
+	Name        string             `json:"name,omitempty"`
 	Incarnation uint64             `json:"inc"`
 	Sequence    uint64             `json:"seq"` // grows with each message of the incarnation
 	DataCentre  string             `json:"data_centre,omitempty"`
--- a/transport/exchange/config.go
+++ b/transport/exchange/config.go
@@ -18,6 +18,14 @@
 // largest value is 1 MiB; the rest is room for another encoding.
 const maxSnapshot = 8 << 20
 
+// askInterval is the least time between two requests for a snapshot of which
+// the first brought none, because the other VM was still encoding it or this
+// one cannot decode it.
+const askInterval = 500 * time.Millisecond
+
+// askTimeout is the time after which another VM is asked as well.
+const askTimeout = time.Second
+
 // ConfigOptions are the options of the distribution of the configuration.
 type ConfigOptions struct {
 	// Encode and Decode translate snapshots.
@@ -38,6 +46,8 @@
 	snapshot  snapshot // of the configuration in force, if its ticket is the same
 	packing   bool     // a task is making the snapshot
 	wanted    string   // VM that is being asked for its snapshot; empty if none
+	wantedAt  time.Time
+	askAfter  time.Time
 	relay     bool
 	stopWatch func()         // stops the watch; nil while this VM is no relay
 	version   uint64         // of the store's object that was read last
@@ -51,7 +61,7 @@
 // snapshot is an encoded and compressed configuration.
 type snapshot struct {
 	ticket state.TicketID
-	data   []byte
+	data   []byte // nil if it cannot be encoded
 }
 
 // contact says how this VM stands to the store, for the log.
@@ -88,9 +98,7 @@
 
 // HandleAnswer implements Part.
 func (p *configPart) HandleAnswer(from peerapi.Sender, sentAt time.Time, m *peerapi.Exchange, a *peerapi.ExchangeAnswer) {
-	if m.Want {
-		p.wanted = ""
-	}
+	p.asked(from.Name, m)
 	current := p.compare(from.Name, a.Config)
 	age := time.Duration(a.Config.ConfirmedAge)
 	same := current.Number > 0 && a.Config.Number == current.Number && samePrefix(current.Digest, a.Config.Digest)
@@ -105,10 +113,12 @@
 	})
 }
 
-// sendFailed notes that a message was not answered.
-func (p *configPart) sendFailed(to string, m *peerapi.Exchange) {
-	if m.Want && p.wanted == to {
+// asked notes that a message was answered, or was not. If it asked for a
+// snapshot, the next request may go out after a pause.
+func (p *configPart) asked(name string, m *peerapi.Exchange) {
+	if m.Want && p.wanted == name {
 		p.wanted = ""
+		p.askAfter = p.e.now().Add(askInterval)
 	}
 }
 
@@ -134,22 +144,33 @@
 	return d
 }
 
-// compare asks a VM that has a higher ticket for its configuration. Only one VM
-// is asked at a time. It returns the current ticket.
+// compare asks a VM that has a higher ticket for its configuration, or notes a
+// conflict. It returns the current ticket.
 func (p *configPart) compare(name string, d peerapi.ConfigDigest) state.TicketID {
 	current := ticketOf(p.e.tables.Config.Current())
 	switch {
-	case d.Number > current.Number && p.wanted == "":
-		p.wanted = name
-		if !p.e.sendTo(name) {
-			p.wanted = ""
-		}
+	case d.Number > current.Number:
+		p.ask(name)
 	case d.Number == current.Number && d.Digest != "" && !samePrefix(d.Digest, current.Digest):
 		p.reportConflict(state.TicketID{Number: d.Number, Digest: d.Digest}, current, name)
 	}
 	return current
 }
 
+// ask asks a VM for its snapshot. One VM is asked at a time, unless it takes
+// long.
+func (p *configPart) ask(name string) {
+	now := p.e.now()
+	waiting := p.wanted != "" && now.Sub(p.wantedAt) < askTimeout
+	if waiting || now.Before(p.askAfter) {
+		return
+	}
+	p.wanted, p.wantedAt = name, now
+	if !p.e.sendTo(name) {
+		p.wanted = ""
+	}
+}
+
 // reportConflict notes a ticket that should not exist beside the current one:
 // another one with the same number, or an older one in the store.
 func (p *configPart) reportConflict(other, current state.TicketID, source string) {
@@ -192,18 +213,20 @@
 
 func (p *configPart) packed(s snapshot, err error) {
 	p.packing = false
-	if err != nil {
+	c := p.e.tables.Config.Current()
+	switch {
+	case s.ticket != ticketOf(c):
+		p.pack(c) // another one was put in force meanwhile
+	case err != nil:
 		p.e.logger.WithError(err).Error("peer: configuration cannot be encoded")
-		return
+		p.snapshot = snapshot{ticket: s.ticket}
+	default:
+		p.publish(s)
 	}
-	p.publish(s)
 }
 
 // publish keeps a snapshot for VMs that ask for it, and sends it as a relay.
 func (p *configPart) publish(s snapshot) {
-	if s.ticket != ticketOf(p.e.tables.Config.Current()) {
-		return
-	}
 	p.snapshot = s
 	if p.relay {
 		p.push()
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -81,8 +81,10 @@
 	parts   []Part
 	config  *configPart
 
-	running      context.Context // set by Run before the first event
-	roundPending atomic.Bool     // a round event is queued
+	running      context.Context // done when Run ends
+	stop         func()          // ends running
+	started      time.Time
+	roundPending atomic.Bool // a round event is queued
 
 	// The fields below belong to the events of the queue.
 	sequence    uint64
@@ -91,7 +93,8 @@
 	schedule    membership.Schedule
 	answers     membership.Selector // entries of answers
 	unlisted    membership.Selector // entries of requests
-	remoteTurn  int
+	topics      membership.Topics
+	joining     bool            // this VM has not heard of every listed VM yet
 	inFlight    map[string]bool // partners that an exchange is running with
 	again       map[string]bool // partners to address again after that
 	replacedLog bool            // the replacement of this process was logged
@@ -114,15 +117,18 @@
 		tables:   o.Tables,
 		self:     o.Self,
 		now:      o.Now,
+		started:  o.Now(),
 		logger:   o.Logger,
 		metrics:  newMetrics(o.Scope),
 		queue:    o.Pool.NewQueue(queueLimit),
 		tasks:    newTasks(taskLimit),
 		state:    state.InService,
+		joining:  true,
 		seeds:    o.Seeds,
 		inFlight: make(map[string]bool),
 		again:    make(map[string]bool),
 	}
+	e.running, e.stop = context.WithCancel(context.Background())
 	e.client = peer.NewClient(e.peerOptions())
 	e.config = newConfigPart(e, o.Config)
 	e.parts = append([]Part{e.config}, o.Parts...)
@@ -167,23 +173,27 @@
 
 // Run exchanges messages until ctx is done. Call it once, while the pool runs.
 func (e *Exchange) Run(ctx context.Context) error {
+	defer e.close()
 	server, err := peer.NewServer(e.peerOptions(), e.options.Listen)
 	if err != nil {
 		return err
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	e.running = ctx
+	defer context.AfterFunc(ctx, e.stop)()
 	g.Go(server.Serve)
 	g.Go(func() error {
 		e.rounds(ctx)
 		server.Close()
 		return nil
 	})
-	err = g.Wait()
+	return g.Wait()
+}
+
+func (e *Exchange) close() {
+	e.stop()
 	e.tasks.close()
 	e.queue.Close()
 	e.client.Close()
-	return err
 }
 
 // rounds queues a round at every interval. While one is still queued, for
--- a/transport/exchange/exchange_test.go
+++ b/transport/exchange/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -173,6 +174,55 @@
 	})
 }
 
+// Guards against a VM that asks for a snapshot as fast as the network carries
+// messages, because the VM that it asks has none.
+func TestMissingSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 40 // messages a second; 16 are regular
+		f := newFleet(t, 3, "a")
+		f.broken = true
+		f.startAll()
+		time.Sleep(5 * time.Second)
+		f.change(nil)
+		before := make(map[string]int64)
+		for name, v := range f.vms {
+			before[name] = usageOf(v).messages
+		}
+		time.Sleep(10 * time.Second)
+		for name, v := range f.vms {
+			if got := (usageOf(v).messages - before[name]) / 10; got > limit {
+				t.Errorf("%s: %d messages a second", name, got)
+			}
+		}
+	})
+}
+
+// Guards against a VM that goes on as a relay while it leaves, and against a
+// client's cancel request that does not reach the VM of its session.
+func TestLeavingAndCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, "a")
+		f.startAll()
+		time.Sleep(3 * time.Second)
+		leaving := f.store.watchers()[0]
+		f.vms[leaving].exchange.SetState(state.Leaving)
+		f.within(2*time.Second, "known to be leaving", func(v *vm) bool {
+			m, _ := v.tables.Members.Get(leaving)
+			return m.State == state.Leaving
+		})
+		time.Sleep(time.Second)
+		if now := f.store.watchers(); slices.Contains(now, leaving) || len(now) != membership.RelayCount {
+			t.Errorf("watched by %v although %s leaves", now, leaving)
+		}
+		if err := f.vms["a-vm-00"].exchange.SendCancel(t.Context(), "a-vm-01", 7, 9); err != nil {
+			t.Error(err)
+		}
+		if got := <-f.vms["a-vm-01"].canceled; got != 7 {
+			t.Errorf("canceled session %d", got)
+		}
+	})
+}
+
 // Guards against messages that arrive late or twice and undo newer ones, and
 // against configurations that are older, damaged, or not the announced one.
 func TestLateAndWrongMessages(t *testing.T) {
--- a/transport/exchange/fleet_test.go
+++ b/transport/exchange/fleet_test.go
@@ -273,6 +273,7 @@
 	exchange *Exchange
 	scope    tally.TestScope
 	stop     func()
+	canceled chan uint64 // sessions of received cancel requests
 }
 
 func (v *vm) ticket() uint64 { return ticketOf(v.tables.Config.Current()).Number }
@@ -315,6 +316,7 @@
 	store  *store
 	vms    map[string]*vm
 	config *state.Config // newest
+	broken bool          // no VM can encode configurations
 }
 
 // incarnation has as many digits as a time in nanoseconds.
@@ -395,7 +397,7 @@
 func (f *fleet) start(name string, inc uint64) *vm {
 	f.t.Helper()
 	self := state.Self{Name: name, DataCentre: dataCentre(name), Incarnation: inc}
-	v := &vm{name: name, tables: state.NewTables(self), scope: tally.NewTestScope("", nil)}
+	v := &vm{name: name, tables: state.NewTables(self), scope: tally.NewTestScope("", nil), canceled: make(chan uint64, 1)}
 	var seeds []membership.Partner
 	for _, n := range f.names() {
 		seeds = append(seeds, membership.Partner{Name: n, DataCentre: dataCentre(n), Address: n + ":1"})
@@ -405,9 +407,15 @@
 		Pool: workers, Tables: v.tables, Self: self, Address: name + ":1",
 		Network: port{f.fabric, name}, Secret: []byte("secret"), Seeds: seeds,
 		Voters: func() []string { return voters },
+		Cancel: func(session uint64, _ uint32) { v.canceled <- session },
 		Parts:  []Part{&leaser{voters: voters}}, Scope: v.scope,
 		Config: ConfigOptions{
-			Encode: func(c *state.Config) ([]byte, error) { return json.Marshal(c) },
+			Encode: func(c *state.Config) ([]byte, error) {
+				if f.broken {
+					return nil, errors.New("cannot encode")
+				}
+				return json.Marshal(c)
+			},
 			Decode: func(data []byte) (*state.Config, error) {
 				c := new(state.Config)
 				return c, json.Unmarshal(data, c)
--- a/transport/exchange/message.go
+++ b/transport/exchange/message.go
@@ -54,7 +54,7 @@
 	m := &peerapi.Exchange{}
 	e.tables.Members.With(func(ms *state.Members) {
 		m.Sender = peerapi.SenderOf(e.refreshSelf(ms, c, applied, now).Shorten(c))
-		for _, dc := range e.digested(p, c) {
+		for _, dc := range e.topics.Request(c, ms, e.self, p, e.joining) {
 			m.Heard = append(m.Heard, peerapi.Heard(membership.DigestOf(ms, c, dc, now)))
 		}
 		if p.Brief {
@@ -74,38 +74,6 @@
 	return m
 }
 
-// digested returns the data centres whose digests go to a partner. A random
-// neighbour also gets one of another data centre, in turn.
-func (e *Exchange) digested(p membership.Partner, c *state.Config) []string {
-	if p.Brief || c == nil || c.DataCentres[e.self.DataCentre] == nil {
-		return nil
-	}
-	own := []string{e.self.DataCentre}
-	switch p.Kind {
-	case membership.Voter:
-		return own
-	case membership.Neighbour:
-		if dc := e.nextRemote(c); dc != "" {
-			return append(own, dc)
-		}
-	case membership.Remote:
-		if c.DataCentres[p.DataCentre] != nil {
-			return append(own, p.DataCentre)
-		}
-	}
-	return own
-}
-
-// nextRemote returns the other data centres in turn.
-func (e *Exchange) nextRemote(c *state.Config) string {
-	names := membership.OtherDataCentres(c, e.self.DataCentre)
-	if len(names) == 0 {
-		return ""
-	}
-	e.remoteTurn++
-	return names[e.remoteTurn%len(names)]
-}
-
 // receive is the event of a message from another VM. It returns the answer.
 func (e *Exchange) receive(m *peerapi.Exchange) *peerapi.ExchangeAnswer {
 	now, c, applied := e.now(), e.tables.Config.Current(), e.options.Applied()
@@ -117,7 +85,8 @@
 	e.tables.Members.With(func(ms *state.Members) {
 		different := e.merge(ms, c, m.Sender, m.Config, m.Members, m.Heard, now)
 		a.Sender = peerapi.SenderOf(e.refreshSelf(ms, c, applied, now).Shorten(listing))
-		for _, dc := range e.answered(m, c) {
+		a.Sender.Name = ""
+		for _, dc := range membership.AnswerTopics(c, e.self, heardOf(m)) {
 			a.Heard = append(a.Heard, peerapi.Heard(membership.DigestOf(ms, c, dc, now)))
 		}
 		if m.Config.Number == 0 || len(different) > 0 {
@@ -144,26 +113,6 @@
 	}))
 }
 
-// answered returns the data centres whose digests answer a message: those that
-// it holds, and this VM's own if it comes from another one.
-func (e *Exchange) answered(m *peerapi.Exchange, c *state.Config) []string {
-	if c == nil {
-		return nil
-	}
-	var names []string
-	own := false
-	for _, h := range m.Heard {
-		own = own || h.DataCentre == e.self.DataCentre
-		if c.DataCentres[h.DataCentre] != nil {
-			names = append(names, h.DataCentre)
-		}
-	}
-	if len(names) > 0 && !own && c.DataCentres[e.self.DataCentre] != nil {
-		names = append(names, e.self.DataCentre)
-	}
-	return names
-}
-
 // mergeAnswer records what an answer says of VMs. Ages are counted back from the
 // sending of the question.
 func (e *Exchange) mergeAnswer(sentAt time.Time, a *peerapi.ExchangeAnswer) {
@@ -195,6 +144,15 @@
 	return different
 }
 
+// heardOf returns the data centres whose digests a message holds.
+func heardOf(m *peerapi.Exchange) []string {
+	var names []string
+	for _, h := range m.Heard {
+		names = append(names, h.DataCentre)
+	}
+	return names
+}
+
 func members(entries []membership.Entry) []peerapi.Member {
 	var list []peerapi.Member
 	for _, entry := range entries {
--- a/transport/exchange/part.go
+++ b/transport/exchange/part.go
@@ -10,8 +10,8 @@
 // events of the exchange's queue, one at a time and with no lock held, and must
 // not block.
 type Part interface {
-	// Fill adds sections to a message that is about to be sent to a VM. The
-	// message may be lost.
+	// Fill adds sections to a message that is about to be sent to a VM: 10
+	// messages a second, most of them to voters. The message may be lost.
 	Fill(to string, m *peerapi.Exchange)
 	// Handle reads a received message and adds sections to the answer.
 	Handle(from peerapi.Sender, m *peerapi.Exchange, a *peerapi.ExchangeAnswer)
--- a/transport/exchange/relay.go
+++ b/transport/exchange/relay.go
@@ -84,14 +84,19 @@
 	case old:
 		state = cutOff
 	}
-	if state != p.contact {
-		p.contact = state
-		p.e.logger.Warnf("peer: %s", state)
+	if state == p.contact {
+		return
+	}
+	p.contact = state
+	if state == inContact {
+		p.e.logger.Infof("peer: %s", state)
+		return
 	}
+	p.e.logger.Warnf("peer: %s", state)
 }
 
-// push sends the snapshot to the VMs of this data centre, and announces it to a
-// relay of every other one in case the store is reached from here only.
+// push sends the snapshot to the VMs of this data centre, and announces it to the
+// relays of every other one in case the store is reached from here only.
 func (p *configPart) push() {
 	e, now := p.e, p.e.now()
 	number := p.snapshot.ticket.Number
@@ -100,9 +105,10 @@
 	e.tables.Members.With(func(ms *state.Members) {
 		names = membership.PushTargets(ms, e.self, number, now)
 		for _, dc := range membership.OtherDataCentres(c, e.self.DataCentre) {
-			relays := membership.Relays(ms, e.self, dc, now)
-			if len(relays) > 0 && ms.ByName[relays[0]].AppliedTicket < number {
-				remote = append(remote, relays[0])
+			for _, relay := range membership.Relays(ms, e.self, dc, now) {
+				if ms.ByName[relay].AppliedTicket < number {
+					remote = append(remote, relay)
+				}
 			}
 		}
 	})
--- a/transport/exchange/round.go
+++ b/transport/exchange/round.go
@@ -26,6 +26,9 @@
 		e.refreshSelf(ms, c, applied, now)
 		changes = membership.Sweep(ms, c, e.self, now)
 		relays = membership.Relays(ms, e.self, e.self.DataCentre, now)
+		if e.joining && (membership.Complete(c, ms) || now.Sub(e.started) > membership.JoinPhase) {
+			e.joining = false
+		}
 		partners = e.schedule.Partners(membership.Round{
 			Self:    e.self,
 			Config:  c,
@@ -33,6 +36,7 @@
 			Voters:  voters,
 			Seeds:   e.seeds,
 			Missed:  membership.Missed(c, ms, e.self, fresh, now),
+			Joining: e.joining,
 			Random:  rand.IntN,
 			Now:     now,
 		})
@@ -95,7 +99,7 @@
 	}
 	started := e.tasks.start(func() { e.exchange(p, m, timeout) })
 	if !started {
-		e.config.sendFailed(p.Name, m)
+		e.config.asked(p.Name, m)
 		e.metrics.overload.Inc(1)
 		return
 	}
@@ -121,7 +125,7 @@
 	if err != nil {
 		e.metrics.failed.Inc(1)
 		e.logger.WithError(err).WithField("vm", p.Name).Debug("peer: exchange failed")
-		e.config.sendFailed(p.Name, m)
+		e.config.asked(p.Name, m)
 	} else {
 		e.metrics.done.Inc(1)
 		e.mergeAnswer(sentAt, a)
--- a/transport/exchange/traffic_test.go
+++ b/transport/exchange/traffic_test.go
@@ -108,7 +108,7 @@
 	slices.Sort(parts)
 	t.Logf("%d VMs: %d messages/s, %d bytes/s a VM sent and received (most %d, budget %d): HTTP %d, %s",
 		len(f.vms), perVM(messages), perVM(total), most/seconds, budget, perVM(total-bodies), strings.Join(parts, ", "))
-	t.Logf("%d VMs: age p50 %v p99.9 %v max %v; CPU %.2f %% of a core a VM",
+	t.Logf("%d VMs: age p50 %v p99.9 %v max %v; CPU %.2f %% of a core a VM, lock checks and test network included",
 		len(f.vms), ages[len(ages)/2], ages[len(ages)*999/1000], ages[len(ages)-1],
 		100*used.Seconds()/float64(seconds)/float64(len(f.vms)))
 	if most/seconds > budget {
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -28,6 +28,10 @@
 	maxErrorText = 256
 )
 
+// shortHost stands in the header that HTTP requires. The receiver is named in
+// what is authenticated.
+const shortHost = "vm"
+
 // Target is a VM to send to. The name is part of what is authenticated, so that
 // a message does not reach another VM that has taken over the address.
 type Target struct {
@@ -76,9 +80,7 @@
 	if err := c.call(ctx, to, peerapi.PathExchange, maxSnapshotBody, m, a); err != nil {
 		return nil, err
 	}
-	if a.Sender.Name != to.Name {
-		return nil, eris.Errorf("answer to an exchange with %s names %s as its sender", to.Name, a.Sender.Name)
-	}
+	a.Sender.Name = to.Name // proven by the code of the answer
 	return a, nil
 }
 
@@ -139,6 +141,7 @@
 	}
 	request.Header.Set(macHeader, stamp)
 	request.Header.Set("User-Agent", "") // leaves the header out
+	request.Host = shortHost
 	if trace.SpanContextFromContext(ctx).IsSampled() {
 		propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(request.Header))
 	}
--- a/transport/peer/refusal.go
+++ b/transport/peer/refusal.go
@@ -17,9 +17,12 @@
 	refusedReplay     refusal = "replay"     // received before
 	refusedAnswer     refusal = "answer"     // an answer with a wrong code
 	refusedConnection refusal = "connection" // too many connections
+	refusedPush       refusal = "push"       // too many configurations at once
 )
 
-var refusals = []refusal{refusedBody, refusedCode, refusedTimestamp, refusedReplay, refusedAnswer, refusedConnection}
+var refusals = []refusal{
+	refusedBody, refusedCode, refusedTimestamp, refusedReplay, refusedAnswer, refusedConnection, refusedPush,
+}
 
 // warningInterval bounds the log lines that strangers can cause.
 const warningInterval = 10 * time.Second
@@ -31,8 +34,11 @@
 		s.options.Logger.WithField("from", r.RemoteAddr).WithField("reason", string(reason)).Warn("peer: message refused")
 	}
 	status := http.StatusUnauthorized
-	if reason == refusedBody {
+	switch reason {
+	case refusedBody:
 		status = http.StatusBadRequest
+	case refusedPush:
+		status = http.StatusServiceUnavailable
 	}
 	http.Error(w, string(reason), status)
 }
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -25,8 +25,11 @@
 
 // Limits of bodies in bytes and of times on the server's side.
 const (
-	maxPlainBody    = 256 << 10
+	maxPlainBody    = 128 << 10
 	maxSnapshotBody = 2 << 20 // the store's largest value of 1 MiB, were it not compressible, in base64
+	// maxPushes bounds the memory that unauthenticated pushes can take. A relay
+	// sends one at a time, and a VM has two.
+	maxPushes = 4
 
 	readTimeout   = 10 * time.Second
 	handleTimeout = 5 * time.Second
@@ -81,6 +84,7 @@
 	signer   signer
 	meter    *meter
 	replay   *replayGuard
+	pushes   chan struct{} // holds an element for each push that is being received
 	warnings throttle
 	started  time.Time
 	listener net.Listener
@@ -102,6 +106,7 @@
 		signer:  signer{secret: o.Secret},
 		meter:   newMeter(o.Scope),
 		replay:  newReplayGuard(),
+		pushes:  make(chan struct{}, maxPushes),
 		started: o.Now(),
 	}
 	s.listener = &boundedListener{Listener: l, meter: s.meter}
@@ -122,9 +127,9 @@
 	mux.HandleFunc("POST "+peerapi.PathExchange, handle(s, peerapi.PathExchange, maxPlainBody,
 		func(m *peerapi.Exchange) peerapi.Sender { return m.Sender },
 		func(ctx context.Context, m *peerapi.Exchange) (any, error) { return h.Exchange(ctx, m) }))
-	mux.HandleFunc("POST "+peerapi.PathConfig, handle(s, peerapi.PathConfig, maxSnapshotBody,
+	mux.HandleFunc("POST "+peerapi.PathConfig, s.bounded(handle(s, peerapi.PathConfig, maxSnapshotBody,
 		func(m *peerapi.ConfigPush) peerapi.Sender { return m.Sender },
-		func(ctx context.Context, m *peerapi.ConfigPush) (any, error) { return struct{}{}, h.Config(ctx, m) }))
+		func(ctx context.Context, m *peerapi.ConfigPush) (any, error) { return struct{}{}, h.Config(ctx, m) })))
 	mux.HandleFunc("POST "+peerapi.PathCancel, handle(s, peerapi.PathCancel, maxPlainBody,
 		func(m *peerapi.Cancel) peerapi.Sender { return m.Sender },
 		func(ctx context.Context, m *peerapi.Cancel) (any, error) { return struct{}{}, h.Cancel(ctx, m) }))
@@ -151,6 +156,20 @@
 	_ = s.listener.Close() // not known to the HTTP server if Serve was never called
 }
 
+// bounded refuses a push while too many others are being received. The exchange
+// delivers the configuration then.
+func (s *Server) bounded(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case s.pushes <- struct{}{}:
+			defer func() { <-s.pushes }()
+			next(w, r)
+		default:
+			s.refuse(w, r, refusedPush)
+		}
+	}
+}
+
 // handle returns the HTTP handler of one kind of message.
 func handle[M any](s *Server, path string, limit int64, sender func(*M) peerapi.Sender, f func(context.Context, *M) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
