--- a/state/config.go
+++ b/state/config.go
@@ -4,6 +4,7 @@
 package state
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
@@ -112,9 +113,10 @@
 
 // VM is one process of the system, as described by operators.
 type VM struct {
-	Name    string
-	Address string // peer interface, host:port
-	State   ServiceState
+	Name         string
+	Address      string // peer interface, host:port
+	AdminAddress string // admin interface, host:port; empty if operators reach it in no such way
+	State        ServiceState
 }
 
 // DataCentre is a failure domain with its own VMs and backend servers.
@@ -154,6 +156,36 @@
 	return nil, nil
 }
 
+// VMIndex returns the position of the named VM among all VMs in order of name.
+func (c *Config) VMIndex(name string) (index int, listed bool) {
+	for _, dc := range c.DataCentres {
+		for i := range dc.VMs {
+			switch {
+			case dc.VMs[i].Name == name:
+				listed = true
+			case dc.VMs[i].Name < name:
+				index++
+			}
+		}
+	}
+	return index, listed
+}
+
+// VMAt returns the name of the VM with the given index; see VMIndex.
+func (c *Config) VMAt(index int) (name string, listed bool) {
+	var names []string
+	for _, dc := range c.DataCentres {
+		for i := range dc.VMs {
+			names = append(names, dc.VMs[i].Name)
+		}
+	}
+	if index < 0 || index >= len(names) {
+		return "", false
+	}
+	slices.Sort(names)
+	return names[index], true
+}
+
 // ServerState returns the state of a backend server with its data centre taken
 // into account: a server is in service only if its data centre is.
 func (c *Config) ServerState(s *BackendServer) ServiceState {
--- a/state/tables.go
+++ b/state/tables.go
@@ -4,6 +4,9 @@
 type Tables struct {
 	Self     Self
 	Config   *ConfigTable
+	Lease    *LeaseTable
+	Shares   *ShareTable
+	Members  *MemberTable
 	Sessions *SessionTable
 	Groups   *GroupTable
 	Backends *BackendTable
@@ -21,6 +24,9 @@
 	return &Tables{
 		Self:     self,
 		Config:   NewConfigTable(),
+		Lease:    NewLeaseTable(),
+		Shares:   NewShareTable(),
+		Members:  NewMemberTable(),
 		Sessions: NewSessionTable(),
 		Groups:   NewGroupTable(),
 		Backends: NewBackendTable(),
