--- a/coordination/failover/model_vms_test.go
+++ b/coordination/failover/model_vms_test.go
@@ -157,7 +157,8 @@
 	v.call(a.Server, 200*time.Millisecond, func(_ *simServer, reply func(failover.Result)) { reply(failover.Done) },
 		func(o failover.Outcome) {
 			if o.Result == failover.Failed {
-				v.event(replication.Failure(v.g, v.grp(), a, false, v.now), nil)
+				// A server that is down refuses the connection.
+				v.event(replication.Failure(v.g, v.grp(), a, !v.servers[a.Server].up, v.now), nil)
 				return
 			}
 			v.event(replication.Answer(v.g, v.grp(), a, o.Status, v.now), nil)
