--- a/transport/pgserver/pgserver.go
+++ b/transport/pgserver/pgserver.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -104,14 +105,15 @@
 	Sessions Sessions
 	Logger   log.Interface
 
-	mu      sync.Mutex // guards conns; no other lock is taken under it
-	conns   map[net.Conn]struct{}
+	mu      sync.Mutex           // guards conns; no other lock is taken under it
+	conns   map[net.Conn]*Client // nil until the client has logged in
 	readers sync.WaitGroup
 }
 
-// Run accepts clients until ctx is done, then closes those that are left.
+// Run accepts clients until ctx is done. Then it closes the connections that are
+// left once they have been sent what was queued for them.
 func (s *Server) Run(ctx context.Context) error {
-	s.conns = make(map[net.Conn]struct{})
+	s.conns = make(map[net.Conn]*Client)
 	stop := context.AfterFunc(ctx, func() { s.Listener.Close() })
 	defer stop()
 	defer s.readers.Wait()
@@ -135,7 +137,14 @@
 func (s *Server) track(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conns[conn] = struct{}{}
+	s.conns[conn] = nil
+}
+
+// loggedIn notes the client of a connection.
+func (s *Server) loggedIn(conn net.Conn, c *Client) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[conn] = c
 }
 
 func (s *Server) untrack(conn net.Conn) {
@@ -145,19 +154,29 @@
 	delete(s.conns, conn)
 }
 
+// closeAll ends all connections. Answers may be queued still: a stop waits for
+// the sessions to end, but not for their clients to read.
 func (s *Server) closeAll() {
+	for conn, client := range s.open() {
+		if client == nil {
+			conn.Close()
+			continue
+		}
+		flush(conn, client)
+	}
+}
+
+func (s *Server) open() map[net.Conn]*Client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for conn := range s.conns {
-		conn.Close()
-	}
+	return maps.Clone(s.conns)
 }
 
 func (s *Server) serve(raw net.Conn) {
 	if err := raw.SetDeadline(time.Now().Add(loginTimeout)); err != nil {
 		return
 	}
-	conn, startup, err := s.startup(raw)
+	conn, backend, startup, err := s.startup(raw)
 	if err != nil {
 		s.Logger.WithError(err).Debug("session: client did not start.")
 		return
@@ -165,8 +184,6 @@
 	if startup == nil {
 		return // a cancel request
 	}
-	backend := pgproto3.NewBackend(conn, conn)
-	backend.SetMaxBodyLen(pgwire.MaxBatchBytes)
 	login, err := readLogin(backend, startup)
 	if err != nil {
 		s.Logger.WithError(err).Debug("session: client did not log in.")
@@ -176,6 +193,7 @@
 		return
 	}
 	client := &Client{out: outbox.New(conn, outputHigh)}
+	s.loggedIn(raw, client)
 	defer finish(raw, client)
 	sess, refused := s.Sessions.Login(client, login)
 	if refused != nil {
@@ -200,43 +218,62 @@
 // finish closes the connection once the client has got what was queued for it,
 // such as the reason for the end of its session.
 func finish(conn net.Conn, c *Client) {
+	if flush(conn, c) {
+		c.out.WaitClosed()
+	}
+}
+
+// flush lets the connection close once what is queued is written. It reports
+// false if the connection is closed already.
+func flush(conn net.Conn, c *Client) bool {
 	if err := conn.SetWriteDeadline(time.Now().Add(flushTimeout)); err != nil {
-		return // it is closed
+		return false
 	}
 	c.out.Finish()
-	c.out.WaitClosed()
+	return true
 }
 
 // startup takes the first messages of a client: requests for encryption, a
-// cancel request, or the start-up message.
-func (s *Server) startup(conn net.Conn) (net.Conn, *pgproto3.StartupMessage, error) {
+// cancel request, or the start-up message. What the client sent behind the
+// start-up message stays with the returned backend.
+func (s *Server) startup(conn net.Conn) (net.Conn, *pgproto3.Backend, *pgproto3.StartupMessage, error) {
+	backend := newBackend(conn)
 	for {
-		msg, err := pgproto3.NewBackend(conn, conn).ReceiveStartupMessage()
+		msg, err := backend.ReceiveStartupMessage()
 		if err != nil {
-			return nil, nil, eris.Wrap(err, "start-up message")
+			return nil, nil, nil, eris.Wrap(err, "start-up message")
 		}
 		switch m := msg.(type) {
 		case *pgproto3.StartupMessage:
-			return conn, m, nil
+			return conn, backend, m, nil
 		case *pgproto3.CancelRequest:
 			s.Sessions.Cancel(m.ProcessID, pgwire.CancelSecret(m.SecretKey))
-			return conn, nil, nil
+			return conn, nil, nil, nil
 		case *pgproto3.SSLRequest:
-			conn, err = s.startTLS(conn)
+			if s.TLS == nil {
+				_, err = conn.Write([]byte{'N'})
+				break
+			}
+			if conn, err = s.startTLS(conn); err == nil {
+				// What was sent in plain text behind the request is dropped.
+				backend = newBackend(conn)
+			}
 		default:
 			_, err = conn.Write([]byte{'N'})
 		}
 		if err != nil {
-			return nil, nil, eris.Wrap(err, "encryption request")
+			return nil, nil, nil, eris.Wrap(err, "encryption request")
 		}
 	}
 }
 
+func newBackend(conn net.Conn) *pgproto3.Backend {
+	b := pgproto3.NewBackend(conn, conn)
+	b.SetMaxBodyLen(pgwire.MaxBatchBytes)
+	return b
+}
+
 func (s *Server) startTLS(conn net.Conn) (net.Conn, error) {
-	if s.TLS == nil {
-		_, err := conn.Write([]byte{'N'})
-		return conn, err
-	}
 	if _, err := conn.Write([]byte{'S'}); err != nil {
 		return nil, err
 	}
