Add the store, tickets and leaving VMs to the fault matrix

Cells now have steps for a ticket that is written and applied, with a revoked key that every VM must refuse after the heal, and for a VM that stops as planned; and faults of the store.

--- a/matrix/cell_test.go
+++ b/matrix/cell_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -22,6 +23,8 @@
 	groupName = "ledger"
 	route     = groupName
 	customer  = "bindery"
+	revoked   = "archive" // customer whose key some steps revoke
+	vms       = 3
 	focusVM   = 0 // in the data centre of the first primary
 )
 
@@ -36,8 +39,17 @@
 	// recoveryLimit is the longest time that a change of primary may take by
 	// docs/design.md.
 	recoveryLimit = 7 * time.Second
+	// startLimit is the longest time until a process that replaces another takes
+	// work: it waits 3 s, 2 % and 100 ms before it confirms itself, before it
+	// spends, and once more if a ticket came while its predecessor failed, and for
+	// an interval of the exchange.
+	startLimit    = 10 * time.Second
 	agreementPoll = 10 * time.Millisecond
-	afterwards    = 200 * time.Millisecond // of undisturbed work
+	undisturbed   = 200 * time.Millisecond // work after the first writes
+	leaveLimit    = 10 * time.Second       // for a VM to stop
+	// revokeLimit is the longest time in which a configuration comes into effect
+	// everywhere by docs/design.md.
+	revokeLimit = 5 * time.Second
 )
 
 // background is the number of clients besides the focus client.
@@ -58,8 +70,8 @@
 		ConnectCost:      5 * time.Millisecond,
 		StatementCost:    time.Millisecond,
 		ReplicationDelay: 3 * time.Millisecond,
-		VMs:              3,
-		Customers:        []fleet.Customer{{Name: customer, Rate: 10000, Burst: 1000}},
+		VMs:              vms,
+		Customers:        []fleet.Customer{{Name: customer, Rate: 10000, Burst: 1000}, {Name: revoked, Rate: 1000, Burst: 100}},
 		ViewStaleness:    500 * time.Millisecond,
 		Deadline:         1500 * time.Millisecond,
 	}
@@ -87,11 +99,16 @@
 	clients  []*client // with the focus client
 	working  sync.WaitGroup
 	done     atomic.Bool
+	warming  [vms]atomic.Bool
 
 	term     uint64          // when the step was prepared
 	heals    []func()        // end the faults, in this order
 	isolated map[string]bool // data centres
+	leaving  bool            // the focus client's VM is being stopped
 
+	afterwards []func() // checks after the heal
+
+	mu       sync.Mutex // guards problems
 	problems []string
 	gap      time.Duration // from the heal to the last VM's first acknowledged write
 }
@@ -113,7 +130,12 @@
 	return c.judge()
 }
 
-func (c *cell) newRand() *rand.Rand { return rand.New(rand.NewPCG(c.seed, c.rng.Uint64())) }
+// newRand returns random numbers for a client.
+func (c *cell) newRand(name string) *rand.Rand {
+	h := fnv.New64a()
+	h.Write([]byte(name)) // never fails
+	return rand.New(rand.NewPCG(c.seed, h.Sum64()))
+}
 
 func (c *cell) must(err error) {
 	if err != nil {
@@ -122,6 +144,8 @@
 }
 
 func (c *cell) problem(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.problems = append(c.problems, fmt.Sprintf(format, args...))
 }
 
@@ -149,10 +173,20 @@
 // startVM starts a VM unless it runs.
 func (c *cell) startVM(vm int) {
 	if c.fleet.VM(vm) == nil {
+		c.warming[vm].Store(true)
 		c.must(c.fleet.StartVM(vm))
 	}
 }
 
+// warmingUp reports whether a VM has not been ready since it was started again.
+// The platform's load balancer sends no client there.
+func (c *cell) warmingUp(vm int) bool {
+	if v := c.fleet.VM(vm); v != nil && v.Ready() {
+		c.warming[vm].Store(false)
+	}
+	return c.warming[vm].Load()
+}
+
 func (c *cell) startClients() {
 	c.focus = newClient(c, "focus", focusVM)
 	c.clients = append(c.clients, c.focus)
@@ -205,18 +239,10 @@
 
 // recover requires that every VM acknowledges a write in time.
 func (c *cell) recover() {
-	healed := time.Now()
 	gaps := make([]time.Duration, c.fleet.Profile.VMs)
 	var writers sync.WaitGroup
 	for vm := range gaps {
-		cl := newClient(c, "final"+fleet.VMName(vm), vm)
-		writers.Go(func() {
-			for !c.writeFinal(cl, vm) && time.Since(healed) <= recoveryLimit {
-				time.Sleep(shortestPause)
-			}
-			gaps[vm] = time.Since(healed)
-			cl.close()
-		})
+		writers.Go(func() { gaps[vm] = c.recoverVM(vm) })
 	}
 	writers.Wait()
 	for vm, gap := range gaps {
@@ -227,6 +253,26 @@
 	c.gap = slices.Max(gaps)
 }
 
+// recoverVM returns the time from the heal to the VM's first acknowledged write.
+// A VM that was started again counts from when it takes work, which its lease
+// delays.
+func (c *cell) recoverVM(vm int) time.Duration {
+	healed := time.Now()
+	for c.warmingUp(vm) && time.Since(healed) <= startLimit {
+		time.Sleep(agreementPoll)
+	}
+	if c.warmingUp(vm) {
+		c.problem("%s is not ready within %v of its start", fleet.VMName(vm), startLimit)
+	}
+	began := time.Now()
+	cl := newClient(c, "final"+fleet.VMName(vm), vm)
+	defer cl.close()
+	for !c.writeFinal(cl, vm) && time.Since(began) <= recoveryLimit {
+		time.Sleep(shortestPause)
+	}
+	return time.Since(began)
+}
+
 func (c *cell) writeFinal(cl *client, vm int) bool {
 	cl.vm = vm
 	return cl.connected() && cl.append()
@@ -235,10 +281,13 @@
 // finish ends the workload, waits until the servers agree and lets each session
 // read what it wrote.
 func (c *cell) finish() {
-	time.Sleep(afterwards)
+	time.Sleep(undisturbed)
 	c.done.Store(true)
 	c.working.Wait()
 	c.awaitAgreement()
+	for _, check := range c.afterwards {
+		check()
+	}
 	for _, cl := range c.clients {
 		cl.move()
 		if !cl.connected() {
@@ -279,3 +328,19 @@
 	}
 	return text
 }
+
+// checkRevoked requires that every VM refuses the revoked key.
+func (c *cell) checkRevoked() {
+	time.Sleep(revokeLimit)
+	for vm := range c.fleet.Profile.VMs {
+		ctx, cancel := context.WithTimeout(context.Background(), connectLimit)
+		conn, err := c.fleet.Connect(ctx, revoked, route, vm, fleet.NewSession)
+		if err == nil {
+			_ = conn.Close(ctx) // the problem is that it could be opened
+		}
+		if code := codeOf(err); code != "28P01" {
+			c.problem("%s answers the revoked key with %q", fleet.VMName(vm), code)
+		}
+		cancel()
+	}
+}
--- a/matrix/client_test.go
+++ b/matrix/client_test.go
@@ -65,7 +65,7 @@
 }
 
 func newClient(c *cell, name string, vm int) *client {
-	rng := c.newRand()
+	rng := c.newRand(name)
 	return &client{cell: c, name: name, vm: vm, rng: rng, mode: mode(rng.IntN(int(modeCount)))}
 }
 
@@ -81,7 +81,7 @@
 		return true
 	}
 	cl.tx = 0
-	if !cl.connect() {
+	if cl.cell.warmingUp(cl.vm) || !cl.connect() {
 		cl.vm = (cl.vm + 1) % cl.cell.fleet.Profile.VMs
 		return false
 	}
@@ -253,6 +253,8 @@
 func outcomeOf(err error) history.Outcome {
 	var pg *pgconn.PgError
 	switch {
+	case pgconn.SafeToRetry(err):
+		return history.NotRun // nothing was sent
 	case !errors.As(err, &pg):
 		return history.Unknown
 	case pg.Detail == "The request was not run.":
@@ -266,7 +268,16 @@
 	}
 }
 
+// notSent is the code of requests that found their connection closed.
+const notSent = "not sent"
+
 func codeOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	if pgconn.SafeToRetry(err) {
+		return notSent
+	}
 	var pg *pgconn.PgError
 	if errors.As(err, &pg) {
 		return pg.Code
--- a/matrix/faults_test.go
+++ b/matrix/faults_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/standin/dbgroup"
+	"github.com/chestnutdyke/chestnutdyke/standin/store"
 )
 
 type server = dbgroup.Server
@@ -38,6 +39,8 @@
 	{"restart-vm", restartVM},
 	{"cut-off-vm", cutOffVM},
 	{"cut-off-clients", cutOffClients},
+	{"store-refuses", func(c *cell) { c.storeOutage(store.Refusing) }},
+	{"store-hangs", func(c *cell) { c.storeOutage(store.Hanging) }},
 	{"client-leaves", func(c *cell) { c.focus.abandon() }},
 	{"cancel", func(c *cell) { c.focus.cancel() }},
 }
@@ -177,6 +180,11 @@
 	c.startVM(vm)
 }
 
+func (c *cell) storeOutage(o store.Outage) {
+	c.fleet.Store.SetOutage(o)
+	c.onHeal(func() { c.fleet.Store.SetOutage(store.InService) })
+}
+
 func cutOffVM(c *cell) { c.onHeal(c.fleet.CutOffVM(c.focusVM()).Heal) }
 
 func cutOffClients(c *cell) { c.onHeal(c.fleet.CutOffClients(c.focusVM()).Heal) }
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -19,6 +19,7 @@
 var (
 	oneSeed  = flag.Uint64("seed", 0, "run all cells with this seed; 0 runs CI's share")
 	allSeeds = flag.Uint64("seeds", 0, "run all cells with this many seeds, from 1 on")
+	table    = flag.Bool("table", false, "print what clients saw of each fault that came alone")
 	locks    = flag.Bool("lockrank", false, "check the lock order too, which takes about ten times as long")
 )
 
@@ -47,7 +48,12 @@
 // fleet's work can bring about.
 func TestMatrix(t *testing.T) {
 	total := newTotal()
-	t.Cleanup(func() { t.Log(total) })
+	t.Cleanup(func() {
+		t.Log(total)
+		if *table {
+			t.Log(total.table())
+		}
+	})
 	for _, p := range plans() {
 		runCell(t, p, total)
 	}
@@ -115,7 +121,7 @@
 		t.Parallel()
 		synctest.Test(t, func(t *testing.T) {
 			r := p.run(t)
-			total.add(r)
+			total.add(p, r)
 			if !r.ok() {
 				t.Errorf("%s\nrepeat with: %s\n%s", r, repeat(p), r.log.tail(logTail))
 			}
@@ -140,13 +146,22 @@
 	outcomes map[history.Outcome]int
 	codes    map[string]int // of requests that were not answered
 	longest  time.Duration
+	seen     map[string]map[string]int // by fault that came alone, then as codes
+	gaps     map[string]time.Duration  // longest by fault that came alone
 }
 
 func newTotal() *total {
-	return &total{began: time.Now(), broken: make(map[string]int), outcomes: make(map[history.Outcome]int), codes: make(map[string]int)}
+	return &total{
+		began:    time.Now(),
+		broken:   make(map[string]int),
+		outcomes: make(map[history.Outcome]int),
+		codes:    make(map[string]int),
+		seen:     make(map[string]map[string]int),
+		gaps:     make(map[string]time.Duration),
+	}
 }
 
-func (n *total) add(r *result) {
+func (n *total) add(p plan, r *result) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cells++
@@ -171,6 +186,36 @@
 		}
 	}
 	n.longest = max(n.longest, r.gap)
+	if len(p.faults) == 1 {
+		n.addSeen(p.faults[0].name, r)
+	}
+}
+
+// addSeen counts what clients saw of a fault. The caller holds n.mu.
+func (n *total) addSeen(fault string, r *result) {
+	if n.seen[fault] == nil {
+		n.seen[fault] = make(map[string]int)
+	}
+	for i := range r.history.Requests {
+		if q := &r.history.Requests[i]; q.Code != "" {
+			n.seen[fault][fmt.Sprintf("%s %.12s", q.Outcome, q.Code)]++
+		}
+	}
+	n.gaps[fault] = max(n.gaps[fault], r.gap)
+}
+
+// table gives, by fault, how requests ended that were not answered.
+func (n *total) table() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var b strings.Builder
+	for _, f := range faults {
+		fmt.Fprintf(&b, "\n%s: recovery %v", f.name, n.gaps[f.name].Round(time.Millisecond))
+		for _, code := range sorted(n.seen[f.name]) {
+			fmt.Fprintf(&b, ", %s x%d", code, n.seen[f.name][code])
+		}
+	}
+	return b.String()
 }
 
 // String gives the counts by verdict.
--- a/matrix/steps_test.go
+++ b/matrix/steps_test.go
@@ -1,6 +1,8 @@
 package matrix
 
 import (
+	"context"
+	"errors"
 	"slices"
 
 	"github.com/chestnutdyke/chestnutdyke/standin/history"
@@ -43,6 +45,9 @@
 	{"switchover-drained", focusTransaction, leavePrimary, func(c *cell) bool { return c.draining() || c.promoted() }},
 	{"switchover-adopted", focusWrite, leavePrimary, func(c *cell) bool { return c.adopted() > 0 }},
 	{"switchover-done", focusWrite, leavePrimary, func(c *cell) bool { return c.promoted() }},
+	{"ticket-written", focusWrite, revokeKey, func(*cell) bool { return true }},
+	{"ticket-applied", focusWrite, revokeKey, func(c *cell) bool { return c.applied() > 0 }},
+	{"vm-leaves", focusTransaction, leaveVM, func(c *cell) bool { return c.leaving }},
 }
 
 func focusRead(cl *client) { cl.read(cl.sharedKey()) }
@@ -67,6 +72,40 @@
 // leavePrimary asks for a planned switchover.
 func leavePrimary(c *cell) { c.setServer(c.primary().Name(), state.Leaving) }
 
+// revokeKey revokes the key of a customer whose client is at work. Some seconds
+// after the heal no VM may accept the key any more.
+func revokeKey(c *cell) {
+	c.must(c.fleet.Change(func(cfg *state.Config) { cfg.Customers[revoked].Keys[0].Revoked = true }))
+	c.afterwards = append(c.afterwards, c.checkRevoked)
+}
+
+// leaveVM stops the focus client's VM without cutting requests.
+func leaveVM(c *cell) {
+	c.leaving = true
+	ctx, cancel := context.WithTimeout(context.Background(), leaveLimit)
+	stopped := make(chan error, 1)
+	go func() { stopped <- c.fleet.StopVM(ctx, c.focusVM()) }()
+	c.onHeal(func() {
+		if err := <-stopped; err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			c.problem("%v", err)
+		}
+		cancel()
+		c.must(c.fleet.KillVM(c.focusVM())) // a transaction may have outlasted the limit
+		c.startVM(c.focusVM())
+	})
+}
+
+// applied returns the number of VMs that apply a later ticket than the first.
+func (c *cell) applied() int {
+	n := 0
+	for i := range c.fleet.Profile.VMs {
+		if vm := c.fleet.VM(i); vm != nil && vm.Tables().Config.Current().Ticket.Number > 1 {
+			n++
+		}
+	}
+	return n
+}
+
 // phase returns what the focus client does.
 func (c *cell) phase() phase { return c.focus.currentPhase() }
 
--- a/matrix/workload_test.go
+++ b/matrix/workload_test.go
@@ -24,6 +24,10 @@
 			time.Sleep(reconnectPause)
 			continue
 		}
+		if conn := cl.current(); conn.PgConn().TxStatus() != 'I' {
+			cl.close() // a batch failed after its BEGIN
+			continue
+		}
 		next()
 		time.Sleep(shortestPause + time.Duration(cl.rng.Int64N(int64(longestPause-shortestPause))))
 	}
