--- a/coordination/share/fleet_test.go
+++ b/coordination/share/fleet_test.go
@@ -43,15 +43,15 @@
 
 // hooks break single rules. All are optional.
 type hooks struct {
-	sentAt    func(sentAt, now time.Time) time.Time
-	request   func(p *proc, req *LoanRequest)
-	granted   func(p *proc)
-	confirm   func(p *proc, from string)
-	received  func(p *proc)
-	query     func(p *proc)
-	started   func(p *proc)
-	recompute func(p *proc)
-	refilled  func(p *proc)
+	started    func(p *proc)                                  // a process has started
+	voting     func(p *proc, from string)                     // before a voter answers
+	counting   func(p *proc)                                  // before a voter's answer is counted
+	counted    func(p *proc)                                  // after it
+	recomputed func(p *proc)                                  // after the base shares were computed
+	report     func(p *proc, ticket uint64) uint64            // the ticket reported as applied
+	granting   func(p *proc, req LoanRequest)                 // before a lender answers
+	granted    func(p *proc, from Peer, req LoanRequest)      // after it
+	receiving  func(p *proc, a LoanAnswer, sentAt *time.Time) // before a borrower uses an answer
 }
 
 // proc is one process of a VM.
@@ -220,10 +220,13 @@
 
 func (p *proc) recompute() {
 	p.reports[p.name] = AppliedTicket(p.tables, p.local())
+	if p.f.hooks.report != nil {
+		p.reports[p.name] = p.f.hooks.report(p, p.reports[p.name])
+	}
 	config := p.tables.Config.Current()
 	Recompute(p.tables, config, max(p.agreed, Agreed(p.tables.Shares, p.reports)), p.local())
-	if p.f.hooks.recompute != nil {
-		p.f.hooks.recompute(p)
+	if p.f.hooks.recomputed != nil {
+		p.f.hooks.recomputed(p)
 	}
 	p.f.changed(p)
 }
@@ -238,8 +241,8 @@
 			continue
 		}
 		f.send(p, out.Voter, func(q *proc) {
-			if f.hooks.confirm != nil {
-				f.hooks.confirm(q, p.name)
+			if f.hooks.voting != nil {
+				f.hooks.voting(q, p.name)
 			}
 			answer := lease.Confirm(q.tables, p.name, out.Query, q.local())
 			f.reply(q, p, func() { p.receiveVote(q.name, answer) })
@@ -280,12 +283,12 @@
 }
 
 func (p *proc) receiveVote(voter string, answer lease.Answer) {
-	if p.f.hooks.query != nil {
-		p.f.hooks.query(p)
+	if p.f.hooks.counting != nil {
+		p.f.hooks.counting(p)
 	}
 	lease.Receive(p.tables, voter, answer, p.local())
-	if p.f.hooks.received != nil {
-		p.f.hooks.received(p)
+	if p.f.hooks.counted != nil {
+		p.f.hooks.counted(p)
 	}
 }
 
@@ -327,9 +330,6 @@
 
 // advance calls Advance and carries out its effects.
 func (p *proc) advance() {
-	if p.f.hooks.refilled != nil {
-		p.f.hooks.refilled(p)
-	}
 	sentAt := p.local()
 	effects := Advance(p.tables, sentAt)
 	p.f.changed(p)
@@ -361,12 +361,12 @@
 		lender := Peer{Name: q.name, Incarnation: q.incarnation}
 		var answers []LoanAnswer
 		for _, req := range batch.Loans {
-			if f.hooks.request != nil {
-				f.hooks.request(q, &req)
+			if f.hooks.granting != nil {
+				f.hooks.granting(q, req)
 			}
 			answers = append(answers, Grant(q.tables, req, self, q.local()))
 			if f.hooks.granted != nil {
-				f.hooks.granted(q)
+				f.hooks.granted(q, self, req)
 			}
 		}
 		f.changed(q)
@@ -374,8 +374,8 @@
 			again := false
 			for _, a := range answers {
 				at := sentAt
-				if f.hooks.sentAt != nil {
-					at = f.hooks.sentAt(sentAt, p.local())
+				if f.hooks.receiving != nil {
+					f.hooks.receiving(p, a, &at)
 				}
 				again = Receive(p.tables, a, lender, at, p.local()) || again
 			}
--- a/coordination/share/limits_test.go
+++ b/coordination/share/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -35,6 +36,7 @@
 	Slow         float64
 	StoreDown    bool
 	Static       bool
+	Clocks       string
 	Disturbances []disturbance
 }
 
@@ -57,6 +59,7 @@
 		StoreDown: rapid.SampledFrom([]int{0, 1, 2, 3, 4}).Draw(t, "store") == 4,
 		Static:    rapid.SampledFrom([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}).Draw(t, "static") == 9,
 	}
+	p.Clocks = rapid.SampledFrom([]string{"fast", "extreme", "any"}).Draw(t, "clocks")
 	kinds := []string{"pause", "kill", "replace", "replace", "replace paused", "rate", "take out", "put back", "add"}
 	p.Disturbances = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) disturbance {
 		return disturbance{
@@ -72,10 +75,12 @@
 // world checks the promises while a plan runs.
 type world struct {
 	f         *fleet
+	clocks    string
 	limits    map[string]*ideal // by customer with constant limits
 	configs   []*state.Config
 	open      map[*proc]map[string]int // connections, by server
 	evaluated map[*proc]time.Duration  // when the connections were last brought to their limits
+	agreed    uint64
 	spends    int
 	violation string
 }
@@ -90,17 +95,17 @@
 func (p plan) run(h hooks) (violation string, spends int) {
 	config := fleetConfig(1, p.Layout...)
 	w := &world{
-		f: newFleet(p.Seed, config), limits: make(map[string]*ideal), configs: []*state.Config{config},
+		f: newFleet(p.Seed, config), clocks: p.Clocks, limits: make(map[string]*ideal), configs: []*state.Config{config},
 		open: make(map[*proc]map[string]int), evaluated: make(map[*proc]time.Duration),
 	}
 	addCustomer(config, "small", 5, 3)
-	addCustomer(config, "medium", 50, 20)
-	addCustomer(config, "changing", 40, 16)
+	addCustomer(config, "medium", 25, 10)
+	addCustomer(config, "changing", 20, 8)
 	for _, name := range []string{"small", "medium"} {
 		c := config.Customers[name]
 		w.limits[name] = &ideal{rate: c.Rate, burst: c.Burst, level: c.Burst}
 	}
-	w.limits["changing"] = &ideal{rate: 40, burst: 16, level: 16}
+	w.limits["changing"] = &ideal{}
 	config.Groups["g"] = &state.Group{Name: "g", Servers: []state.BackendServer{
 		{Name: "few", Connections: 3}, {Name: "some", Connections: 5}, {Name: "many", Connections: 17},
 	}}
@@ -121,8 +126,18 @@
 	return w.violation, w.spends
 }
 
-// speed draws the speed of a clock, up to 1 % fast or slow.
-func (w *world) speed() float64 { return 0.99 + 0.02*w.f.rng.Float64() }
+// speed draws the speed of a clock, up to 1 % fast or slow. With all clocks
+// fast, the fleet uses its limits up to 0.01 %, and the check is sharpest.
+func (w *world) speed() float64 {
+	draw := w.f.rng.Float64()
+	switch w.clocks {
+	case "fast":
+		return 1.01
+	case "extreme":
+		return 0.99 + 0.02*math.Round(draw)
+	}
+	return 0.99 + 0.02*draw
+}
 
 // spent checks a spend: a valid lease hold, no other process of the name that
 // holds one, and the limit.
@@ -136,30 +151,21 @@
 			w.fail("%s/%d spends while %d holds the lease", p.name, p.incarnation, q.incarnation)
 		}
 	}
-	b := w.limits[customer]
-	if customer == "changing" {
-		w.bound(b)
-	}
-	if !b.spend(w.f.now, 1) {
+	if b := w.limits[customer]; !b.spend(w.f.now, 1) {
 		w.fail("%s exceeds its limit by %.3f", customer, -b.level)
 	}
 }
 
-// bound sets the limit of the changing customer to the highest one among the
-// tickets that some process still applies.
-func (w *world) bound(b *ideal) {
-	oldest := w.f.config.Ticket.Number
-	for _, p := range w.f.procs {
-		if !p.dead {
-			oldest = min(oldest, p.tables.Config.Current().Ticket.Number)
-		}
-	}
+// bound sets the limit of the changing customer to that of the highest ticket
+// that any process knows to be applied by all.
+func (w *world) bound(p *proc) {
+	w.agreed = max(w.agreed, p.tables.Shares.Agreed())
+	b := w.limits["changing"]
 	b.advance(w.f.now)
 	b.rate, b.burst = 0, 0
 	for _, c := range w.configs {
-		if c.Ticket.Number >= oldest {
-			b.rate = max(b.rate, c.Customers["changing"].Rate)
-			b.burst = max(b.burst, c.Customers["changing"].Burst)
+		if c.Ticket.Number == w.agreed {
+			b.rate, b.burst = c.Customers["changing"].Rate, c.Customers["changing"].Burst
 		}
 	}
 	b.level = min(b.level, b.burst)
@@ -203,6 +209,7 @@
 	if w.open[p] == nil {
 		w.open[p] = make(map[string]int)
 	}
+	w.bound(p)
 	w.evaluated[p] = w.f.now
 	for _, server := range []string{"few", "some", "many"} {
 		limits := ConnectionLimit(p.tables, server, p.local())
@@ -239,7 +246,7 @@
 		}
 	}
 	if total > limit {
-		w.fail("%d connections to %s, limit %d", total, server, limit)
+		w.fail("%d connections to %s, limit %d%s", total, server, limit, w.dump(server))
 	}
 }
 
@@ -258,7 +265,7 @@
 		w.replace(p, d, d.For)
 	case "rate":
 		w.publish(func(c *state.Config) {
-			rate := 10 + w.f.rng.Float64()*60
+			rate := 5 + w.f.rng.Float64()*30
 			addCustomer(c, "changing", rate, rate/3)
 		})
 	case "take out", "put back":
--- a/coordination/share/tickets.go
+++ b/coordination/share/tickets.go
@@ -209,7 +209,7 @@
 
 func rebaseServer(s *state.Shares, c *state.ConnectionShare) {
 	c.Loans.Holders = nil
-	c.Base, c.ReportedBase, c.Lendable, c.MaxLendable = 0, 0, 0, 0
+	c.Base, c.ReportedBase, c.Lendable = 0, 0, 0
 	if !complete(s) {
 		return
 	}
@@ -310,6 +310,8 @@
 }
 
 // fits reports whether everything lent or in use is within the ticket's shares.
+// Connections lent must be within what is lendable, since that is what the next
+// process of this VM takes to be lent at most.
 func fits(tables *state.Tables, s *state.Shares, t *state.TicketShares, now time.Time) bool {
 	for name, c := range s.Customers {
 		rate, burst := lentOut(&c.Loans)
@@ -326,7 +328,7 @@
 		if earlier {
 			lent = max(lent, c.MaxLendable)
 		}
-		if lent > t.Units[name] {
+		if lent > lendable(t.Units[name], c.Limit, t.VMs) {
 			return false
 		}
 	}
--- a/state/share.go
+++ b/state/share.go
@@ -126,7 +126,7 @@
 	Base         int // of this VM
 	ReportedBase int // of this VM, without tickets that it has not reported as applied
 	Lendable     int // units that may be lent, at most
-	MaxLendable  int // units that an earlier process of this VM can have lent, at most
+	MaxLendable  int // units that an earlier process of this VM can have lent, at most; never decreases
 	Wanted       int // connections that this VM has a use for
 	Loans        LoanBook
 }
