Route no write to a primary that hands over

Cause: only the failover knew that a primary refuses writes during a planned switchover. Transactions went on to begin there, and their first write failed with 25006.

Change: routing asks UsablePrimary, and a refusal in a transaction makes the VM ask the servers for their status.

--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -62,11 +62,12 @@
 
 func choosePrimary(g *state.GroupState, q Query) Choice {
 	await := Choice{Kind: AwaitPrimary}
-	if g.Primary == "" || g.Primary == q.Excluded || g.Term < q.Point.Term {
+	if g.Primary == "" || g.Primary == q.Excluded || g.Term < q.Point.Term || q.Group.Server(g.Primary) == nil {
 		return await
 	}
-	if q.Group.Server(g.Primary) == nil || !g.View(g.Primary).Reachable() {
-		return await
+	_, _, usable := g.UsablePrimary()
+	if !usable && !(q.Read && g.View(g.Primary).Reachable()) {
+		return await // a primary that hands over still serves reads
 	}
 	return Choice{Kind: Send, Server: g.Primary, Primary: true, Term: g.Term}
 }
--- a/coordination/session/answer.go
+++ b/coordination/session/answer.go
@@ -62,8 +62,12 @@
 	}
 	s.InTransaction = end.InTransaction
 	var effects []Effect
+	if end.ErrorCode == readOnlyViolation && s.TargetsPrimary {
+		// The primary may be handing over; find out before the next transaction.
+		effects = append(effects, d.queryServers(s, now, now.Add(firstCheck)))
+	}
 	if !s.InTransaction {
-		effects = d.releaseConn(s)
+		effects = append(effects, d.releaseConn(s)...)
 	}
 	if !d.needsAcknowledgement(s, end) {
 		effects = append(effects, FlushHeld{})
