--- a/coordination/share/spend.go
+++ b/coordination/share/spend.go
@@ -34,21 +34,5 @@
 // Spend takes the token of a request that is about to be sent. If there is none
 // the request has to wait again, or is refused.
 func Spend(tables *state.Tables, id state.WaiterID, customer string, cost float64, now, deadline time.Time) Admission {
-	hold := tables.Lease.Hold()
-	admission := Admission{Verdict: Refused, RetryAt: now.Add(retryUnknown)}
-	tables.Shares.With(func(s *state.Shares) {
-		syncHold(s, hold)
-		c := s.Customers[customer]
-		if c == nil {
-			return
-		}
-		advance(s, c, hold, now)
-		if pay(c, hold, cost, now) {
-			admission = Admission{Verdict: Granted}
-		} else {
-			admission = enqueue(s, c, hold, state.ShareWaiter{ID: id, Cost: cost, Joined: now, Deadline: deadline}, now)
-		}
-		admission.Advance = wantsPlan(s, c, now)
-	})
-	return admission
+	return take(tables, customer, state.ShareWaiter{ID: id, Cost: cost, Joined: now, Deadline: deadline}, now, false)
 }
--- a/coordination/share/take.go
+++ b/coordination/share/take.go
@@ -49,6 +49,13 @@
 // of Advance if it has to wait. now must be read right before the call, since
 // the lease is checked against it.
 func Take(tables *state.Tables, id state.WaiterID, customer string, cost float64, now, deadline time.Time) Admission {
+	return take(tables, customer, state.ShareWaiter{ID: id, Cost: cost, Joined: now, Deadline: deadline}, now, true)
+}
+
+// take spends the tokens of a request or gives it a place in the queue. A
+// request that has just arrived counts as demand, and comes after those that
+// wait.
+func take(tables *state.Tables, customer string, w state.ShareWaiter, now time.Time, arrival bool) Admission {
 	hold := tables.Lease.Hold()
 	admission := Admission{Verdict: Refused, RetryAt: now.Add(retryUnknown)}
 	tables.Shares.With(func(s *state.Shares) {
@@ -57,12 +64,14 @@
 		if c == nil {
 			return
 		}
-		recordArrival(&c.Demand, cost, now)
+		if arrival {
+			recordArrival(&c.Demand, w.Cost, now)
+		}
 		advance(s, c, hold, now)
-		if len(c.Waiters) == 0 && pay(c, hold, cost, now) {
+		if !(arrival && len(c.Waiters) > 0) && pay(c, hold, w.Cost, now) {
 			admission = Admission{Verdict: Granted}
 		} else {
-			admission = enqueue(s, c, hold, state.ShareWaiter{ID: id, Cost: cost, Joined: now, Deadline: deadline}, now)
+			admission = enqueue(s, c, hold, w, now)
 		}
 		admission.Advance = wantsPlan(s, c, now)
 	})
