Compare with the baseline without group commit

The load tool had a place for it while the option was missing. The machinery for parts that are not wired yet has no use any more.

--- a/cmd/chestnutbench/bench/bench.go
+++ b/cmd/chestnutbench/bench/bench.go
@@ -17,10 +17,9 @@
 
 // Exit statuses.
 const (
-	exitOK          = 0
-	exitBroken      = 1 // a check is broken, or the run failed
-	exitUsage       = 2
-	exitUnavailable = 3 // the scenario cannot run yet
+	exitOK     = 0
+	exitBroken = 1 // a check is broken, or the run failed
+	exitUsage  = 2
 )
 
 // Names of the scenarios that do not load a whole fleet.
@@ -162,7 +161,6 @@
 	Duration time.Duration
 	Machine  Machine // at the start
 	Results  []*Result
-	Missing  map[string]string // baselines that cannot run yet, and why
 }
 
 // loadFleet runs a scenario on the whole fleet, and on the baselines.
@@ -171,10 +169,6 @@
 	if err != nil {
 		return finish(stderr, err)
 	}
-	if reason := s.unavailable(); reason != "" {
-		fmt.Fprintf(stderr, "chestnutbench: scenario %s cannot run yet: %s\n", s.name, reason)
-		return exitUnavailable
-	}
 	rep, err := runVariants(o, s, stderr)
 	if err != nil {
 		return finish(stderr, err)
@@ -202,7 +196,7 @@
 	}
 	rep := &Report{
 		Profile: o.profile, Scenario: s.name, Seed: o.seed, Duration: o.duration,
-		Machine: machineNow(), Missing: make(map[string]string),
+		Machine: machineNow(),
 	}
 	if rep.Duration == 0 {
 		rep.Duration = defaultDuration
@@ -212,10 +206,6 @@
 		variants = append(variants, baselines...)
 	}
 	for _, v := range variants {
-		if reason := missingOf(v.needs); reason != "" {
-			rep.Missing[v.name] = reason
-			continue
-		}
 		fmt.Fprintf(stderr, "%s, %s, %s\n", p.Name, s.name, v.name)
 		l := loadOf(p)
 		if s.adjust != nil {
--- a/cmd/chestnutbench/bench/report.go
+++ b/cmd/chestnutbench/bench/report.go
@@ -46,9 +46,6 @@
 			return err
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(rep.Missing)) {
-		fmt.Fprintf(w, "not run: %s: %s\n", name, rep.Missing[name])
-	}
 	return nil
 }
 
--- a/cmd/chestnutbench/bench/scenarios.go
+++ b/cmd/chestnutbench/bench/scenarios.go
@@ -3,28 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 
 	"github.com/chestnutdyke/chestnutdyke"
 )
 
-// part is a part of the fleet that a scenario or a baseline needs.
-type part int
-
-// singleRounds are position queries of their own for each write.
-const singleRounds part = iota
-
-// missing says which parts are not wired into the VM yet. What needs one
-// refuses to run, because its figures would describe something else.
-var missing = map[part]string{
-	singleRounds: "position queries without group commit are not available yet",
-}
-
 // scenario is what happens during a run.
 type scenario struct {
 	name    string
 	summary string
-	needs   []part
 	// unplanned says that servers fail, which cuts transactions.
 	unplanned bool
 	adjust    func(l *load)                           // nil keeps the steady load
@@ -38,19 +24,6 @@
 	return "run"
 }
 
-// unavailable returns why the scenario cannot run, or an empty text.
-func (s *scenario) unavailable() string { return missingOf(s.needs) }
-
-func missingOf(needs []part) string {
-	var reasons []string
-	for _, p := range needs {
-		if reason, found := missing[p]; found {
-			reasons = append(reasons, reason)
-		}
-	}
-	return strings.Join(reasons, "; ")
-}
-
 const (
 	// overloadFactor is what the overloading customer offers, relative to its rate.
 	overloadFactor = 5
@@ -87,7 +60,6 @@
 // variant is the fleet as it is, or a baseline.
 type variant struct {
 	name   string
-	needs  []part
 	adjust func(o *chestnutdyke.Options)
 }
 
@@ -98,5 +70,5 @@
 	{name: "reads on primary", adjust: func(o *chestnutdyke.Options) { o.Session.ReadsOnPrimary = true }},
 	{name: "no fair queueing", adjust: func(o *chestnutdyke.Options) { o.Queueing.FIFO = true }},
 	{name: "static shares", adjust: func(o *chestnutdyke.Options) { o.StaticShares = true }},
-	{name: "no group commit", needs: []part{singleRounds}},
+	{name: "no group commit", adjust: func(o *chestnutdyke.Options) { o.Session.NoGroupCommit = true }},
 }
--- a/cmd/chestnutbench/bench/usage.go
+++ b/cmd/chestnutbench/bench/usage.go
@@ -27,7 +27,7 @@
 "In time" means answered within the deadline of the profile's routes.
 
 Exit status: 0 if all checks hold, 1 if a check is broken or the run failed, 2
-on wrong usage, 3 if the scenario needs a part that is not wired yet.
+on wrong usage.
 
 Examples:
   chestnutbench -profile fes -scenario failover -duration 60s -seed 7
@@ -43,9 +43,6 @@
 	fmt.Fprint(w, usageHead)
 	for _, s := range scenarios {
 		fmt.Fprintf(w, "  %-13s %s\n", s.name, s.summary)
-		if reason := s.unavailable(); reason != "" {
-			fmt.Fprintf(w, "                (cannot run yet: %s)\n", reason)
-		}
 	}
 	fmt.Fprint(w, usageTail)
 	set.PrintDefaults()
