--- a/cmd/chestnutdyke/main.go
+++ b/cmd/chestnutdyke/main.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutdyke/chestnutdyke/coordination/membership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/queueing"
 	"github.com/chestnutdyke/chestnutdyke/coordination/session"
+	"github.com/chestnutdyke/chestnutdyke/platform"
 	"github.com/chestnutdyke/chestnutdyke/protocol/settings"
 	"github.com/chestnutdyke/chestnutdyke/transport/pgbackend"
 	"github.com/chestnutdyke/chestnutdyke/transport/telemetry"
@@ -28,6 +29,7 @@
 const exportTimeout = 5 * time.Second
 
 const usage = `Usage: chestnutdyke -config FILE [-check-config] [-drain-timeout DURATION]
+       chestnutdyke platform
 
 Runs one VM of the fleet. The settings file says who the VM is, where it listens
 and how it reaches the platform's store and other VMs; customers, keys, database
@@ -46,6 +48,13 @@
 func run(args []string, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet("chestnutdyke", flag.ContinueOnError)
 	flags.SetOutput(stderr)
+	if len(args) > 0 && args[0] == "platform" {
+		if err := platform.Run(stdout); err != nil {
+			fmt.Fprintln(stderr, "chestnutdyke:", err)
+			return 1
+		}
+		return 0
+	}
 	path := flags.String("config", "", "settings `file` in YAML")
 	check := flags.Bool("check-config", false, "check the settings and exit; prints every error with its line")
 	drainTimeout := flags.Duration("drain-timeout", time.Minute, "longest time for running transactions to end on a planned stop")
--- /dev/null
+++ b/coordination/placement/placement.go
@@ -0,0 +1,106 @@
+// Package placement decides which VM does what for whom.
+//
+// A connection to a backend server belongs to one customer, and there are fewer
+// connections than VMs and customers. So for each customer and server one VM,
+// the executor, holds the connections, and the other VMs pass statements on to
+// it. Executors are chosen in the server's data centre: a statement then crosses
+// data centres once at most, and reads on a local replica never do.
+//
+// The choice is a weighted rendezvous hash over the VMs that this VM hears. Two
+// VMs with different views may choose different executors; that costs
+// connections and is otherwise harmless.
+package placement
+
+import (
+	"math"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/lease"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+)
+
+// VM is another VM, or this one, as it described itself.
+type VM struct {
+	Name        string
+	DataCentre  string
+	Weight      float64         // processor share
+	Alive       bool            // heard of lately; always true for this VM
+	Leaving     bool            // stops
+	StoreCutOff bool            // does not reach the store
+	Unreachable map[string]bool // backend servers that it cannot reach
+}
+
+// View is what this VM knows of all VMs. It is immutable.
+type View struct {
+	Self    string
+	VMs     []VM // with this VM
+	Members int  // VMs that own a share of the limits, alive or not
+}
+
+// AliveCount returns the number of VMs heard of lately, with this VM.
+func (v *View) AliveCount() int {
+	n := 0
+	for i := range v.VMs {
+		if v.VMs[i].Alive {
+			n++
+		}
+	}
+	return n
+}
+
+// Isolated reports whether this VM hears no majority of the VMs: it is probably
+// on the small side of a partition.
+func (v *View) Isolated() bool { return v.Members > 2 && 2*v.AliveCount() <= v.Members }
+
+// Executor returns the VM that holds the customer's connections to the server.
+// It reports false if no VM that is heard of reaches the server.
+func (v *View) Executor(customer string, s *catalog.Server) (string, bool) {
+	key := customer + "|" + s.ID
+	local := v.best(key, func(vm *VM) bool {
+		return vm.DataCentre == s.DataCentre && !vm.Leaving && !vm.Unreachable[s.ID]
+	})
+	if local != "" {
+		return local, true
+	}
+	remote := v.best(key, func(vm *VM) bool { return !vm.Leaving && !vm.Unreachable[s.ID] })
+	return remote, remote != ""
+}
+
+// Ledger returns the VM that counts the customer's operations.
+func (v *View) Ledger(customer string) string {
+	if vm := v.best("ledger|"+customer, func(vm *VM) bool { return !vm.Leaving }); vm != "" {
+		return vm
+	}
+	return v.Self
+}
+
+// Steward returns the VM that orders promotions.
+func (v *View) Steward() string {
+	if vm := v.best("steward", func(vm *VM) bool { return !vm.Leaving && !vm.StoreCutOff }); vm != "" {
+		return vm
+	}
+	return v.Self
+}
+
+// best returns the alive VM that fits and has the highest weighted rendezvous
+// score of the key, or "".
+func (v *View) best(key string, fits func(*VM) bool) string {
+	name, score := "", 0.0
+	for i := range v.VMs {
+		vm := &v.VMs[i]
+		if !vm.Alive || !fits(vm) {
+			continue
+		}
+		s := score53(key, vm)
+		if name == "" || s > score || s == score && vm.Name < name {
+			name, score = vm.Name, s
+		}
+	}
+	return name
+}
+
+// score53 turns the hash into a uniform number u in (0, 1) and returns
+// -weight/ln(u), which gives each VM keys in proportion to its weight.
+func score53(key string, vm *VM) float64 {
+	u := (float64(lease.Score(key, vm.Name)>>11) + 0.5) / (1 << 53)
+	return -vm.Weight / math.Log(u)
+}
--- /dev/null
+++ b/coordination/quota/quota.go
@@ -0,0 +1,237 @@
+// Package quota counts customers' operations over all VMs.
+//
+// For each customer one VM, the ledger, grants tokens to the VMs that accept
+// the customer's clients. Each VM owns an equal share of every customer's rate
+// and burst and lends it to the VM that it takes for the ledger, for leaseTime
+// at a time. A ledger spends its own share and the shares that are lent to it,
+// so two VMs that both believe to be the ledger never spend a share twice. A VM
+// that is cut off from all others is its own ledger, with its own share.
+//
+// Times are readings of one clock of this VM that also counts while the VM is
+// suspended.
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
+)
+
+const (
+	// leaseTime is how long a share stays lent. The ledger counts it from the
+	// sending of its question, the lender from its answer, so the ledger's view
+	// ends first. It bounds the time without a grant after a ledger is lost.
+	leaseTime = time.Second
+	// stockTime is how long granted tokens may be kept. Tokens that are spent
+	// later than granted add to a window that the ledger does not see.
+	stockTime = 500 * time.Millisecond
+	// stockAhead is the demand for which tokens are asked in advance.
+	stockAhead = 200 * time.Millisecond
+	// initialTokens is what a new ledger may grant at once: a customer's usual
+	// first requests, within the slack that the users' limits leave.
+	initialTokens = 5.0
+	// demandWeight is the weight of the newest interval in the measured demand.
+	demandWeight = 0.3
+	// demandInterval is the least interval over which demand is measured.
+	demandInterval = 100 * time.Millisecond
+)
+
+// account is this VM's part as the ledger of a customer.
+type account struct {
+	tokens float64
+	at     time.Duration            // when tokens was last filled
+	loans  map[string]time.Duration // lender to the end of its loan
+}
+
+// loan is where this VM's own share of a customer is.
+type loan struct {
+	to    string
+	until time.Duration
+}
+
+// stock is what this VM was granted and has not spent.
+type stock struct {
+	tokens  int
+	until   time.Duration
+	asked   int // tokens asked for and not yet granted or refused
+	waiting int // operations that wait for the answer
+	count   int // operations since countAt
+	countAt time.Duration
+	demand  float64 // operations a second
+}
+
+// Table holds the accounts, loans and stocks of this VM.
+type Table struct {
+	mu       lockrank.Mutex // guards the fields below
+	self     string
+	started  time.Duration
+	accounts map[string]*account
+	loans    map[string]loan
+	stocks   map[string]*stock
+}
+
+// NewTable returns the table of the named VM, which started at now. The shares
+// of its previous run may still be lent, so it spends its own only leaseTime
+// later; lending them again to the same ledger is safe at once.
+func NewTable(self string, now time.Duration) *Table {
+	return &Table{
+		mu: lockrank.New(lockrank.Shares), self: self, started: now,
+		accounts: make(map[string]*account), loans: make(map[string]loan), stocks: make(map[string]*stock),
+	}
+}
+
+// Lend lends this VM's shares to the asking ledger and returns the customers
+// whose share it got. candidates are the customers whose ledger this VM takes
+// the asking one for. A share that is lent to another VM stays there until its
+// loan ends.
+func (t *Table) Lend(ledger string, candidates []string, now time.Duration) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var lent []string
+	for _, c := range candidates {
+		l := t.loans[c]
+		if l.to != ledger && l.until > now {
+			continue
+		}
+		t.loans[c] = loan{to: ledger, until: now + leaseTime}
+		lent = append(lent, c)
+	}
+	return lent
+}
+
+// Receive records the shares that a lender gave in answer to a question that
+// was sent at askedAt.
+func (t *Table) Receive(lender string, customers []string, askedAt time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range customers {
+		t.account(c).loans[lender] = askedAt + leaseTime
+	}
+}
+
+// Take grants up to want tokens of a customer's limit, out of members equal
+// shares, as the customer's ledger.
+func (t *Table) Take(c *catalog.Customer, members, want int, now time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.account(c.Name)
+	fraction := min(1, float64(t.shares(c.Name, a, now))/float64(max(members, 1)))
+	if a.at == 0 {
+		a.tokens = initialTokens
+		a.at = now
+	}
+	a.tokens = min(a.tokens+c.Rate*fraction*(now-a.at).Seconds(), max(c.Burst*fraction, 1))
+	a.at = now
+	granted := min(want, int(a.tokens))
+	a.tokens -= float64(granted)
+	return granted
+}
+
+func (t *Table) account(customer string) *account {
+	a := t.accounts[customer]
+	if a == nil {
+		a = &account{loans: make(map[string]time.Duration)}
+		t.accounts[customer] = a
+	}
+	return a
+}
+
+// shares counts the shares that this VM may spend.
+func (t *Table) shares(customer string, a *account, now time.Duration) int {
+	n := 0
+	for lender, until := range a.loans {
+		if until > now {
+			n++
+		} else {
+			delete(a.loans, lender)
+		}
+	}
+	if l, lent := t.loans[customer]; (!lent || l.until <= now) && now >= t.started+leaseTime {
+		n++
+	}
+	return n
+}
+
+// Wait is how long a customer at its limit has to wait for a token.
+func Wait(c *catalog.Customer) time.Duration {
+	if c.Rate <= 0 {
+		return time.Second
+	}
+	return time.Duration(math.Ceil(1000/c.Rate)) * time.Millisecond
+}
+
+// Admission says what happens to an operation that asks for a token.
+type Admission struct {
+	Admitted bool
+	Ask      int // tokens to ask the ledger for; zero if a question is under way
+}
+
+// Admit spends a token of the stock for one operation. An operation that is not
+// admitted waits for the answer to the question, see Granted.
+func (t *Table) Admit(customer string, now time.Duration) Admission {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.stock(customer)
+	s.measure(now)
+	if now >= s.until {
+		s.tokens = 0
+	}
+	var a Admission
+	if s.tokens > 0 {
+		s.tokens--
+		a.Admitted = true
+	} else {
+		s.waiting++
+	}
+	ahead := int(s.demand * stockAhead.Seconds())
+	if s.asked == 0 && (s.waiting > 0 || s.tokens < ahead/2) {
+		s.asked = s.waiting + ahead
+		a.Ask = s.asked
+	}
+	return a
+}
+
+// Granted records the ledger's answer. It returns how many of the waiting
+// operations are admitted, oldest first, how many are refused, and for how many
+// tokens to ask next.
+func (t *Table) Granted(customer string, granted int, now time.Duration) (admitted, refused, ask int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.stock(customer)
+	asked := s.asked
+	s.asked = 0
+	admitted = min(granted, s.waiting)
+	s.waiting -= admitted
+	s.tokens += granted - admitted
+	if granted > 0 {
+		s.until = now + stockTime
+	}
+	if granted < asked {
+		refused, s.waiting = s.waiting, 0
+	}
+	if s.waiting > 0 {
+		s.asked = s.waiting
+	}
+	return admitted, refused, s.asked
+}
+
+func (t *Table) stock(customer string) *stock {
+	s := t.stocks[customer]
+	if s == nil {
+		s = &stock{}
+		t.stocks[customer] = s
+	}
+	return s
+}
+
+func (s *stock) measure(now time.Duration) {
+	s.count++
+	passed := now - s.countAt
+	if passed < demandInterval {
+		return
+	}
+	s.demand += demandWeight * (float64(s.count)/passed.Seconds() - s.demand)
+	s.count, s.countAt = 0, now
+}
--- /dev/null
+++ b/coordination/succession/succession.go
@@ -0,0 +1,92 @@
+// Package succession decides when a group needs another primary and which
+// server becomes it.
+//
+// The platform promotes; one VM, the steward, orders it. Each order carries a
+// fencing token that was never used before, so an order that is carried out
+// late, after a newer one, has no effect.
+package succession
+
+import (
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+)
+
+const (
+	// proofInterval is the age of a proof of lead from which the steward asks
+	// for a new one.
+	proofInterval = 300 * time.Millisecond
+	// deadAfter is how long no VM has had a proof before the primary is taken
+	// for lost. It is more than the longest statements and the time in which a
+	// VM that lost its executor finds another one.
+	deadAfter = time.Second
+	// minFailures is how many questions must have failed in that time.
+	minFailures = 2
+	// RepeatAfter is how long an order may stay without effect.
+	RepeatAfter = 700 * time.Millisecond
+)
+
+// Facts are what the steward knows of a group.
+type Facts struct {
+	Primary  *catalog.Server // to ask as the primary; nil if none is known
+	Leaving  bool            // Primary should take no new work
+	ProvenAt time.Duration   // latest proof of lead by any VM
+	Failures int             // questions that failed since then
+	Since    time.Duration   // when the steward began to watch the group
+	Isolated bool            // the steward hears no majority of the VMs
+	Now      time.Duration
+}
+
+// Action is what the steward does about a group.
+type Action uint8
+
+// Actions.
+const (
+	Nothing  Action = iota
+	Ask             // ask the primary for a proof of its lead
+	HandOver        // replace a primary that is leaving, and lose nothing
+	Replace         // replace a primary that is lost
+)
+
+// Decide returns what to do about a group now.
+func Decide(f Facts) Action {
+	age := f.Now - max(f.ProvenAt, f.Since)
+	lost := age > deadAfter && (f.Failures >= minFailures || f.Primary == nil)
+	switch {
+	case lost && !f.Isolated:
+		return Replace
+	case f.Leaving && age <= deadAfter:
+		return HandOver
+	case age > proofInterval && f.Primary != nil:
+		return Ask
+	}
+	return Nothing
+}
+
+// Candidate is a server that may become the primary.
+type Candidate struct {
+	Server   *catalog.Server
+	Received state.Point // end of its log
+	Usable   bool        // takes new work
+}
+
+// Best returns the candidate to promote: one that takes new work, with the
+// longest log. It reports false if there is none.
+func Best(candidates []Candidate) (Candidate, bool) {
+	var best Candidate
+	found := false
+	for _, c := range candidates {
+		if c.Usable && (!found || longer(c.Received, best.Received)) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+func longer(a, b state.Point) bool {
+	return a.Term > b.Term || a.Term == b.Term && a.Position > b.Position
+}
+
+// Holds reports whether a log that ends at p holds everything up to q.
+func Holds(p, q state.Point) bool { return p == q || longer(p, q) }
--- a/transport/admin/admin.go
+++ b/transport/admin/admin.go
@@ -28,7 +28,8 @@
 // Options are what the interface reports.
 type Options struct {
 	Listener net.Listener
-	// Status returns the status, without its lists if brief is set.
+	// Status returns the status, without its lists if brief is set; nil if there
+	// is none.
 	Status func(brief bool) adminapi.Status
 	// Ready returns why the VM takes no work, or an empty text if it does.
 	Ready   func() string
@@ -46,7 +47,9 @@
 func New(o Options) *Server {
 	s := &Server{Options: o}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+adminapi.PathStatus, s.status)
+	if o.Status != nil {
+		mux.HandleFunc("GET "+adminapi.PathStatus, s.status)
+	}
 	mux.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET "+PathReady, s.ready)
 	if o.Metrics != nil {
--- /dev/null
+++ b/transport/directory/directory.go
@@ -0,0 +1,432 @@
+// Package directory keeps a VM's view of the deployment up to date: from the
+// store, and from other VMs while the store does not answer this one.
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
+	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
+)
+
+const (
+	// watchWait is how long a watch may wait. A connection that went silent is
+	// noticed watchSlack later, inside the 3 s that a configuration has plus
+	// the 4 s after which a VM counts as undisturbed again.
+	watchWait   = 5 * time.Second
+	watchSlack  = time.Second
+	listTimeout = 2 * time.Second
+	minBackoff  = 100 * time.Millisecond
+	maxBackoff  = time.Second
+	// lapseGrace is how long a server is used after its registration went
+	// away. Registrations that lapsed during an outage of the store come back
+	// within about 2 s of its return.
+	lapseGrace = 2500 * time.Millisecond
+	// peerCheck is how often this VM looks whether others know more.
+	peerCheck = 250 * time.Millisecond
+	// membersInterval is how often the list of members is read. VMs meet by
+	// their links too, so the list heals what links miss.
+	membersInterval = 8 * time.Second
+	// retireAfter is how long a VM may be missing before it leaves the list.
+	retireAfter = 20 * time.Second
+)
+
+var kinds = []Kind{Configuration, Servers, OutOfService}
+
+// Fleet is the part of the links that a directory uses.
+type Fleet interface {
+	Call(vm string, kind fleetwire.Kind, body []byte, done func(fleetwire.Frame, bool)) bool
+	Peers() []fleetwire.Status
+	Describe(change func(*fleetwire.Status))
+	Members(addresses []string)
+}
+
+// document is what is known of one kind. Its fields are exported for JSON.
+type document struct {
+	Revision uint64           `json:"revision"` // of the store when it last changed
+	Entries  map[string]Entry `json:"entries"`
+}
+
+// Directory follows the store. Create it with New.
+type Directory struct {
+	source  Source
+	fleet   Fleet
+	table   *catalog.Table
+	leads   *leadership.Table
+	logger  log.Interface
+	self    Member
+
+	calls, failures tally.Counter
+
+	mu       lockrank.Mutex // guards the fields below
+	docs     map[Kind]document
+	lapsed   map[string]time.Duration // server to the time its registration went away
+	unfit    map[string]time.Duration // see catalog.Deployment
+	missing  map[string]time.Duration // member to the time it was first missed
+	failing  bool                     // the latest call to the store failed
+	lastGood time.Duration
+}
+
+// New returns the directory of the VM that self describes.
+func New(source Source, fleet Fleet, table *catalog.Table, leads *leadership.Table, self Member, logger log.Interface, scope tally.Scope) *Directory {
+	return &Directory{
+		source: source, fleet: fleet, table: table, leads: leads, logger: logger, self: self,
+		calls: scope.Counter("store_calls"), failures: scope.Counter("store_failures"),
+		mu: lockrank.New(lockrank.Sessions), docs: make(map[Kind]document), lapsed: make(map[string]time.Duration),
+		unfit: make(map[string]time.Duration), missing: make(map[string]time.Duration),
+	}
+}
+
+// Run follows the store until ctx is done.
+func (d *Directory) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, kind := range kinds {
+		g.Go(func() error { d.follow(ctx, kind); return nil })
+	}
+	g.Go(func() error { d.join(ctx); return nil })
+	g.Go(func() error { d.checkPeers(ctx); return nil })
+	return g.Wait()
+}
+
+// follow lists a kind and watches it.
+func (d *Directory) follow(ctx context.Context, kind Kind) {
+	backoff := minBackoff
+	revision := uint64(0)
+	for ctx.Err() == nil {
+		var batch Batch
+		var err error
+		if revision == 0 {
+			batch, err = d.list(ctx, kind)
+		} else {
+			batch, err = d.watch(ctx, kind, revision)
+		}
+		switch {
+		case err == nil:
+			d.apply(kind, batch, revision == 0)
+			revision = max(revision, batch.AsOf)
+			backoff = minBackoff
+		case errors.Is(err, ErrHistoryGone):
+			d.logger.WithField("kind", string(kind)).Info("directory: history is gone, listing again.")
+			revision = 0
+		default:
+			pause(ctx, backoff)
+			backoff = min(2*backoff, maxBackoff)
+		}
+	}
+}
+
+func (d *Directory) list(ctx context.Context, kind Kind) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	batch, err := d.source.List(ctx, kind)
+	return batch, d.observe("list", kind, err)
+}
+
+func (d *Directory) watch(ctx context.Context, kind Kind, after uint64) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	batch, err := d.source.Watch(ctx, kind, after, watchWait)
+	return batch, d.observe("watch", kind, err)
+}
+
+// observe counts a call and logs when the store is lost or regained.
+func (d *Directory) observe(call string, kind Kind, err error) error {
+	d.calls.Inc(1)
+	failed := err != nil && !errors.Is(err, ErrHistoryGone) && !errors.Is(err, context.Canceled)
+	if failed {
+		d.failures.Inc(1)
+	}
+	d.mu.Lock()
+	turned := failed != d.failing
+	d.failing = failed
+	if !failed {
+		d.lastGood = clock.Now()
+	}
+	d.mu.Unlock()
+	if turned {
+		entry := d.logger.WithFields(log.Fields{"call": call, "kind": string(kind)})
+		if failed {
+			entry.WithError(err).Warn("directory: the store does not answer.")
+		} else {
+			entry.Info("directory: the store answers.")
+		}
+		d.fleet.Describe(func(s *fleetwire.Status) { s.StoreCutOff = failed })
+	}
+	return err
+}
+
+// pause waits with jitter.
+func pause(ctx context.Context, t time.Duration) {
+	t = t/2 + rand.N(t/2+1)
+	select {
+	case <-ctx.Done():
+	case <-time.After(t):
+	}
+}
+
+// apply takes a batch from the store: a whole list, or changes.
+func (d *Directory) apply(kind Kind, batch Batch, whole bool) {
+	if !whole && len(batch.Entries) == 0 {
+		return
+	}
+	d.mu.Lock()
+	old := d.docs[kind]
+	next := document{Revision: batch.AsOf, Entries: make(map[string]Entry)}
+	if !whole {
+		maps.Copy(next.Entries, old.Entries)
+	}
+	for _, e := range batch.Entries {
+		if e.Invalid != "" {
+			d.logger.WithFields(log.Fields{"kind": string(kind), "name": e.Name, "revision": e.Revision, "why": e.Invalid}).
+				Warn("directory: an object cannot be used.")
+		}
+		if e.Deleted {
+			delete(next.Entries, e.Name)
+		} else {
+			next.Entries[e.Name] = e
+		}
+	}
+	d.replace(kind, next)
+}
+
+// replace puts a document in force. The caller holds mu, which is released.
+func (d *Directory) replace(kind Kind, next document) {
+	if next.Revision < d.docs[kind].Revision {
+		d.mu.Unlock()
+		return
+	}
+	d.docs[kind] = next
+	revisions := make(map[string]uint64, len(d.docs))
+	for k, doc := range d.docs {
+		revisions[string(k)] = doc.Revision
+	}
+	d.build()
+	d.mu.Unlock()
+	d.fleet.Describe(func(s *fleetwire.Status) { s.Revisions = revisions })
+}
+
+// build makes the deployment anew from the documents. The caller holds mu.
+func (d *Directory) build() {
+	now := clock.Now()
+	out := make(map[string]bool)
+	for name := range d.docs[OutOfService].Entries {
+		out[name] = true
+	}
+	d.table.Update(func(old catalog.Deployment) catalog.Deployment {
+		next := catalog.Deployment{Config: old.Config, Out: out, Servers: d.servers(old.Servers, now)}
+		for _, e := range d.docs[Configuration].Entries {
+			if e.Config != nil && (next.Config == nil || e.Config.Version > next.Config.Version) {
+				next.Config = e.Config
+				d.logger.WithFields(log.Fields{"version": e.Config.Version, "revision": e.Revision}).Info("directory: configuration in force.")
+			}
+		}
+		next.UnfitSince = make(map[string]time.Duration)
+		for id, s := range next.Servers {
+			if next.Usable(s) {
+				continue
+			}
+			if _, known := d.unfit[id]; !known {
+				d.unfit[id] = now
+				d.logger.WithField("server", id).Info("directory: server takes no new work.")
+			}
+			next.UnfitSince[id] = d.unfit[id]
+		}
+		for id := range d.unfit {
+			if _, unfit := next.UnfitSince[id]; !unfit {
+				delete(d.unfit, id)
+			}
+		}
+		return next
+	})
+}
+
+// servers returns the registered servers and those whose registration lapsed a
+// moment ago.
+func (d *Directory) servers(old map[string]*catalog.Server, now time.Duration) map[string]*catalog.Server {
+	servers := make(map[string]*catalog.Server)
+	for name, e := range d.docs[Servers].Entries {
+		if e.Server == nil {
+			continue
+		}
+		servers[name] = e.Server
+		delete(d.lapsed, name)
+		d.leads.With(e.Server.Group, func(g *leadership.Group) { g.Reborn(name, e.Server.Born) })
+	}
+	for name, s := range old {
+		if servers[name] != nil || s.Draining {
+			continue
+		}
+		since, known := d.lapsed[name]
+		if !known {
+			since = now
+			d.lapsed[name] = now
+			d.logger.WithField("server", name).Info("directory: registration went away.")
+			time.AfterFunc(lapseGrace, d.refresh)
+		}
+		if now-since < lapseGrace {
+			servers[name] = s
+		}
+	}
+	for name := range d.lapsed {
+		if servers[name] == nil {
+			delete(d.lapsed, name)
+		}
+	}
+	return servers
+}
+
+// refresh makes the deployment anew after some time has passed.
+func (d *Directory) refresh() {
+	d.mu.Lock()
+	d.build()
+	d.mu.Unlock()
+}
+
+// Encode returns all documents for another VM.
+func (d *Directory) Encode() []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b, err := json.Marshal(d.docs)
+	if err != nil {
+		panic("directory: documents cannot be encoded: " + err.Error())
+	}
+	return b
+}
+
+// checkPeers asks other VMs for documents that are newer than this VM's.
+func (d *Directory) checkPeers(ctx context.Context) {
+	ticker := time.NewTicker(peerCheck)
+	defer ticker.Stop()
+	behind := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		vm := d.ahead()
+		// The store's own answer is usually on its way.
+		if vm != "" && behind {
+			d.fleet.Call(vm, fleetwire.KindSnapshot, nil, func(f fleetwire.Frame, ok bool) {
+				if ok {
+					d.receive(vm, f.Body)
+				}
+			})
+		}
+		behind = vm != ""
+	}
+}
+
+// ahead returns a VM that knows a newer document, or "".
+func (d *Directory) ahead() string {
+	peers := d.fleet.Peers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range peers {
+		for kind, revision := range p.Revisions {
+			if revision > d.docs[Kind(kind)].Revision {
+				return p.Name
+			}
+		}
+	}
+	return ""
+}
+
+// receive takes another VM's documents.
+func (d *Directory) receive(vm string, body []byte) {
+	var docs map[Kind]document
+	if err := json.Unmarshal(body, &docs); err != nil {
+		d.logger.WithError(err).WithField("vm", vm).Error("directory: another VM's documents cannot be decoded.")
+		return
+	}
+	for kind, doc := range docs {
+		for _, e := range doc.Entries {
+			if e.Config != nil {
+				e.Config.Index()
+			}
+		}
+		d.mu.Lock()
+		if doc.Revision <= d.docs[kind].Revision {
+			d.mu.Unlock()
+			continue
+		}
+		d.logger.WithFields(log.Fields{"kind": string(kind), "vm": vm, "revision": doc.Revision}).Info("directory: learned from another VM.")
+		d.replace(kind, doc)
+	}
+}
+
+// join announces this VM and reads the list of members now and then.
+func (d *Directory) join(ctx context.Context) {
+	announced := false
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		err := d.meet(ctx, &announced)
+		if err != nil {
+			pause(ctx, backoff)
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		backoff = minBackoff
+		pause(ctx, membersInterval)
+	}
+}
+
+func (d *Directory) meet(ctx context.Context, announced *bool) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	if !*announced {
+		if err := d.observe("announce", "members", d.source.Announce(ctx, d.self)); err != nil {
+			return err
+		}
+		*announced = true
+	}
+	members, err := d.source.Members(ctx)
+	if d.observe("list", "members", err) != nil {
+		return err
+	}
+	d.retire(ctx, members)
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, m.Address)
+	}
+	d.fleet.Members(addresses)
+	return nil
+}
+
+// retire takes members from the list that have been missing for long.
+func (d *Directory) retire(ctx context.Context, members []Member) {
+	alive := make(map[string]bool)
+	for _, p := range d.fleet.Peers() {
+		alive[p.Address] = true
+	}
+	now := clock.Now()
+	listed := make(map[string]bool, len(members))
+	for _, m := range members {
+		listed[m.Address] = true
+		if alive[m.Address] || m.Address == d.self.Address {
+			delete(d.missing, m.Address)
+			continue
+		}
+		since, known := d.missing[m.Address]
+		switch {
+		case !known:
+			d.missing[m.Address] = now
+		case now-since > retireAfter && 2*len(alive) >= len(members):
+			err := d.observe("retire", "members", d.source.Retire(ctx, m.Name))
+			d.logger.WithFields(log.Fields{"vm": m.Name, "ok": err == nil}).Info("directory: member retired.")
+		}
+	}
+	maps.DeleteFunc(d.missing, func(a string, _ time.Duration) bool { return !listed[a] })
+}
--- /dev/null
+++ b/transport/dispatch/dispatch.go
@@ -0,0 +1,161 @@
+// Package dispatch connects the parts of a VM with the other VMs: it runs
+// statements here or there, and answers what other VMs ask.
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
+	"github.com/chestnutdyke/chestnutdyke/coordination/quota"
+	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/admission"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
+	"github.com/chestnutdyke/chestnutdyke/transport/fleetlink"
+	"github.com/chestnutdyke/chestnutdyke/transport/sqlback"
+)
+
+// ownOrigin is the origin of this VM's own transactions. Links have numbers.
+const ownOrigin = "self"
+
+// Options are the parts that a Dispatcher connects.
+type Options struct {
+	Self     string
+	Links    *fleetlink.Links
+	Executor *sqlback.Executor
+	Gate     *admission.Gate
+	Quota    *quota.Table
+	Leads    *leadership.Table
+	Table    *catalog.Table
+	Logger   log.Interface
+}
+
+// Dispatcher implements fleetlink.Handler and sqlfront.Runner.
+type Dispatcher struct {
+	Options
+	documents func() []byte
+
+	mu      sync.Mutex // guards ledgers; no other lock is taken under it
+	ledgers ledgers
+}
+
+// ledgers are the customers by their ledger VM, as of a view and a configuration.
+type ledgers struct {
+	view      *placement.View
+	config    *catalog.Config
+	customers map[string][]string
+}
+
+// New returns a dispatcher and makes it the handler of the links.
+func New(o Options) *Dispatcher {
+	d := &Dispatcher{Options: o}
+	o.Links.Handle(d)
+	return d
+}
+
+// Documents sets where the documents for other VMs come from. Call it before
+// the links run.
+func (d *Dispatcher) Documents(f func() []byte) { d.documents = f }
+
+// Run runs a statement on the named VM and calls done once, on a pool worker.
+func (d *Dispatcher) Run(vm string, w *statement.Work, done func(statement.Result)) {
+	if vm == d.Self {
+		d.Executor.Execute(ownOrigin, w, done)
+		return
+	}
+	sent := d.Links.Call(vm, fleetwire.KindWork, fleetwire.AppendWork(nil, w), func(f fleetwire.Frame, ok bool) {
+		if !ok {
+			done(refused(statement.Lost, "the link to the VM broke"))
+			return
+		}
+		r, err := fleetwire.DecodeResult(f.Body)
+		if err != nil {
+			d.Logger.WithError(err).WithField("vm", vm).Error("fleet: a result cannot be decoded.")
+			r = refused(statement.Lost, "the VM's answer cannot be decoded")
+		}
+		done(r)
+	})
+	if !sent {
+		done(refused(statement.Unreachable, "the VM is not linked"))
+	}
+}
+
+func refused(code statement.Code, why string) statement.Result {
+	return statement.Result{Answer: statement.Refusal(code, why)}
+}
+
+// Abort ends a transaction on the named VM.
+func (d *Dispatcher) Abort(vm string, tx uint64) {
+	if vm == d.Self {
+		d.Executor.Abort(ownOrigin, tx)
+		return
+	}
+	d.Links.Send(vm, fleetwire.KindAbort, fleetwire.AppendNumber(nil, tx))
+}
+
+// Execute implements fleetlink.Handler.
+func (d *Dispatcher) Execute(origin string, w *statement.Work, reply func(statement.Result)) {
+	d.Executor.Execute(origin, w, reply)
+}
+
+// EndTx implements fleetlink.Handler.
+func (d *Dispatcher) EndTx(origin string, tx uint64) { d.Executor.Abort(origin, tx) }
+
+// LinkClosed implements fleetlink.Handler.
+func (d *Dispatcher) LinkClosed(origin string) { d.Executor.AbortAll(origin) }
+
+// Grant implements fleetlink.Handler.
+func (d *Dispatcher) Grant(customer string, n int) int { return d.Gate.Grant(customer, n) }
+
+// Document implements fleetlink.Handler.
+func (d *Dispatcher) Document() []byte { return d.documents() }
+
+// Pong implements fleetlink.Handler: it lends the asking VM what it counts as a
+// ledger, and passes on what is known of the primaries.
+func (d *Dispatcher) Pong(from string) fleetwire.Pong {
+	var p fleetwire.Pong
+	config := d.Table.Current().Config
+	if config == nil {
+		return p
+	}
+	now := clock.Now()
+	p.Lent = d.Quota.Lend(from, d.counts(from, config), now)
+	for i := range config.Groups {
+		name := config.Groups[i].Name
+		d.Leads.With(name, func(g *leadership.Group) {
+			if server, sample, ok := g.Newest(); ok {
+				p.Leads = append(p.Leads, fleetwire.Lead{Group: name, Server: server, Point: sample.Point, Age: now - sample.At})
+			}
+		})
+	}
+	return p
+}
+
+// counts returns the customers whose ledger is the VM.
+func (d *Dispatcher) counts(vm string, config *catalog.Config) []string {
+	view := d.Links.View()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ledgers.view != view || d.ledgers.config != config {
+		d.ledgers = ledgers{view: view, config: config, customers: make(map[string][]string)}
+		for i := range config.Customers {
+			name := config.Customers[i].Name
+			ledger := view.Ledger(name)
+			d.ledgers.customers[ledger] = append(d.ledgers.customers[ledger], name)
+		}
+	}
+	return d.ledgers.customers[vm]
+}
+
+// PongReceived implements fleetlink.Handler.
+func (d *Dispatcher) PongReceived(from string, p fleetwire.Pong, sentAt time.Duration) {
+	d.Quota.Receive(from, p.Lent, sentAt)
+	for _, l := range p.Leads {
+		d.Leads.With(l.Group, func(g *leadership.Group) { g.Prove(l.Server, l.Point, sentAt-l.Age) })
+	}
+}
--- /dev/null
+++ b/transport/promotion/promotion.go
@@ -0,0 +1,471 @@
+// Package promotion carries out the succession of primaries: the VM that is the
+// fleet's steward watches the groups, and orders the platform to promote.
+package promotion
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
+	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
+	"github.com/chestnutdyke/chestnutdyke/transport/sqlback"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// claimAfter is how long a VM must be the fleet's choice before it claims
+	// the duty, so that short disagreements move nothing.
+	claimAfter = 700 * time.Millisecond
+	// askTimeout bounds questions to servers; a server that is up answers
+	// within a few statements' time.
+	askTimeout = 400 * time.Millisecond
+	// orderTimeout bounds a call to the platform.
+	orderTimeout = 600 * time.Millisecond
+	// catchUp is how long a handover waits for a replica to receive the rest of
+	// the log. Most replicas need tens of milliseconds.
+	catchUp      = 1200 * time.Millisecond
+	catchUpCheck = 25 * time.Millisecond
+	storeTimeout = time.Second
+	// tokenBlock is how many fencing tokens a claim reserves. They let the
+	// steward order promotions while the store is down.
+	tokenBlock = 1000
+)
+
+// Platform carries out promotions.
+type Platform interface {
+	// Promote makes the server the primary of the group. It fails with
+	// ErrRefused if the platform refused the order, and otherwise if it is not
+	// known whether the order was or will be carried out.
+	Promote(ctx context.Context, group, server, holder string, token uint64) error
+}
+
+// ErrRefused says that a newer order was given or the server does not run.
+var ErrRefused = eris.New("the platform refused the order")
+
+// Duty is the store's record of who orders promotions.
+type Duty struct {
+	Holder   string
+	NextFree uint64 // lowest fencing token that nobody has reserved
+	Revision uint64 // of the record; zero if there is none yet
+}
+
+// Duties keeps the record.
+type Duties interface {
+	// ReadDuty returns the record as of now.
+	ReadDuty(ctx context.Context) (Duty, error)
+	// WriteDuty replaces the record if its revision is still d.Revision.
+	WriteDuty(ctx context.Context, d Duty) error
+}
+
+// Runner runs statements on the fleet's VMs.
+type Runner interface {
+	Run(vm string, w *statement.Work, done func(statement.Result))
+}
+
+// Options are the parts that a Steward uses.
+type Options struct {
+	Name     string
+	Platform Platform
+	Duties   Duties
+	Runner   Runner
+	Reports  sqlback.Dialect
+	Table    *catalog.Table
+	Leads    *leadership.Table
+	View     func() *placement.View
+	Logger   log.Interface
+	Scope    tally.Scope
+}
+
+// Steward watches the groups while its VM is the fleet's steward. Create it
+// with New.
+type Steward struct {
+	Options
+	chosenSince time.Duration // zero while another VM is the choice; used by Run only
+	orders      tally.Counter
+
+	mu        lockrank.Mutex // guards the fields below
+	nextToken uint64         // next reserved fencing token
+	endToken  uint64         // end of the reserved tokens
+	groups    map[string]*watch
+}
+
+// watch is what the steward remembers of a group.
+type watch struct {
+	since    time.Duration
+	failures int
+	askedAt  time.Duration
+	asking   bool
+	busy     bool // a promotion is under way
+	// unanswered is set after an order whose outcome is not known: it may still
+	// be carried out, until a newer order is.
+	unanswered bool
+}
+
+// New returns a steward.
+func New(o Options) *Steward {
+	return &Steward{
+		Options: o, orders: o.Scope.Counter("promotions_ordered"),
+		mu: lockrank.New(lockrank.Session), groups: make(map[string]*watch),
+	}
+}
+
+// Run watches until ctx is done.
+func (s *Steward) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return g.Wait()
+		case <-ticker.C:
+		}
+		if s.chosen() && s.hold(ctx) {
+			s.check(ctx, g)
+		}
+	}
+}
+
+// chosen reports whether this VM has been the fleet's choice for long enough.
+func (s *Steward) chosen() bool {
+	view := s.View()
+	if view.Steward() != s.Name {
+		if s.chosenSince != 0 {
+			s.Logger.Info("promotion: another VM is the steward.")
+		}
+		s.chosenSince = 0
+		s.mu.Lock()
+		s.groups = make(map[string]*watch)
+		s.nextToken, s.endToken = 0, 0
+		s.mu.Unlock()
+		return false
+	}
+	now := clock.Now()
+	if s.chosenSince == 0 {
+		s.chosenSince = now
+	}
+	return now-s.chosenSince >= claimAfter
+}
+
+// hold claims the duty unless this VM holds it.
+func (s *Steward) hold(ctx context.Context) bool {
+	s.mu.Lock()
+	held := s.nextToken < s.endToken
+	s.mu.Unlock()
+	if held {
+		return true
+	}
+	if s.Table.Current().Config == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	duty, err := s.Duties.ReadDuty(ctx)
+	if err == nil {
+		duty.Holder = s.Name
+		first := max(duty.NextFree, 1)
+		duty.NextFree = first + tokenBlock
+		if err = s.Duties.WriteDuty(ctx, duty); err == nil {
+			s.mu.Lock()
+			s.nextToken, s.endToken = first, duty.NextFree
+			s.mu.Unlock()
+			s.Logger.WithFields(log.Fields{"token": first}).Info("promotion: this VM is the steward.")
+			return true
+		}
+	}
+	s.Logger.WithError(err).Warn("promotion: the duty cannot be claimed.")
+	// The answer may have been lost after the record was written; the tokens
+	// that it reserved stay unused.
+	s.chosenSince = clock.Now()
+	return false
+}
+
+// token returns a fencing token that was never used.
+func (s *Steward) token() (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.nextToken >= s.endToken {
+		return 0, false
+	}
+	s.nextToken++
+	return s.nextToken - 1, true
+}
+
+// check decides about each group that a route uses.
+func (s *Steward) check(ctx context.Context, g *errgroup.Group) {
+	d := s.Table.Current()
+	seen := make(map[string]bool)
+	for _, route := range d.Config.Routes {
+		if seen[route.Group] || len(d.GroupServers(route.Group)) == 0 {
+			continue
+		}
+		seen[route.Group] = true
+		s.checkGroup(ctx, g, d, route.Group)
+	}
+}
+
+func (s *Steward) checkGroup(ctx context.Context, g *errgroup.Group, d *catalog.Deployment, group string) {
+	now := clock.Now()
+	facts := succession.Facts{Now: now, Isolated: s.View().Isolated()}
+	s.Leads.With(group, func(l *leadership.Group) {
+		facts.Primary = l.Primary(d.GroupServers(group), now)
+		facts.ProvenAt = l.ProvenAt()
+	})
+	facts.Leaving = facts.Primary != nil && !d.Usable(facts.Primary)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.groups[group]
+	if w == nil {
+		w = &watch{since: now}
+		s.groups[group] = w
+	}
+	if w.busy {
+		return
+	}
+	if facts.ProvenAt >= w.askedAt {
+		w.failures = 0
+	}
+	facts.Failures, facts.Since = w.failures, w.since
+	switch succession.Decide(facts) {
+	case succession.Ask:
+		if !w.asking {
+			w.asking, w.askedAt = true, now
+			s.ask(group, facts.Primary, w)
+		}
+	case succession.HandOver:
+		w.busy = true
+		g.Go(func() error { s.handOver(ctx, group, facts.Primary, w); return nil })
+	case succession.Replace:
+		w.busy = true
+		s.Logger.WithFields(log.Fields{"group": group, "proof_age_ms": (now - facts.ProvenAt).Milliseconds(), "failures": w.failures}).
+			Warn("promotion: the primary is lost.")
+		g.Go(func() error { s.replace(ctx, group, facts.Primary, w); return nil })
+	default:
+		if w.unanswered && facts.Primary != nil && facts.ProvenAt >= w.askedAt {
+			w.busy = true
+			g.Go(func() error { s.fence(ctx, group, facts.Primary, w); return nil })
+		}
+	}
+}
+
+// ask asks the primary for a proof of its lead.
+func (s *Steward) ask(group string, primary *catalog.Server, w *watch) {
+	sentAt := clock.Now()
+	s.run(group, primary, statement.Work{
+		Opens: true, Command: statement.Command{Verb: statement.Rollback},
+	}, func(r statement.Result) {
+		s.Leads.With(group, func(l *leadership.Group) {
+			switch {
+			case r.Proven:
+				l.Prove(primary.ID, r.Answer.At, sentAt)
+			case r.Answer.Code == statement.ReadOnly:
+				l.Deny(primary)
+			}
+		})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		w.asking = false
+		if !r.Proven {
+			w.failures++
+		}
+	})
+}
+
+// run runs a command of the steward's own on a server, on a connection of the
+// customer with the highest rate, which is most likely open.
+func (s *Steward) run(group string, server *catalog.Server, w statement.Work, done func(statement.Result)) {
+	w.Group, w.Server, w.Customer = group, server.ID, s.customer()
+	w.Timeout, w.Wait = askTimeout, askTimeout
+	vm, ok := s.View().Executor(w.Customer, server)
+	if !ok {
+		vm = s.Name
+	}
+	s.Runner.Run(vm, &w, done)
+}
+
+func (s *Steward) customer() string {
+	best := ""
+	rate := -1.0
+	for _, c := range s.Table.Current().Config.Customers {
+		if c.Rate > rate {
+			best, rate = c.Name, c.Rate
+		}
+	}
+	return best
+}
+
+// report asks a server for its role and position.
+func (s *Steward) report(ctx context.Context, group string, server *catalog.Server, c statement.Command) (sqlback.Report, error) {
+	results := make(chan statement.Result, 1)
+	s.run(group, server, statement.Work{Command: c}, func(r statement.Result) { results <- r })
+	select {
+	case <-ctx.Done():
+		return sqlback.Report{}, ctx.Err()
+	case r := <-results:
+		if r.Answer.Code != statement.OK || len(r.Answer.Rows) != 1 {
+			return sqlback.Report{}, eris.Errorf("no report: %s %s", r.Answer.Code, r.Answer.Text)
+		}
+		return s.Reports.DecodeReport(r.Answer.Rows[0])
+	}
+}
+
+// candidates asks the group's servers, but for the primary, for their positions.
+func (s *Steward) candidates(ctx context.Context, group string, primary *catalog.Server) []succession.Candidate {
+	d := s.Table.Current()
+	servers := d.GroupServers(group)
+	answers := make(chan *succession.Candidate, len(servers))
+	for _, server := range servers {
+		if primary != nil && server.ID == primary.ID {
+			answers <- nil
+			continue
+		}
+		go func() {
+			r, err := s.report(ctx, group, server, statement.Command{Verb: statement.Status})
+			if err != nil {
+				s.Logger.WithError(err).WithFields(log.Fields{"group": group, "server": server.ID}).Warn("promotion: no position.")
+				answers <- nil
+				return
+			}
+			answers <- &succession.Candidate{Server: server, Received: r.Received, Usable: d.Usable(server)}
+		}()
+	}
+	var all []succession.Candidate
+	for range servers {
+		if c := <-answers; c != nil {
+			all = append(all, *c)
+		}
+	}
+	return all
+}
+
+// replace promotes another server in place of one that is lost.
+func (s *Steward) replace(ctx context.Context, group string, primary *catalog.Server, w *watch) {
+	defer s.finish(w)
+	best, ok := succession.Best(s.candidates(ctx, group, primary))
+	if !ok {
+		s.Logger.WithField("group", group).Error("promotion: no server can take over.")
+		return
+	}
+	// The primary may have answered another VM meanwhile.
+	proven := time.Duration(0)
+	s.Leads.With(group, func(l *leadership.Group) { proven = l.ProvenAt() })
+	if clock.Now()-proven < succession.RepeatAfter {
+		return
+	}
+	s.promote(ctx, group, best, w)
+}
+
+// handOver replaces a primary that is leaving. It stops taking writes first, so
+// that its successor can receive all of its log.
+func (s *Steward) handOver(ctx context.Context, group string, primary *catalog.Server, w *watch) {
+	defer s.finish(w)
+	if _, ok := succession.Best(s.candidates(ctx, group, primary)); !ok {
+		s.Logger.WithField("group", group).Error("promotion: no server can take over from the leaving primary.")
+		return
+	}
+	// An order that changes nothing shows that the platform answers: without a
+	// successor the group must not lose its primary.
+	if !s.order(ctx, group, primary, w) {
+		return
+	}
+	term := uint64(0)
+	s.Leads.With(group, func(l *leadership.Group) { term = l.Term() })
+	last, err := s.report(ctx, group, primary, statement.Command{Verb: statement.StepDown, Term: term + 1})
+	if err != nil {
+		s.Logger.WithError(err).WithField("server", primary.ID).Warn("promotion: the leaving primary did not step down.")
+	}
+	s.Logger.WithFields(log.Fields{"group": group, "server": primary.ID, "position": last.Received.Position}).Info("promotion: the leaving primary stepped down.")
+	deadline := time.Now().Add(catchUp)
+	var best succession.Candidate
+	for {
+		var ok bool
+		best, ok = succession.Best(s.candidates(ctx, group, primary))
+		if ok && succession.Holds(best.Received, last.Received) || time.Now().After(deadline) || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(catchUpCheck)
+	}
+	if best.Server != nil {
+		s.promote(ctx, group, best, w)
+	}
+}
+
+// promote orders a promotion and waits for its effect.
+func (s *Steward) promote(ctx context.Context, group string, c succession.Candidate, w *watch) {
+	if !s.order(ctx, group, c.Server, w) {
+		return
+	}
+	deadline := time.Now().Add(succession.RepeatAfter)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		proven := make(chan bool, 1)
+		sentAt := clock.Now()
+		s.run(group, c.Server, statement.Work{Opens: true, Command: statement.Command{Verb: statement.Rollback}}, func(r statement.Result) {
+			if r.Proven {
+				s.Leads.With(group, func(l *leadership.Group) { l.Prove(c.Server.ID, r.Answer.At, sentAt) })
+			}
+			proven <- r.Proven
+		})
+		if <-proven {
+			s.Logger.WithFields(log.Fields{"group": group, "server": c.Server.ID}).Info("promotion: the new primary leads.")
+			return
+		}
+		time.Sleep(catchUpCheck)
+	}
+}
+
+// fence orders the present primary to stay, so that an order whose answer was
+// lost has no effect when it is carried out late.
+func (s *Steward) fence(ctx context.Context, group string, primary *catalog.Server, w *watch) {
+	defer s.finish(w)
+	s.order(ctx, group, primary, w)
+}
+
+// order gives one order and reports whether it was carried out.
+func (s *Steward) order(ctx context.Context, group string, server *catalog.Server, w *watch) bool {
+	token, ok := s.token()
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	s.orders.Inc(1)
+	err := s.Platform.Promote(ctx, group, server.ID, s.Name, token)
+	refused := errors.Is(err, ErrRefused)
+	s.mu.Lock()
+	if err != nil && !refused {
+		w.unanswered = true
+	} else if err == nil {
+		w.unanswered = false
+	}
+	if refused {
+		// Another VM may have claimed the duty: claim it anew.
+		s.nextToken, s.endToken = 0, 0
+	}
+	s.mu.Unlock()
+	entry := s.Logger.WithFields(log.Fields{"group": group, "server": server.ID, "token": token})
+	if err != nil {
+		entry.WithError(err).Warn("promotion: order not confirmed.")
+		return false
+	}
+	entry.Info("promotion: order carried out.")
+	return true
+}
+
+func (s *Steward) finish(w *watch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.busy = false
+	w.failures = 0
+	w.since = clock.Now()
+}
--- /dev/null
+++ b/transport/sqlfront/session.go
@@ -0,0 +1,341 @@
+package sqlfront
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
+	"github.com/chestnutdyke/chestnutdyke/coordination/sqlsession"
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
+	"github.com/chestnutdyke/chestnutdyke/transport/outbox"
+	"github.com/chestnutdyke/chestnutdyke/transport/pool"
+)
+
+const (
+	// holdPart is the part of a statement's time for which it may wait without
+	// running: for a primary to be found, or for a connection. A failover takes
+	// longer than the wait that a client would choose for a repetition.
+	holdPart = 0.4
+	// retryDelay is the pause after every server that fits has refused.
+	retryDelay = 15 * time.Millisecond
+	// minTimeout is used for routes without a time-out.
+	minTimeout = 50 * time.Millisecond
+	// busyRetryAfter is what clients are told to wait when capacity is missing.
+	busyRetryAfter = 200 * time.Millisecond
+)
+
+// session is a client's connection. Its fields are used by the events of its
+// queue only.
+type session struct {
+	server *Server
+	core   *sqlsession.Session
+	out    *outbox.Outbox
+	queue  *pool.Queue
+
+	current *run
+	waiting bool // the admission of a transaction is under way
+	backlog []statement.Request
+	closed  bool
+	idleTx  *time.Timer
+}
+
+// run is an operation under way.
+type run struct {
+	op       *sqlsession.Operation
+	started  time.Duration
+	deadline time.Duration
+	hold     time.Duration // until when it may wait
+	tried    map[string]bool
+	attempts int
+	span     trace.Span
+	last     statement.Answer // of the latest attempt
+}
+
+func (c *session) busy() bool { return c.current != nil || c.waiting }
+
+// request takes a request from the client.
+func (c *session) request(r statement.Request) {
+	if c.busy() {
+		if len(c.backlog) >= maxBacklog {
+			c.out.Abort()
+			return
+		}
+		c.backlog = append(c.backlog, r)
+		return
+	}
+	c.handle(r)
+}
+
+func (c *session) handle(r statement.Request) {
+	c.stopIdleTimer()
+	config := c.server.Table.Current().Config
+	step := c.core.Handle(r, config)
+	if step.End != nil {
+		c.server.Runner.Abort(step.End.VM, step.End.ID)
+	}
+	switch {
+	case step.Run != nil:
+		c.start(step.Run)
+	case step.Charge:
+		c.admitTx(r, step)
+	default:
+		if step.Answer.Code != statement.OK {
+			c.logRefusal(r.ID, step.Customer, step.Answer, 0, 0)
+		}
+		c.answer(*step.Answer)
+		if step.Close {
+			c.finish()
+			return
+		}
+		c.next()
+	}
+}
+
+// admitTx answers BEGIN once the transaction is counted.
+func (c *session) admitTx(r statement.Request, step sqlsession.Step) {
+	c.waiting = true
+	c.server.Admitter.Admit(step.Customer, func(admitted bool, retryAfter time.Duration) {
+		c.queue.PostAlways(func() {
+			c.waiting = false
+			if c.closed {
+				return
+			}
+			a := *step.Answer
+			if !admitted {
+				c.core.Unbegin()
+				a.Code, a.Text, a.State = statement.Busy, overLimit(retryAfter), c.core.State()
+				c.logRefusal(r.ID, step.Customer, &a, 0, 0)
+			}
+			c.answer(a)
+			c.next()
+		})
+	})
+}
+
+func overLimit(retryAfter time.Duration) string {
+	return "over the customer's limit; retry after " + strconv.FormatInt(retryAfter.Milliseconds(), 10) + " ms"
+}
+
+// start begins an operation.
+func (c *session) start(op *sqlsession.Operation) {
+	now := clock.Now()
+	timeout := max(op.Route.Timeout, minTimeout)
+	_, span := c.server.Tracer.Start(context.Background(), "statement", trace.WithAttributes(attribute.String("id", op.Request.ID)))
+	u := &run{
+		op: op, started: now, deadline: now + timeout, tried: make(map[string]bool), span: span,
+		hold: now + time.Duration(holdPart*float64(timeout)),
+	}
+	c.current = u
+	if !op.Charge {
+		c.attempt(u)
+		return
+	}
+	c.server.Admitter.Admit(op.Customer, func(admitted bool, retryAfter time.Duration) {
+		c.queue.PostAlways(func() {
+			if c.current != u {
+				return
+			}
+			if !admitted {
+				c.conclude(u, statement.Result{Answer: statement.Refusal(statement.Busy, overLimit(retryAfter))}, "", "")
+				return
+			}
+			c.attempt(u)
+		})
+	})
+}
+
+// attempt runs the operation on the server that fits best now.
+func (c *session) attempt(u *run) {
+	if c.current != u {
+		return
+	}
+	s := c.server
+	now := clock.Now()
+	target, ok := sqlsession.Choose(u.op, sqlsession.Env{
+		Deployment: s.Table.Current(), Leads: s.Leads, View: s.View(), DataCentre: s.DataCentre, Now: now, Tried: u.tried,
+	})
+	if !ok {
+		c.later(u, now)
+		return
+	}
+	w := target.Work
+	w.Timeout = u.deadline - now
+	w.Wait = max(u.hold-now, time.Millisecond)
+	u.attempts++
+	s.Leads.With(w.Group, func(g *leadership.Group) { g.Sent(w.Server) })
+	s.Runner.Run(target.VM, &w, func(r statement.Result) {
+		c.observe(&w, &r, now)
+		posted := c.queue.PostAlways(func() { c.result(u, target.VM, &w, r) })
+		if !posted && r.Tx != 0 {
+			s.Runner.Abort(target.VM, r.Tx)
+		}
+	})
+}
+
+// observe records what the result says of the server.
+func (c *session) observe(w *statement.Work, r *statement.Result, sentAt time.Duration) {
+	now := clock.Now()
+	s := c.server
+	server := s.Table.Current().Servers[w.Server]
+	s.Leads.With(w.Group, func(g *leadership.Group) {
+		answered := r.Answer.Code == statement.OK
+		g.Done(w.Server, answered, now-sentAt, r.Answer.At)
+		switch r.Answer.Code {
+		case statement.OK:
+			if r.Proven {
+				g.Prove(w.Server, r.Answer.At, sentAt)
+			}
+		case statement.ReadOnly:
+			if server != nil {
+				g.Deny(server)
+			}
+		case statement.Lagging:
+			g.Lags(w.Server, now)
+		case statement.Lost, statement.Timeout, statement.Unreachable, statement.WrongServer, statement.ConnectionLimit:
+			g.Suspect(w.Server, now)
+		}
+	})
+}
+
+// result takes the result of an attempt.
+func (c *session) result(u *run, vm string, w *statement.Work, r statement.Result) {
+	if c.current != u {
+		if r.Tx != 0 {
+			c.server.Runner.Abort(vm, r.Tx)
+		}
+		return
+	}
+	u.last = r.Answer
+	if u.op.Judge(&r) == sqlsession.Tell {
+		c.conclude(u, r, vm, w.Server)
+		return
+	}
+	c.server.Logger.WithFields(log.Fields{
+		"id": u.op.Request.ID, "server": w.Server, "vm": vm, "attempt": u.attempts, "code": r.Answer.Code.String(), "why": r.Answer.Text,
+	}).Info("session: attempt failed.")
+	u.tried[w.Server] = true
+	if clock.Now() < u.deadline {
+		c.attempt(u)
+		return
+	}
+	c.later(u, u.deadline)
+}
+
+// later tries again after a pause, or refuses an operation that has waited for
+// as long as it may.
+func (c *session) later(u *run, now time.Duration) {
+	if now >= u.hold {
+		text := "no server could run it; retry after " + strconv.FormatInt(busyRetryAfter.Milliseconds(), 10) + " ms"
+		c.conclude(u, statement.Result{Answer: statement.Refusal(statement.Busy, text)}, "", "")
+		return
+	}
+	clear(u.tried)
+	time.AfterFunc(retryDelay, func() { c.queue.PostAlways(func() { c.attempt(u) }) })
+}
+
+// conclude answers the operation.
+func (c *session) conclude(u *run, r statement.Result, vm, server string) {
+	c.current = nil
+	u.span.End()
+	took := clock.Now() - u.started
+	c.server.latency.RecordDuration(took)
+	c.server.outcomes[r.Answer.Code].Inc(1)
+	a := c.core.Finish(u.op, r, vm, server)
+	if a.Code != statement.OK {
+		c.logRefusal(u.op.Request.ID, u.op.Customer, &a, took, u.attempts)
+	}
+	c.answer(a)
+	c.next()
+}
+
+func (c *session) logRefusal(id, customer string, a *statement.Answer, took time.Duration, attempts int) {
+	c.server.Logger.WithFields(log.Fields{
+		"id": id, "customer": customer, "code": a.Code.String(), "why": a.Text, "took_ms": took.Milliseconds(), "attempts": attempts,
+	}).Warn("session: request refused.")
+}
+
+func (c *session) answer(a statement.Answer) {
+	if !c.closed {
+		c.out.Write(c.server.Dialect.AppendAnswer(nil, &a))
+	}
+}
+
+// next handles the next request, or rests.
+func (c *session) next() {
+	if len(c.backlog) > 0 && !c.closed {
+		r := c.backlog[0]
+		c.backlog = c.backlog[1:]
+		c.handle(r)
+		return
+	}
+	c.rest()
+}
+
+// rest is called when no request is under way: an open transaction is ended if
+// it rests for too long, and a session that is shed is closed.
+func (c *session) rest() {
+	if c.closed || c.busy() || len(c.backlog) > 0 {
+		return
+	}
+	if c.core.State() == statement.Idle {
+		if c.server.isShedding() {
+			c.finish()
+		}
+		return
+	}
+	c.server.mu.Lock()
+	draining := c.server.draining
+	c.server.mu.Unlock()
+	if draining {
+		c.endIdleTx()
+		return
+	}
+	if config := c.server.Table.Current().Config; config.TxIdle > 0 {
+		c.stopIdleTimer()
+		c.idleTx = time.AfterFunc(config.TxIdle, func() { c.queue.PostAlways(c.endIdleTx) })
+	}
+}
+
+func (c *session) stopIdleTimer() {
+	if c.idleTx != nil {
+		c.idleTx.Stop()
+		c.idleTx = nil
+	}
+}
+
+// endIdleTx ends a transaction in which no statement runs.
+func (c *session) endIdleTx() {
+	if c.closed || c.busy() || c.core.State() != statement.InTx {
+		return
+	}
+	if tx := c.core.Abandon(); tx != nil {
+		c.server.Runner.Abort(tx.VM, tx.ID)
+	}
+	c.server.Logger.Info("session: a resting transaction was ended.")
+}
+
+// finish closes the session after what was answered.
+func (c *session) finish() {
+	c.closed = true
+	c.stopIdleTimer()
+	c.out.Finish()
+}
+
+// gone ends what the client left behind.
+func (c *session) gone() {
+	c.closed = true
+	c.stopIdleTimer()
+	if tx := c.core.Abandon(); tx != nil {
+		c.server.Runner.Abort(tx.VM, tx.ID)
+	}
+	if c.current != nil {
+		c.current.span.End()
+		c.current = nil
+	}
+}
