--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -81,6 +81,24 @@
 	return v.Self
 }
 
+// watchers is how many VMs watch a kind of objects. One is enough while the
+// store answers it; the second hides the time until a silent one is noticed.
+const watchers = 2
+
+// Watches reports whether this VM watches the store for the kind of objects.
+// The other VMs learn from those that do.
+func (v *View) Watches(kind string) bool {
+	first := ""
+	for range watchers {
+		next := v.best("watch|"+kind, func(vm *VM) bool { return !vm.Leaving && !vm.StoreCutOff && vm.Name != first })
+		if next == v.Self || next == "" {
+			return true
+		}
+		first = next
+	}
+	return false
+}
+
 // best returns the alive VM that fits and has the highest weighted rendezvous
 // score of the key, or "".
 func (v *View) best(key string, fits func(*VM) bool) string {
--- a/node.go
+++ b/node.go
@@ -121,7 +121,7 @@
 	})
 	member := directory.Member{Name: o.Name, Address: o.LinkAddress}
 	n.dir = directory.New(o.Source, n.links, n.table, n.leads, member, o.Logger, o.Scope)
-	n.fleet.Documents(n.dir.Encode)
+	n.fleet.Use(n.dir)
 	n.steward = promotion.New(promotion.Options{
 		Name: o.Name, Platform: o.Platform, Duties: o.Duties, Runner: n.fleet, Reports: o.Servers, Table: n.table, Leads: n.leads,
 		View: n.links.View, Logger: o.Logger, Scope: o.Scope,
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
@@ -22,20 +23,23 @@
 )
 
 const (
-	// watchWait is how long a watch may wait. A connection that went silent is
-	// noticed watchSlack later, inside the 3 s that a configuration has plus
-	// the 4 s after which a VM counts as undisturbed again.
-	watchWait   = 5 * time.Second
-	watchSlack  = time.Second
-	listTimeout = 2 * time.Second
+	// watchWait is how long a watch may wait. The store may forget a watch
+	// without an answer; that is noticed watchSlack later, inside the 3 s in
+	// which a configuration must be in force.
+	watchWait   = 1500 * time.Millisecond
+	watchSlack  = 500 * time.Millisecond
+	listTimeout = time.Second
 	minBackoff  = 100 * time.Millisecond
 	maxBackoff  = time.Second
 	// lapseGrace is how long a server is used after its registration went
 	// away. Registrations that lapsed during an outage of the store come back
 	// within about 2 s of its return.
 	lapseGrace = 2500 * time.Millisecond
-	// peerCheck is how often this VM looks whether others know more.
+	// peerCheck is how often this VM looks whether others know more, besides
+	// each time that one of them says so.
 	peerCheck = 250 * time.Millisecond
+	// watchCheck is how often a VM that does not watch looks whether it should.
+	watchCheck = 250 * time.Millisecond
 	// membersInterval is how often the list of members is read. VMs meet by
 	// their links too, so the list heals what links miss.
 	membersInterval = 8 * time.Second
@@ -49,6 +53,7 @@
 type Fleet interface {
 	Call(vm string, kind fleetwire.Kind, body []byte, done func(fleetwire.Frame, bool)) bool
 	Peers() []fleetwire.Status
+	View() *placement.View
 	Describe(change func(*fleetwire.Status))
 	Members(addresses []string)
 }
@@ -105,6 +110,11 @@
 	backoff := minBackoff
 	revision := uint64(0)
 	for ctx.Err() == nil {
+		if !d.fleet.View().Watches(string(kind)) && d.known(kind) {
+			sleep(ctx, watchCheck)
+			continue
+		}
+		revision = max(revision, d.revision(kind))
 		var batch Batch
 		var err error
 		if revision == 0 {
@@ -119,7 +129,11 @@
 			backoff = minBackoff
 		case errors.Is(err, ErrHistoryGone):
 			d.logger.WithField("kind", string(kind)).Info("directory: history is gone, listing again.")
-			revision = 0
+			batch, err = d.list(ctx, kind)
+			if err == nil {
+				d.apply(kind, batch, true)
+				revision = max(revision, batch.AsOf)
+			}
 		default:
 			pause(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
@@ -167,9 +181,20 @@
 	return err
 }
 
+// revision returns the store's revision when the kind last changed.
+func (d *Directory) revision(kind Kind) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.docs[kind].Revision
+}
+
+// known reports whether the kind was ever listed, here or by another VM.
+func (d *Directory) known(kind Kind) bool { return d.revision(kind) > 0 }
+
 // pause waits with jitter.
-func pause(ctx context.Context, t time.Duration) {
-	t = t/2 + rand.N(t/2+1)
+func pause(ctx context.Context, t time.Duration) { sleep(ctx, t/2+rand.N(t/2+1)) }
+
+func sleep(ctx context.Context, t time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(t):
@@ -309,26 +334,29 @@
 func (d *Directory) checkPeers(ctx context.Context) {
 	ticker := time.NewTicker(peerCheck)
 	defer ticker.Stop()
-	behind := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			d.CatchUp()
 		}
-		vm := d.ahead()
-		// The store's own answer is usually on its way.
-		if vm != "" && behind {
-			d.fleet.Call(vm, fleetwire.KindSnapshot, nil, func(f fleetwire.Frame, ok bool) {
-				if ok {
-					d.receive(vm, f.Body)
-				}
-			})
-		}
-		behind = vm != ""
 	}
 }
 
+// CatchUp asks a VM that knows a newer document for it.
+func (d *Directory) CatchUp() {
+	vm := d.ahead()
+	if vm == "" {
+		return
+	}
+	d.fleet.Call(vm, fleetwire.KindSnapshot, nil, func(f fleetwire.Frame, ok bool) {
+		if ok {
+			d.receive(vm, f.Body)
+		}
+	})
+}
+
 // ahead returns a VM that knows a newer document, or "".
 func (d *Directory) ahead() string {
 	peers := d.fleet.Peers()
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -38,7 +38,7 @@
 // Dispatcher implements fleetlink.Handler and sqlfront.Runner.
 type Dispatcher struct {
 	Options
-	documents func() []byte
+	directory Directory
 
 	mu      sync.Mutex // guards ledgers; no other lock is taken under it
 	ledgers ledgers
@@ -58,9 +58,14 @@
 	return d
 }
 
-// Documents sets where the documents for other VMs come from. Call it before
-// the links run.
-func (d *Dispatcher) Documents(f func() []byte) { d.documents = f }
+// Directory is the part of a VM's directory that other VMs use.
+type Directory interface {
+	Encode() []byte
+	CatchUp()
+}
+
+// Use sets the directory. Call it before the links run.
+func (d *Dispatcher) Use(directory Directory) { d.directory = directory }
 
 // Run runs a statement on the named VM and calls done once, on a pool worker.
 func (d *Dispatcher) Run(vm string, w *statement.Work, done func(statement.Result)) {
@@ -113,7 +118,10 @@
 func (d *Dispatcher) Grant(customer string, n int) int { return d.Gate.Grant(customer, n) }
 
 // Document implements fleetlink.Handler.
-func (d *Dispatcher) Document() []byte { return d.documents() }
+func (d *Dispatcher) Document() []byte { return d.directory.Encode() }
+
+// StatusReceived implements fleetlink.Handler.
+func (d *Dispatcher) StatusReceived() { d.directory.CatchUp() }
 
 // Pong implements fleetlink.Handler: it lends the asking VM what it counts as a
 // ledger, and passes on what is known of the primaries.
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -61,6 +61,8 @@
 	Pong(from string) fleetwire.Pong
 	// PongReceived takes the answer to a ping that was sent at sentAt.
 	PongReceived(from string, p fleetwire.Pong, sentAt time.Duration)
+	// StatusReceived says that another VM described itself anew.
+	StatusReceived()
 	// Document returns what this VM knows from the store.
 	Document() []byte
 }
@@ -384,6 +386,7 @@
 	}
 	l.Meet(s.Address)
 	l.learn(s)
+	l.handler.StatusReceived()
 	return s.Name
 }
 
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -85,6 +85,7 @@
 	mu          lockrank.Mutex // guards the fields below
 	pools       map[poolKey]*serverPool
 	txs         map[uint64]*conn
+	running     int // jobs without a result
 	lastTx      uint64
 	failing     map[string]time.Time // server to its first failed opening since a good one
 	unreachable map[string]bool
@@ -172,6 +173,7 @@
 	server := e.table.Current().Servers[j.work.Server]
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.running++
 	j.timer = time.AfterFunc(j.work.Timeout, func() { e.post(func() { e.expired(j) }) })
 	if j.work.Tx != 0 {
 		c := e.txs[j.work.Tx]
@@ -561,6 +563,7 @@
 		return
 	}
 	j.finished = true
+	e.running--
 	j.timer.Stop()
 	j.done(r)
 }
@@ -645,9 +648,9 @@
 	}
 }
 
-// Open returns the number of open transactions.
+// Open returns the number of statements under way and of open transactions.
 func (e *Executor) Open() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.txs)
+	return e.running + len(e.txs)
 }
--- a/transport/sqlfront/server.go
+++ b/transport/sqlfront/server.go
@@ -147,7 +147,7 @@
 		out.Write(s.Dialect.AppendRefusal(nil, &refusal))
 		return
 	}
-	c := &session{server: s, core: core, out: out, queue: s.Pool.NewQueue(queueLimit)}
+	c := &session{server: s, core: core, conn: conn, out: out, queue: s.Pool.NewQueue(queueLimit)}
 	defer c.queue.Close()
 	s.add(c)
 	defer s.remove(c)
@@ -161,6 +161,10 @@
 			break
 		}
 	}
+	if c.stopped.Load() {
+		c.queue.PostAlways(c.readerEnded)
+		out.WaitClosed()
+	}
 	c.queue.PostAlways(c.gone)
 }
 
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -33,15 +35,18 @@
 // session is a client's connection. Its fields are used by the events of its
 // queue only.
 type session struct {
-	server *Server
-	core   *sqlsession.Session
-	out    *outbox.Outbox
-	queue  *pool.Queue
+	server  *Server
+	core    *sqlsession.Session
+	conn    net.Conn
+	out     *outbox.Outbox
+	queue   *pool.Queue
+	stopped atomic.Bool // no more requests are to be read
 
 	current *run
 	waiting bool // the admission of a transaction is under way
 	backlog []statement.Request
 	closed  bool
+	drained bool // the reader has ended, so no request is lost by closing
 	idleTx  *time.Timer
 }
 
@@ -61,6 +66,9 @@
 
 // request takes a request from the client.
 func (c *session) request(r statement.Request) {
+	if c.closed {
+		return
+	}
 	if c.busy() {
 		if len(c.backlog) >= maxBacklog {
 			c.out.Abort()
@@ -284,8 +292,8 @@
 		return
 	}
 	if c.core.State() == statement.Idle {
-		if c.server.isShedding() {
-			c.finish()
+		if c.drained || c.server.isShedding() {
+			c.leave()
 		}
 		return
 	}
@@ -320,6 +328,26 @@
 	c.server.Logger.Info("session: a resting transaction was ended.")
 }
 
+// leave closes a session that rests. It stops the reader first: a request that
+// was read must be answered.
+func (c *session) leave() {
+	if c.drained {
+		c.finish()
+		return
+	}
+	if c.stopped.CompareAndSwap(false, true) {
+		if err := c.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+			c.finish()
+		}
+	}
+}
+
+// readerEnded is the last event of a reader that was stopped.
+func (c *session) readerEnded() {
+	c.drained = true
+	c.rest()
+}
+
 // finish closes the session after what was answered.
 func (c *session) finish() {
 	c.closed = true
