--- /dev/null
+++ b/standin/managed/dialect.go
@@ -0,0 +1,99 @@
+// Package managed is a model of a platform that declares deployments in a store,
+// runs database groups and promotes primaries on request. Fleets of
+// chestnutdyke.Node run on it in tests, in virtual time, with faults.
+//
+// It follows the interfaces of the transport layer and knows no platform's
+// names. Its wire protocol is a line of JSON for each message.
+package managed
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/sqlback"
+	"github.com/chestnutdyke/chestnutdyke/transport/sqlfront"
+)
+
+// opening begins a connection to a backend server.
+type opening struct{ Group, Customer, Server string }
+
+// Clients is the wire protocol between clients and VMs.
+type Clients struct{}
+
+// Servers is the wire protocol between VMs and backend servers.
+type Servers struct{}
+
+func appendJSON(dst []byte, v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return append(append(dst, b...), '\n')
+}
+
+func readJSON(r *bufio.Reader, v any) error {
+	line, err := r.ReadBytes('\n')
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(line, v)
+}
+
+// ReadStart implements sqlfront.Dialect.
+func (Clients) ReadStart(r *bufio.Reader) (s sqlfront.Start, err error) {
+	return s, readJSON(r, &s)
+}
+
+// ReadRequest implements sqlfront.Dialect.
+func (Clients) ReadRequest(r *bufio.Reader) (request statement.Request, ok bool, err error) {
+	err = readJSON(r, &request)
+	if errors.Is(err, io.EOF) {
+		return request, false, nil
+	}
+	return request, err == nil, err
+}
+
+// AppendReady implements sqlfront.Dialect.
+func (Clients) AppendReady(dst []byte) []byte { return appendJSON(dst, statement.Answer{}) }
+
+// AppendRefusal implements sqlfront.Dialect.
+func (Clients) AppendRefusal(dst []byte, a *statement.Answer) []byte { return appendJSON(dst, a) }
+
+// AppendAnswer implements sqlfront.Dialect.
+func (Clients) AppendAnswer(dst []byte, a *statement.Answer) []byte { return appendJSON(dst, a) }
+
+// AppendStart implements sqlback.Dialect.
+func (Servers) AppendStart(dst []byte, group, customer, server string) []byte {
+	return appendJSON(dst, opening{group, customer, server})
+}
+
+// ReadStarted implements sqlback.Dialect.
+func (Servers) ReadStarted(r *bufio.Reader) (a statement.Answer, err error) { return a, readJSON(r, &a) }
+
+// AppendCommand implements sqlback.Dialect.
+func (Servers) AppendCommand(dst []byte, c *statement.Command) []byte { return appendJSON(dst, c) }
+
+// ReadAnswer implements sqlback.Dialect.
+func (Servers) ReadAnswer(r *bufio.Reader) (a statement.Answer, err error) { return a, readJSON(r, &a) }
+
+// DecodeReport implements sqlback.Dialect.
+func (Servers) DecodeReport(row string) (sqlback.Report, error) {
+	var r sqlback.Report
+	var role string
+	_, err := fmt.Sscanf(row, "%s %d %d %d", &role, &r.Received.Term, &r.Received.Position, &r.Connections)
+	r.Primary = role == "primary"
+	return r, err
+}
+
+func encodeReport(primary bool, p state.Point, connections int) string {
+	role := "replica"
+	if primary {
+		role = "primary"
+	}
+	return fmt.Sprintf("%s %d %d %d", role, p.Term, p.Position, connections)
+}
--- /dev/null
+++ b/standin/managed/faults_test.go
@@ -0,0 +1,400 @@
+package managed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/standin/memnet"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/directory"
+)
+
+const (
+	// failoverWithin is the time in which a change of primary must be over.
+	failoverWithin = 7 * time.Second
+	// configWithin is the time in which a configuration must be in force.
+	configWithin = 3 * time.Second
+	// evacuateWithin is the time in which a data centre that is taken out must
+	// get no more work.
+	evacuateWithin = 5 * time.Second
+)
+
+// Guards against a primary that is not replaced, promises that are broken, and
+// reads that miss commits while a primary crashes.
+func TestPrimaryCrash(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(2 * time.Second)
+		d.Groups[GroupName(0)].Primary().Crash()
+		time.Sleep(8 * time.Second)
+		l.finish()
+		if gap := l.longestGap(Latest); gap > failoverWithin {
+			t.Errorf("no write for %v", gap)
+		}
+		if n := len(d.Store.Orders()); n != 1 {
+			t.Errorf("%d orders to promote: %v", n, d.Store.Orders())
+		}
+	})
+}
+
+// Guards against a primary that is silent behind a partition and still answers
+// some VMs: its reads are old once another one is promoted.
+func TestPrimaryCutOff(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(2 * time.Second)
+		g := d.Groups[GroupName(0)]
+		old := g.Primary()
+		cut := d.Net.Partition(memnet.Zones(zone(0)), memnet.Zones(zone(1), zone(2)))
+		time.Sleep(5 * time.Second)
+		if g.Primary() == old {
+			t.Errorf("%s is still the primary", old.ID)
+		}
+		cut.Heal()
+		time.Sleep(3 * time.Second)
+		l.finish()
+		if l.codes[statement.OK] == 0 {
+			t.Error("nothing was served")
+		}
+	})
+}
+
+// Guards against commits that are lost when a primary is replaced as planned.
+func TestHandoverLosesNothing(t *testing.T) {
+	o := fes
+	o.Lag = 60 * time.Millisecond
+	inDeployment(t, o, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(2 * time.Second)
+		g := d.Groups[GroupName(1)]
+		old := g.Primary()
+		d.Register(old, true)
+		time.Sleep(4 * time.Second)
+		if now := g.Primary(); now == nil || now == old {
+			t.Errorf("the leaving primary was not replaced")
+		}
+		l.finish()
+		if n := g.LostCommits(); n > 0 {
+			t.Errorf("%d commits were lost", n)
+		}
+	})
+}
+
+// Guards against work in a data centre that is taken out, and against
+// primaries that stay there.
+func TestDataCentreTakenOut(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(2 * time.Second)
+		d.Store.Put(directory.OutOfService, directory.Entry{Name: zone(0)})
+		time.Sleep(evacuateWithin)
+		var before, after int
+		for _, g := range d.Groups {
+			before += runsIn(g, zone(0))
+		}
+		time.Sleep(3 * time.Second)
+		l.finish()
+		for _, g := range d.Groups {
+			after += runsIn(g, zone(0))
+			if p := g.Primary(); p == nil || p.Zone == zone(0) {
+				t.Errorf("the primary of %s is still there", g.Name)
+			}
+		}
+		if after > before {
+			t.Errorf("%d statements ran in the data centre that is out", after-before)
+		}
+	})
+}
+
+func runsIn(g *Group, zone string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, s := range g.servers {
+		if s.Zone == zone {
+			for _, runs := range s.runs {
+				n += runs
+			}
+		}
+	}
+	return n
+}
+
+// Guards against an order to promote whose answer is lost and which is carried
+// out late, after the primary has come back: nothing may change then.
+func TestLateOrderHasNoEffect(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(2 * time.Second)
+		g := d.Groups[GroupName(0)]
+		d.Store.LoseOrders(1, 3*time.Second)
+		g.Primary().Crash()
+		time.Sleep(2500 * time.Millisecond)
+		term := g.term
+		if term < 2 {
+			t.Errorf("no promotion after a lost order")
+		}
+		time.Sleep(4 * time.Second)
+		l.finish()
+		if g.term != term {
+			t.Errorf("the late order changed term %d to %d", term, g.term)
+		}
+	})
+}
+
+// Guards against a fleet that cannot replace a primary because the VM that
+// orders promotions is killed, and against two VMs that use the same token.
+func TestStewardKilled(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(2 * time.Second)
+		holder := d.Store.duty.Holder
+		d.Groups[GroupName(0)].Primary().Crash()
+		d.vm(holder).Kill()
+		time.Sleep(8 * time.Second)
+		l.finish()
+		if gap := l.longestGap(Latest); gap > failoverWithin {
+			t.Errorf("no write for %v", gap)
+		}
+		holders := make(map[uint64]string)
+		for _, o := range d.Store.Orders() {
+			if other, used := holders[o.Token]; used && other != o.Holder {
+				t.Errorf("%s and %s used token %d", o.Holder, other, o.Token)
+			}
+			holders[o.Token] = o.Holder
+		}
+	})
+}
+
+// Guards against failover that needs the store while it is down.
+func TestPrimaryCrashDuringStoreOutage(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(2 * time.Second)
+		d.Store.Fail("", Silent)
+		time.Sleep(time.Second)
+		d.Groups[GroupName(0)].Primary().Crash()
+		time.Sleep(8 * time.Second)
+		d.Store.Fail("", Up)
+		l.finish()
+		if gap := l.longestGap(Latest); gap > failoverWithin {
+			t.Errorf("no write for %v", gap)
+		}
+	})
+}
+
+// Guards against reads that trust a replica which received nothing for a while.
+func TestDeafReplicas(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(time.Second)
+		for _, g := range d.Groups {
+			for _, s := range g.Replicas() {
+				s.SetDeaf(true)
+			}
+		}
+		time.Sleep(4 * time.Second)
+		for _, g := range d.Groups {
+			for _, s := range g.Replicas() {
+				s.SetDeaf(false)
+			}
+		}
+		time.Sleep(time.Second)
+		l.finish()
+		if l.codes[statement.Busy] > 0 {
+			t.Errorf("%d refusals though the primaries are well", l.codes[statement.Busy])
+		}
+	})
+}
+
+// Guards against a write that is repeated after its answer was lost, and
+// against a commit with a lost answer that is said not to be kept.
+func TestLostAnswers(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		l := startLoad(t, d)
+		for range 10 {
+			time.Sleep(300 * time.Millisecond)
+			for _, g := range d.Groups {
+				g.Primary().LoseAnswers(1)
+			}
+		}
+		l.finish()
+		if l.codes[statement.InDoubt] == 0 {
+			t.Error("no outcome was told to be unknown")
+		}
+	})
+}
+
+// Guards against requests that are cut by a planned stop, one VM after the
+// other; a session that rested was once closed with a request read.
+func TestRollingStop(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(time.Second)
+		for _, name := range []string{"vm-0-0", "vm-1-0", "vm-2-0"} {
+			d.vm(name).Terminate()
+		}
+		l.finish()
+		for _, code := range []statement.Code{statement.InDoubt, statement.Timeout} {
+			if l.codes[code] > 0 {
+				t.Errorf("%d requests ended as %s", l.codes[code], code)
+			}
+		}
+	})
+}
+
+// Guards against a configuration that is not in force in time while the store
+// forgets its history and leaves watches without an answer.
+func TestConfigurationDuringLostHistory(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		d.Store.Fail("", Silent)
+		time.Sleep(500 * time.Millisecond)
+		d.Configure(func(c *catalog.Config) { c.Customers[0].Keys = nil })
+		d.Store.Forget()
+		d.Store.Fail("", Up)
+		time.Sleep(configWithin)
+		for _, vm := range d.VMs {
+			c, a := vm.Connect("late-"+vm.Name, Database(Latest, 0), 0)
+			if c != nil || a.Code != statement.AccessDenied {
+				t.Errorf("%s: a revoked key is answered %s", vm.Name, a.Code)
+			}
+		}
+	})
+}
+
+// Guards against a key that stays valid in open sessions, also on VMs that the
+// store does not answer.
+func TestRevokedKeyInOpenSessions(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		var clients []*Client
+		for _, vm := range d.VMs {
+			clients = append(clients, connect(t, vm, "open-"+vm.Name, Database(Latest, 0), 1))
+		}
+		d.Store.Fail("vm-0-0", Busy)
+		d.Store.Fail("vm-1-0", Silent)
+		time.Sleep(time.Second)
+		d.Configure(func(c *catalog.Config) { c.Customers[1].Keys = nil })
+		time.Sleep(configWithin)
+		for _, c := range clients {
+			if _, a := c.Do(statement.Read, "x"); a.Code != statement.AccessDenied {
+				t.Errorf("%s: answered %s", c.name, a.Code)
+			}
+		}
+	})
+}
+
+// Guards against a fleet that needs more than its own memory to start again.
+func TestAllKilled(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		names := make(map[string]string)
+		for name, vm := range d.VMs {
+			names[name] = vm.Zone
+			vm.Kill()
+		}
+		for name, zone := range names {
+			d.StartVM(name, zone)
+		}
+		time.Sleep(time.Second)
+		for _, vm := range d.VMs {
+			c := connect(t, vm, "again-"+vm.Name, Database(Latest, 0), 0)
+			mustDo(t, c, statement.Write, "x 1")
+			c.Close()
+		}
+	})
+}
+
+// limitWindow, limitOverage and limitSlack are the users' allowance above a
+// customer's limit.
+const (
+	limitWindow  = 5 * time.Second
+	limitOverage = 0.1
+	limitSlack   = 20
+)
+
+// Guards against more operations than a customer's limit allows in any window,
+// with a customer that asks for many times its rate while VMs are cut off from
+// each other, killed and started again.
+func TestLimitHoldsUnderFaults(t *testing.T) {
+	o := fes
+	o.Rate = 60
+	inDeployment(t, o, func(d *Deployment) {
+		stop := make(chan struct{})
+		ended := make(chan struct{})
+		for _, name := range []string{"vm-0-0", "vm-0-1", "vm-1-0", "vm-1-1", "vm-2-0", "vm-2-1"} {
+			for i := range 3 {
+				go func() { flood(d, name, i, stop); ended <- struct{}{} }()
+			}
+		}
+		time.Sleep(6 * time.Second)
+		cut := d.Net.Partition(memnet.Hosts("vm-0-0"), memnet.Hosts("vm-0-1", "vm-1-0", "vm-1-1", "vm-2-0", "vm-2-1"))
+		time.Sleep(4 * time.Second)
+		cut.Heal()
+		time.Sleep(time.Second)
+		for _, name := range []string{"vm-1-0", "vm-2-0", "vm-0-1"} {
+			vm := d.vm(name)
+			vm.Kill()
+			time.Sleep(300 * time.Millisecond)
+			d.StartVM(name, vm.Zone)
+		}
+		cut = d.Net.Partition(memnet.Zones(zone(0)), memnet.Zones(zone(1), zone(2)))
+		time.Sleep(4 * time.Second)
+		cut.Heal()
+		time.Sleep(4 * time.Second)
+		close(stop)
+		for range 18 {
+			<-ended
+		}
+		var times []time.Time
+		for _, g := range d.Groups {
+			times = append(times, g.CommitsOf(CustomerName(0))...)
+		}
+		checkWindows(t, times, o.Rate, o.Rate)
+	})
+}
+
+// flood writes up to a hundred times a second, several times the limit together.
+func flood(d *Deployment, vm string, n int, stop chan struct{}) {
+	for {
+		c, _ := d.vm(vm).Connect(vm+string(rune('a'+n)), Database(Latest, n%2), 0)
+		for c != nil {
+			select {
+			case <-stop:
+				c.Close()
+				return
+			default:
+			}
+			time.Sleep(10 * time.Millisecond)
+			if _, a := c.Do(statement.Write, "x 1"); a.Code == statement.Lost {
+				c.Close()
+				c = nil
+			}
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func checkWindows(t *testing.T, times []time.Time, rate, burst float64) {
+	t.Helper()
+	limit := (rate*limitWindow.Seconds()+burst)*(1+limitOverage) + limitSlack
+	most := 0
+	for _, from := range times {
+		n := 0
+		for _, at := range times {
+			if !at.Before(from) && at.Sub(from) < limitWindow {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	if float64(most) > limit {
+		t.Errorf("%d operations in %v, the limit is %.0f", most, limitWindow, limit)
+	}
+	if least := rate * limitWindow.Seconds() / 2; float64(most) < least {
+		t.Errorf("%d operations in the best %v, expected %.0f or more", most, limitWindow, least)
+	}
+}
--- /dev/null
+++ b/standin/managed/managed_test.go
@@ -0,0 +1,149 @@
+package managed
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
+)
+
+func TestMain(m *testing.M) {
+	lockrank.EnableChecks()
+	os.Exit(m.Run())
+}
+
+// fes is a deployment of the size of the users' smaller ones.
+var fes = Options{Zones: 3, VMs: 2, Groups: 2, Customers: 3, Rate: 200, Lag: 10 * time.Millisecond, MaxConns: 20}
+
+// inDeployment runs a test on a deployment in virtual time.
+func inDeployment(t *testing.T, o Options, test func(d *Deployment)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := Start(o)
+		defer d.Stop()
+		test(d)
+	})
+}
+
+// connect opens a session or fails the test.
+func connect(t *testing.T, vm *VM, name, database string, customer int) *Client {
+	t.Helper()
+	c, a := vm.Connect(name, database, customer)
+	if c == nil {
+		t.Fatalf("session refused: %s %s", a.Code, a.Text)
+	}
+	return c
+}
+
+func (d *Deployment) vm(name string) *VM { return d.VMs[name] }
+
+// mustDo runs a request that has to succeed.
+func mustDo(t *testing.T, c *Client, verb statement.Verb, payload string) statement.Answer {
+	t.Helper()
+	_, a := c.Do(verb, payload)
+	if a.Code != statement.OK {
+		t.Fatalf("verb %d %q: %s %s", verb, payload, a.Code, a.Text)
+	}
+	return a
+}
+
+// Guards against a path that does not reach the primary or a replica, and
+// against reads that miss the session's own write.
+func TestSessionReadsItsWrites(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		for _, kind := range []string{Latest, Own} {
+			c := connect(t, d.vm("vm-2-0"), kind, Database(kind, 1), 0)
+			for i := range 20 {
+				data := fmt.Sprintf("%s-%d", kind, i)
+				mustDo(t, c, statement.Write, "item "+data)
+				a := mustDo(t, c, statement.Read, "item")
+				if len(a.Rows) != 1 || a.Rows[0] != data {
+					t.Fatalf("%s: read %q after writing %q", kind, a.Rows, data)
+				}
+			}
+			c.Close()
+		}
+	})
+}
+
+// Guards against transactions whose statements are spread over connections, and
+// against writes that stay after a rollback.
+func TestTransactions(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		c := connect(t, d.vm("vm-0-1"), "tx", Database(Latest, 0), 1)
+		mustDo(t, c, statement.Begin, "")
+		mustDo(t, c, statement.Write, "a 1")
+		mustDo(t, c, statement.Write, "b 1")
+		if a := mustDo(t, c, statement.Commit, ""); a.State != statement.Idle || a.Signature == "" {
+			t.Errorf("commit: %+v", a)
+		}
+		mustDo(t, c, statement.Begin, "")
+		mustDo(t, c, statement.Write, "a 2")
+		mustDo(t, c, statement.Rollback, "")
+		if a := mustDo(t, c, statement.Read, "a"); len(a.Rows) != 1 || a.Rows[0] != "1" {
+			t.Errorf("after a rollback a is %q", a.Rows)
+		}
+	})
+}
+
+// Guards against a reading transaction on a latest route that runs on a replica.
+func TestReadingTransactionSeesLatest(t *testing.T) {
+	o := fes
+	o.Lag = 500 * time.Millisecond
+	inDeployment(t, o, func(d *Deployment) {
+		w := connect(t, d.vm("vm-0-0"), "w", Database(Latest, 0), 0)
+		r := connect(t, d.vm("vm-1-0"), "r", Database(Latest, 0), 0)
+		for i := range 5 {
+			data := fmt.Sprint(i)
+			mustDo(t, w, statement.Write, "x "+data)
+			mustDo(t, r, statement.BeginReadOnly, "")
+			if a := mustDo(t, r, statement.Read, "x"); len(a.Rows) != 1 || a.Rows[0] != data {
+				t.Errorf("read %q after %q was acknowledged", a.Rows, data)
+			}
+			mustDo(t, r, statement.Commit, "")
+		}
+	})
+}
+
+// Guards against connections shared by customers, and against more connections
+// than the servers take.
+func TestConnectionsStayInsideTheCap(t *testing.T) {
+	o := fes
+	o.MaxConns, o.Rate = 8, 4000
+	inDeployment(t, o, func(d *Deployment) {
+		done := make(chan int)
+		clients := 0
+		for name, vm := range d.VMs {
+			for customer := range o.Customers {
+				clients++
+				go func() {
+					failed := 0
+					c, _ := vm.Connect(fmt.Sprint(name, customer), Database(Own, customer%2), customer)
+					for i := range 40 {
+						if _, a := c.Do(statement.Write, fmt.Sprintf("k%d v", i)); a.Code != statement.OK {
+							failed++
+						}
+					}
+					c.Close()
+					done <- failed
+				}()
+			}
+		}
+		for range clients {
+			if failed := <-done; failed > 0 {
+				t.Errorf("%d writes failed", failed)
+			}
+		}
+		for _, g := range d.Groups {
+			for _, s := range g.servers {
+				if n := s.Connections(); n > o.MaxConns {
+					t.Errorf("%s has %d connections", s.ID, n)
+				}
+			}
+		}
+	})
+}
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -30,8 +30,12 @@
 	// askTimeout bounds questions to servers; a server that is up answers
 	// within a few statements' time.
 	askTimeout = 400 * time.Millisecond
-	// orderTimeout bounds a call to the platform.
-	orderTimeout = 600 * time.Millisecond
+	// orderTimeout bounds a call to the platform, which answers in milliseconds,
+	// or in some hundreds of them when it is slow.
+	orderTimeout = 500 * time.Millisecond
+	// maxOrders bounds the repetitions of an order before the group is looked at
+	// anew.
+	maxOrders = 5
 	// catchUp is how long a handover waits for a replica to receive the rest of
 	// the log. Most replicas need tens of milliseconds.
 	catchUp      = 1200 * time.Millisecond
@@ -349,21 +353,28 @@
 	return all
 }
 
-// replace promotes another server in place of one that is lost.
+// replace promotes another server in place of one that is lost. It repeats
+// orders without an answer, each with a new token.
 func (s *Steward) replace(ctx context.Context, group string, primary *catalog.Server, w *watch) {
 	defer s.finish(w)
-	best, ok := succession.Best(s.candidates(ctx, group, primary))
-	if !ok {
-		s.Logger.WithField("group", group).Error("promotion: no server can take over.")
-		return
-	}
-	// The primary may have answered another VM meanwhile.
-	proven := time.Duration(0)
-	s.Leads.With(group, func(l *leadership.Group) { proven = l.ProvenAt() })
-	if clock.Now()-proven < succession.RepeatAfter {
-		return
+	begun := clock.Now()
+	for range maxOrders {
+		best, ok := succession.Best(s.candidates(ctx, group, primary))
+		if !ok {
+			s.Logger.WithField("group", group).Error("promotion: no server can take over.")
+			return
+		}
+		if ctx.Err() != nil || s.provenSince(group, begun) || s.promote(ctx, group, best, w) {
+			return
+		}
 	}
-	s.promote(ctx, group, best, w)
+}
+
+// provenSince reports whether a primary has proven its lead since then.
+func (s *Steward) provenSince(group string, since time.Duration) bool {
+	proven := false
+	s.Leads.With(group, func(l *leadership.Group) { proven = l.ProvenAt() >= since })
+	return proven
 }
 
 // handOver replaces a primary that is leaving. It stops taking writes first, so
@@ -396,15 +407,18 @@
 		}
 		time.Sleep(catchUpCheck)
 	}
-	if best.Server != nil {
-		s.promote(ctx, group, best, w)
+	for range maxOrders {
+		if best.Server == nil || ctx.Err() != nil || s.promote(ctx, group, best, w) {
+			return
+		}
 	}
 }
 
-// promote orders a promotion and waits for its effect.
-func (s *Steward) promote(ctx context.Context, group string, c succession.Candidate, w *watch) {
+// promote orders a promotion, waits for its effect and reports whether the
+// server leads.
+func (s *Steward) promote(ctx context.Context, group string, c succession.Candidate, w *watch) bool {
 	if !s.order(ctx, group, c.Server, w) {
-		return
+		return false
 	}
 	deadline := time.Now().Add(succession.RepeatAfter)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
@@ -416,12 +430,18 @@
 			}
 			proven <- r.Proven
 		})
-		if <-proven {
-			s.Logger.WithFields(log.Fields{"group": group, "server": c.Server.ID}).Info("promotion: the new primary leads.")
-			return
+		select {
+		case <-ctx.Done():
+			return false
+		case leads := <-proven:
+			if leads {
+				s.Logger.WithFields(log.Fields{"group": group, "server": c.Server.ID}).Info("promotion: the new primary leads.")
+				return true
+			}
 		}
 		time.Sleep(catchUpCheck)
 	}
+	return false
 }
 
 // fence orders the present primary to stay, so that an order whose answer was
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -86,6 +86,7 @@
 	pools       map[poolKey]*serverPool
 	txs         map[uint64]*conn
 	running     int // jobs without a result
+	effects     []func()
 	lastTx      uint64
 	failing     map[string]time.Time // server to its first failed opening since a good one
 	unreachable map[string]bool
@@ -113,8 +114,20 @@
 	}
 }
 
-// post runs an event in order with the executor's other events.
-func (e *Executor) post(event func()) { e.queue.PostAlways(event) }
+// post runs an event in order with the executor's other events, and then the
+// effects that it left, without the lock.
+func (e *Executor) post(event func()) {
+	e.queue.PostAlways(func() {
+		event()
+		e.mu.Lock()
+		effects := e.effects
+		e.effects = nil
+		e.mu.Unlock()
+		for _, effect := range effects {
+			effect()
+		}
+	})
+}
 
 // Execute runs a statement for a VM and calls done once.
 func (e *Executor) Execute(from string, w *statement.Work, done func(statement.Result)) {
@@ -565,7 +578,7 @@
 	j.finished = true
 	e.running--
 	j.timer.Stop()
-	j.done(r)
+	e.effects = append(e.effects, func() { j.done(r) })
 }
 
 // Run looks after idle connections and unreachable servers until ctx is done.
@@ -575,6 +588,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			e.closeAll()
 			return nil
 		case <-ticker.C:
 			e.post(e.sweep)
@@ -583,6 +597,20 @@
 	}
 }
 
+// closeAll closes all connections when the VM stops.
+func (e *Executor) closeAll() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.pools {
+		for _, c := range p.conns {
+			c.state = connClosed
+			if c.out != nil {
+				c.out.Abort()
+			}
+		}
+	}
+}
+
 // sweep closes connections that are not needed here: those of servers that take
 // no work, of customers served by another VM, and those idle for long.
 func (e *Executor) sweep() {
--- a/transport/sqlfront/server.go
+++ b/transport/sqlfront/server.go
@@ -103,12 +103,7 @@
 	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	stop := context.AfterFunc(ctx, func() {
-		listener.Close()
-		for _, open := range s.all() {
-			open.out.Abort()
-		}
-	})
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
 	defer stop()
 	for {
 		conn, err := listener.Accept()
@@ -126,6 +121,8 @@
 
 // serve frames a client's requests until its connection ends.
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
 	r := bufio.NewReaderSize(conn, readBuffer)
 	out := outbox.New(conn, outboxHigh)
 	defer out.Finish()
