--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -183,7 +183,7 @@
 	}
 }
 
-func (c client) Members(ctx context.Context) ([]directory.Member, error) {
+func (c client) Members(ctx context.Context, _ bool) ([]directory.Member, error) {
 	if err := c.reach(ctx, c.vm); err != nil {
 		return nil, err
 	}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -3,6 +3,7 @@
 package catalog
 
 import (
+	"cmp"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,7 @@
 	byName     map[string]*Customer
 	byGroup    map[string]*Group
 	totalRate  float64
+	rateRank   map[string]int
 }
 
 // Index prepares the lookups of a decoded configuration.
@@ -80,6 +82,14 @@
 			c.byKey[k] = customer
 		}
 	}
+	ranked := slices.Clone(c.Customers)
+	slices.SortFunc(ranked, func(a, b Customer) int {
+		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Name, b.Name))
+	})
+	c.rateRank = make(map[string]int, len(ranked))
+	for i := range ranked {
+		c.rateRank[ranked[i].Name] = i
+	}
 	for i := range c.Groups {
 		c.byGroup[c.Groups[i].Name] = &c.Groups[i]
 	}
@@ -97,6 +107,15 @@
 // Group returns the named group, or nil.
 func (c *Config) Group(name string) *Group { return c.byGroup[name] }
 
+// RateRank returns the customer's place by rate, the highest first. Customers
+// that the configuration does not know come last.
+func (c *Config) RateRank(customer string) int {
+	if rank, known := c.rateRank[customer]; known {
+		return rank
+	}
+	return len(c.rateRank)
+}
+
 // RateShare returns the customer's part of all customers' rates, 0 to 1.
 func (c *Config) RateShare(customer string) float64 {
 	owner := c.byName[customer]
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -472,6 +472,10 @@
 	announced := false
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		if announced && !d.fleet.View().Watches("members") {
+			sleep(ctx, membersInterval)
+			continue
+		}
 		err := d.meet(ctx, &announced)
 		if err != nil {
 			pause(ctx, backoff)
@@ -490,12 +494,14 @@
 		if err := d.observe("announce", "members", d.source.Announce(ctx, d.self)); err != nil {
 			return err
 		}
-		*announced = true
 	}
-	members, err := d.source.Members(ctx)
+	// Of two VMs that start together, the one that lists later must see the
+	// other, so the first list is fresh.
+	members, err := d.source.Members(ctx, !*announced)
 	if d.observe("list", "members", err) != nil {
 		return err
 	}
+	*announced = true
 	d.retire(ctx, members)
 	addresses := make([]string, 0, len(members))
 	for _, m := range members {
--- a/transport/directory/source.go
+++ b/transport/directory/source.go
@@ -52,8 +52,9 @@
 	// Watch returns what has changed after the revision, or an empty batch
 	// after wait. It fails with ErrHistoryGone if it cannot know.
 	Watch(ctx context.Context, kind Kind, after uint64, wait time.Duration) (Batch, error)
-	// Members returns the VMs that announced themselves.
-	Members(ctx context.Context) ([]Member, error)
+	// Members returns the VMs that announced themselves: as of now if fresh is
+	// set, and else possibly as of some seconds ago, which costs less.
+	Members(ctx context.Context, fresh bool) ([]Member, error)
 	// Announce puts this VM on the list of members.
 	Announce(ctx context.Context, m Member) error
 	// Retire takes a VM from the list of members.
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
@@ -29,7 +30,7 @@
 	// redialDelay is the least time between a failed opening and the next one.
 	redialDelay = 200 * time.Millisecond
 	// sweepInterval is how often idle connections are looked over.
-	sweepInterval = 500 * time.Millisecond
+	sweepInterval = 200 * time.Millisecond
 	// movedIdle is how long a connection is kept when another VM was chosen.
 	movedIdle = time.Second
 	// spareIdle is how long a connection is kept that was not needed.
@@ -38,9 +39,9 @@
 	// customer to one server.
 	maxWaiting = 64
 	queueLimit = 1 << 14
-	// reserve is the part of a server's connections that is left to VMs with
-	// another view of the fleet, and to stewards.
-	reserve = 3
+	// transientIdle is how long customers without a connection of their own keep
+	// one, see placement.PlanConnections.
+	transientIdle = 150 * time.Millisecond
 	// unreachableAfter is how long openings fail before the other VMs are told.
 	unreachableAfter = 250 * time.Millisecond
 	probeInterval    = 500 * time.Millisecond
@@ -82,6 +83,8 @@
 	// reached tells the other VMs which servers this VM cannot reach.
 	reached func(unreachable []string)
 
+	probedAt time.Time // used by Run only
+
 	mu          lockrank.Mutex // guards the fields below
 	pools       map[poolKey]*serverPool
 	txs         map[uint64]*conn
@@ -258,7 +261,7 @@
 			starting++
 		}
 	}
-	if starting > len(p.waiting) || len(p.conns) >= e.limit(p.key.customer, server) {
+	if starting > len(p.waiting) || len(p.conns) >= e.plan(p.key.customer, server).Limit {
 		return len(p.conns) > 0
 	}
 	c := &conn{pool: p, prepared: make(map[string]bool)}
@@ -268,19 +271,13 @@
 	return true
 }
 
-// limit is the number of connections that the customer may have to the server:
-// one, and a part of the others by its rate.
-func (e *Executor) limit(customer string, server *catalog.Server) int {
+// plan returns what connections the customer may have to the server.
+func (e *Executor) plan(customer string, server *catalog.Server) placement.Connections {
 	config := e.table.Current().Config
 	if config == nil {
-		return 1
-	}
-	group := config.Group(server.Group)
-	if group == nil {
-		return 1
+		return placement.Connections{Limit: 1}
 	}
-	free := group.MaxConnections - reserve - len(config.Customers)
-	return 1 + max(0, int(float64(free)*config.RateShare(customer)))
+	return placement.PlanConnections(config, customer, server.Group)
 }
 
 // assign starts the job on the connection.
@@ -592,7 +589,10 @@
 			return nil
 		case <-ticker.C:
 			e.post(e.sweep)
-			e.probe(ctx)
+			if probed := time.Now(); probed.Sub(e.probedAt) >= probeInterval {
+				e.probedAt = probed
+				e.probe(ctx)
+			}
 		}
 	}
 }
@@ -631,10 +631,14 @@
 	for _, c := range idle {
 		server := d.Servers[c.pool.key.server]
 		usable := server != nil && d.Usable(server)
+		keep := spareIdle
+		if usable && !e.plan(c.pool.key.customer, server).Permanent {
+			keep = transientIdle
+		}
 		chosen := usable && e.chosen(c.pool.key.customer, server)
 		e.mu.Lock()
 		rest := time.Since(c.idleSince)
-		if c.state == connIdle && (!usable || !chosen && rest > movedIdle || rest > spareIdle) {
+		if c.state == connIdle && (!usable || !chosen && rest > movedIdle || rest > keep) {
 			e.close(c, statement.Unreachable, "not needed")
 		}
 		e.mu.Unlock()
