--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -35,9 +35,8 @@
 	starts  map[uint64]uint64 // term to the length of the log at its start
 	log     []commit
 	servers map[string]*Server
-	// LostCommits counts commits that a promotion dropped.
+	// lostCommits counts commits that a promotion dropped.
 	lostCommits int
-	violations  []string
 }
 
 // Server is a backend server of a group.
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -58,10 +58,9 @@
 	Groups map[string]*Group
 	VMs    map[string]*VM
 
-	ctx     context.Context
-	cancel  context.CancelFunc
-	config  catalog.Config
-	version uint64
+	ctx    context.Context
+	cancel context.CancelFunc
+	config catalog.Config
 }
 
 // VM is a VM of the fleet.
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -30,9 +30,8 @@
 	tokens   map[string]uint64 // highest fencing token by group
 	groups   map[string]*Group
 	// down names the VMs that the store does not answer, and how.
-	down map[string]Outage
-	// forgotten makes watches of VMs hang without an answer.
-	loseOrders int
+	down       map[string]Outage
+	loseOrders int // orders to come that are not answered and carried out late
 	orderDelay time.Duration
 	orders     []Order
 }
