--- /dev/null
+++ b/coordination/leadership/leadership_test.go
@@ -0,0 +1,158 @@
+package leadership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+)
+
+func group() *Group { return &Group{servers: make(map[string]*server)} }
+
+func at(term, position uint64) state.Point { return state.Point{Term: term, Position: position} }
+
+const second = time.Second
+
+// Guards against a floor older than the bound, which would let a read miss a
+// commit that it must see.
+func TestFloorIsInsideTheBound(t *testing.T) {
+	g := group()
+	if _, ok := g.Floor(10*second, second); ok {
+		t.Error("a floor without a sample")
+	}
+	for i := range 20 {
+		g.Prove("a", at(1, uint64(i)), 10*second+time.Duration(i)*100*time.Millisecond)
+	}
+	now := 12 * second
+	p, ok := g.Floor(now, second)
+	if !ok || p != at(1, 10) {
+		t.Errorf("floor %v, %v", p, ok)
+	}
+	if _, ok := g.Floor(now+10*second, second); ok {
+		t.Error("a floor from samples that are too old")
+	}
+}
+
+// Guards against proofs that arrive late: one of an earlier term must not
+// replace the primary, one sent earlier must not lower the newest sample.
+func TestLateProofs(t *testing.T) {
+	g := group()
+	g.Prove("a", at(1, 5), second)
+	g.Prove("b", at(2, 6), 2*second)
+	g.Prove("a", at(1, 9), 3*second)
+	server, s, ok := g.Newest()
+	if !ok || server != "b" || s.Point != at(2, 6) || g.Term() != 2 {
+		t.Errorf("newest is %s %v", server, s)
+	}
+	g.Prove("b", at(2, 8), 4*second)
+	g.Prove("b", at(2, 7), 3*second)
+	if _, s, _ := g.Newest(); s.Point != at(2, 8) || s.At != 4*second {
+		t.Errorf("a late proof replaced the newest: %v", s)
+	}
+	if p, ok := g.Floor(4*second, 3*second); !ok || p.Term != 2 {
+		t.Errorf("floor %v from an earlier term", p)
+	}
+}
+
+// Guards against a session that waits for ever for a point of a tail that a
+// promotion dropped.
+func TestCoverAfterPromotion(t *testing.T) {
+	for _, tt := range []struct{ floor, own, want state.Point }{
+		{at(1, 5), at(1, 9), at(1, 9)},
+		{at(1, 9), at(1, 5), at(1, 9)},
+		{at(2, 7), at(1, 9), at(2, 7)},
+		{at(1, 9), at(2, 3), at(2, 3)},
+		{at(1, 9), state.Point{}, at(1, 9)},
+	} {
+		if got := Cover(tt.floor, tt.own); got != tt.want {
+			t.Errorf("Cover(%v, %v) = %v, want %v", tt.floor, tt.own, got, tt.want)
+		}
+	}
+}
+
+// Guards against a primary that is asked again and again after it denied its
+// lead, and against one that is never asked again.
+func TestDeniedPrimary(t *testing.T) {
+	g := group()
+	old := &catalog.Server{ID: "a", Primary: true, Revision: 4}
+	other := &catalog.Server{ID: "b", Revision: 5}
+	servers := []*catalog.Server{old, other}
+	if p := g.Primary(servers, second); p != old {
+		t.Fatalf("primary %v", p)
+	}
+	g.Deny(old)
+	if p := g.Primary(servers, second); p != nil {
+		t.Errorf("primary %v after its denial", p)
+	}
+	other.Primary, other.Revision = true, 6
+	if p := g.Primary(servers, second); p != other {
+		t.Errorf("primary %v, want the one that registered", p)
+	}
+	old.Revision = 9
+	g.Deny(other)
+	if p := g.Primary(servers, second); p != old {
+		t.Errorf("primary %v, want the one that registered anew", p)
+	}
+}
+
+// Guards against a primary that is silent and still preferred to its successor.
+func TestSuspectedPrimary(t *testing.T) {
+	g := group()
+	old := &catalog.Server{ID: "a", Primary: true, Revision: 4}
+	next := &catalog.Server{ID: "b", Primary: true, Revision: 6}
+	g.Prove("a", at(1, 1), second)
+	g.Suspect("a", second)
+	if p := g.Primary([]*catalog.Server{old, next}, second); p != next {
+		t.Errorf("primary %v, want the one that is not suspected", p)
+	}
+	if p := g.Primary([]*catalog.Server{old}, second); p != old {
+		t.Errorf("primary %v, want the suspected one as there is no other", p)
+	}
+}
+
+// Guards against reads on replicas that are known to lag, on servers that take
+// no work, and on a primary while a replica fits.
+func TestReader(t *testing.T) {
+	g := group()
+	a := &catalog.Server{ID: "a", DataCentre: "x"}
+	b := &catalog.Server{ID: "b", DataCentre: "y"}
+	c := &catalog.Server{ID: "c", DataCentre: "z"}
+	d := &catalog.Deployment{Out: map[string]bool{"z": true}}
+	servers := []*catalog.Server{a, b, c}
+	g.Prove("b", at(1, 10), second)
+	read := func(now time.Duration, tried map[string]bool) *catalog.Server {
+		return g.Reader(d, servers, "x", at(1, 10), tried, now)
+	}
+	if s := read(second, nil); s != a {
+		t.Errorf("reads on %v, want the near replica", s)
+	}
+	g.Lags("a", second)
+	if s := read(second, nil); s != b {
+		t.Errorf("reads on %v, want the primary while the replica lags", s)
+	}
+	if s := read(2*second, nil); s != a {
+		t.Errorf("reads on %v, want the replica again", s)
+	}
+	if s := read(2*second, map[string]bool{"a": true, "b": true}); s != nil {
+		t.Errorf("reads on %v, which is in a data centre that is out", s)
+	}
+	for range 20 {
+		g.Sent("a")
+	}
+	if s := read(2*second, nil); s != b {
+		t.Errorf("reads on %v though the replica has many statements under way", s)
+	}
+}
+
+// Guards against what was known of a server that started anew without its log.
+func TestReborn(t *testing.T) {
+	g := group()
+	g.Reborn("a", 1)
+	g.Sent("a")
+	g.Done("a", true, time.Millisecond, at(3, 7))
+	g.Reborn("a", 2)
+	if got := g.server("a").applied; got != (state.Point{}) {
+		t.Errorf("a new server is taken to hold %v", got)
+	}
+}
--- /dev/null
+++ b/coordination/placement/placement_test.go
@@ -0,0 +1,128 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+)
+
+func fleet(zones, each int) *View {
+	v := &View{Self: "vm-0-0", Members: zones * each}
+	for z := range zones {
+		for n := range each {
+			v.VMs = append(v.VMs, VM{Name: fmt.Sprintf("vm-%d-%d", z, n), DataCentre: fmt.Sprintf("z%d", z), Weight: 1, Alive: true})
+		}
+	}
+	return v
+}
+
+// Guards against executors outside of the server's data centre, and against
+// statements that are sent to VMs that cannot run them.
+func TestExecutor(t *testing.T) {
+	v := fleet(3, 2)
+	s := &catalog.Server{ID: "s", DataCentre: "z1"}
+	first, ok := v.Executor("c", s)
+	if !ok || first != "vm-1-0" && first != "vm-1-1" {
+		t.Fatalf("executor %s", first)
+	}
+	vm := v.vm(first)
+	vm.Unreachable = map[string]bool{"s": true}
+	second, _ := v.Executor("c", s)
+	if second == first || second != "vm-1-0" && second != "vm-1-1" {
+		t.Errorf("executor %s, want the other VM of the data centre", second)
+	}
+	v.vm(second).Leaving = true
+	third, ok := v.Executor("c", s)
+	if !ok || third == first || third == second {
+		t.Errorf("executor %s, want one elsewhere", third)
+	}
+	for i := range v.VMs {
+		v.VMs[i].Alive = false
+	}
+	if vm, ok := v.Executor("c", s); ok {
+		t.Errorf("executor %s though no VM is heard of", vm)
+	}
+}
+
+// Guards against keys that all move when one VM leaves, and against weights that
+// are ignored.
+func TestRendezvousMovesLittle(t *testing.T) {
+	v := fleet(1, 5)
+	v.VMs[0].Weight = 3
+	count := make(map[string]int)
+	before := make(map[string]string)
+	for i := range 700 {
+		key := fmt.Sprint("customer-", i)
+		before[key] = v.Ledger(key)
+		count[before[key]]++
+	}
+	if n := count["vm-0-0"]; n < 230 || n > 370 {
+		t.Errorf("a VM of weight 3 of 7 has %d of 700 keys", n)
+	}
+	v.VMs[4].Alive = false
+	for key, ledger := range before {
+		if now := v.Ledger(key); now != ledger && ledger != "vm-0-4" {
+			t.Errorf("%s moved from %s to %s", key, ledger, now)
+		}
+	}
+}
+
+// Guards against a part of the fleet without a watcher, and against both sides
+// of a partition taking themselves for the larger one.
+func TestWatchersAndIsolation(t *testing.T) {
+	watching := 0
+	for _, vm := range fleet(3, 2).VMs {
+		v := fleet(3, 2)
+		v.Self = vm.Name
+		if v.Watches("kind") {
+			watching++
+		}
+	}
+	if watching != watchers {
+		t.Errorf("%d VMs watch", watching)
+	}
+	v := fleet(3, 2)
+	for i := range v.VMs {
+		v.VMs[i].StoreCutOff = true
+	}
+	if !v.Watches("kind") {
+		t.Error("nobody watches when all VMs have lost the store")
+	}
+	v = fleet(3, 2)
+	for i := 2; i < 6; i++ {
+		v.VMs[i].Alive = false
+	}
+	if !v.Isolated() {
+		t.Error("two of six VMs are not isolated")
+	}
+	v.VMs[2].Alive, v.VMs[3].Alive = true, true
+	if v.Isolated() {
+		t.Error("four of six VMs are isolated")
+	}
+}
+
+// Guards against customers that have more connections together than a server
+// takes, and against large customers without one of their own.
+func TestPlanConnections(t *testing.T) {
+	for _, tt := range []struct{ customers, max int }{{8, 21}, {80, 50}, {3, 4}, {1, 1}} {
+		c := &catalog.Config{Groups: []catalog.Group{{Name: "g", MaxConnections: tt.max}}}
+		for i := range tt.customers {
+			c.Customers = append(c.Customers, catalog.Customer{Name: fmt.Sprint(i), Rate: float64(1000 / (i + 1))})
+		}
+		c.Index()
+		permanent := 0
+		for i := range tt.customers {
+			p := PlanConnections(c, fmt.Sprint(i), "g")
+			if p.Limit < 1 {
+				t.Errorf("customer %d of %d has no connection", i, tt.customers)
+			}
+			if p.Permanent {
+				permanent += p.Limit
+			}
+		}
+		if permanent > tt.max {
+			t.Errorf("%d customers keep %d connections of %d", tt.customers, permanent, tt.max)
+		}
+	}
+}
--- /dev/null
+++ b/protocol/fleetwire/fleetwire_test.go
@@ -0,0 +1,79 @@
+package fleetwire
+
+import (
+	"bufio"
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
+)
+
+// Guards against fields that are lost or swapped between VMs.
+func TestRoundTrip(t *testing.T) {
+	work := &statement.Work{
+		Customer: "c", Group: "g", Server: "s", Proof: true, Tx: 7, Opens: true, ReadOnlyTx: true, Timeout: 800 * time.Millisecond, Wait: 30 * time.Millisecond,
+		Command:  statement.Command{ID: "1f", Verb: statement.Execute, Name: "p1", Payload: "a b", Writes: true, After: state.Point{Term: 3, Position: 9}, Term: 4},
+		Values:   []statement.Value{{Name: "n", Data: "d"}, {Name: "m"}},
+		Prepared: &statement.Prepared{Name: "p1", Writes: true, Shape: "q"},
+	}
+	gotWork, err := DecodeWork(AppendWork(nil, work))
+	if err != nil || !cmp.Equal(work, gotWork) {
+		t.Errorf("work: %v\n%s", err, cmp.Diff(work, gotWork))
+	}
+	result := statement.Result{Proven: true, Tx: 9, Answer: statement.Answer{
+		Code: statement.Failed, Text: "t", Rows: []string{"a", ""}, Signature: "s", State: statement.InTx, At: state.Point{Term: 1, Position: 2},
+	}}
+	gotResult, err := DecodeResult(AppendResult(nil, &result))
+	if err != nil || !cmp.Equal(result, gotResult) {
+		t.Errorf("result: %v\n%s", err, cmp.Diff(result, gotResult))
+	}
+	pong := Pong{Lent: []string{"c", "d"}, Lease: time.Second, Leads: []Lead{{Group: "g", Server: "s", Point: state.Point{Term: 1, Position: 2}, Age: 3 * time.Millisecond}}}
+	gotPong, err := DecodePong(pong.Append(nil))
+	if err != nil || !cmp.Equal(pong, gotPong) {
+		t.Errorf("pong: %v\n%s", err, cmp.Diff(pong, gotPong))
+	}
+}
+
+// Guards against ages that are rounded down: a sample would look fresher than it is.
+func TestAgeIsRoundedUp(t *testing.T) {
+	pong := Pong{Leads: []Lead{{Age: 3*time.Millisecond + 1}}}
+	got, err := DecodePong(pong.Append(nil))
+	if err != nil || got.Leads[0].Age != 4*time.Millisecond {
+		t.Errorf("age %v, %v", got.Leads[0].Age, err)
+	}
+}
+
+// Guards against bytes of a foreign or broken VM that end the process.
+func FuzzDecode(f *testing.F) {
+	f.Add(AppendWork(nil, &statement.Work{Customer: "c", Values: []statement.Value{{Name: "n"}}}))
+	f.Add(AppendResult(nil, &statement.Result{Answer: statement.Answer{Rows: []string{"a"}}}))
+	f.Add((&Pong{Lent: []string{"c"}}).Append(nil))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if w, err := DecodeWork(b); err == nil && w == nil {
+			t.Error("no work and no error")
+		}
+		DecodeResult(b)
+		DecodePong(b)
+		DecodeTokens(b)
+		DecodeStatus(b)
+		ReadFrame(bufio.NewReader(bytes.NewReader(b)))
+	})
+}
+
+// Guards against a frame whose length makes a VM reserve all of its memory.
+func TestFrameBounds(t *testing.T) {
+	good := Frame{Kind: KindWork, ID: 300, Body: []byte("body")}
+	got, err := ReadFrame(bufio.NewReader(bytes.NewReader(good.Append(nil))))
+	if err != nil || !cmp.Equal(good, got) {
+		t.Errorf("frame: %v %+v", err, got)
+	}
+	for _, bad := range [][]byte{{0xff, 0xff, 0xff, 0xff, 1, 1}, {0, 0, 0, 1, 1}, {0, 0, 0, 3, 1, 0x80, 0x80}} {
+		if f, err := ReadFrame(bufio.NewReader(bytes.NewReader(bad))); err == nil {
+			t.Errorf("%v is read as %+v", bad, f)
+		}
+	}
+}
