--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -23,6 +23,7 @@
 	Name        string
 	DataCentre  string
 	Weight      float64         // processor share
+	Incarnation int64           // start of its process, Unix nanoseconds
 	Alive       bool            // heard of lately; always true for this VM
 	Leaving     bool            // stops
 	StoreCutOff bool            // does not reach the store
@@ -73,12 +74,24 @@
 	return v.Self
 }
 
-// Steward returns the VM that orders promotions.
+// Steward returns the VM that orders promotions: the one that has run longest.
+// A hash would give the duty back to a VM that was just killed, and each change
+// costs time in which no primary is replaced.
 func (v *View) Steward() string {
-	if vm := v.best("steward", func(vm *VM) bool { return !vm.Leaving && !vm.StoreCutOff }); vm != "" {
-		return vm
+	var oldest *VM
+	for i := range v.VMs {
+		vm := &v.VMs[i]
+		if !vm.Alive || vm.Leaving || vm.StoreCutOff {
+			continue
+		}
+		if oldest == nil || vm.Incarnation < oldest.Incarnation || vm.Incarnation == oldest.Incarnation && vm.Name < oldest.Name {
+			oldest = vm
+		}
 	}
-	return v.Self
+	if oldest == nil {
+		return v.Self
+	}
+	return oldest.Name
 }
 
 // watchers is how many VMs watch a kind of objects. One is enough while the
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -126,3 +126,23 @@
 		}
 	}
 }
+
+// Guards against a duty that returns to a VM which was just killed.
+func TestStewardIsTheOldest(t *testing.T) {
+	v := fleet(3, 2)
+	for i := range v.VMs {
+		v.VMs[i].Incarnation = int64(10 + i)
+	}
+	if s := v.Steward(); s != "vm-0-0" {
+		t.Errorf("steward %s", s)
+	}
+	v.VMs[0].Alive = false
+	v.VMs[1].StoreCutOff = true
+	if s := v.Steward(); s != "vm-1-0" {
+		t.Errorf("steward %s", s)
+	}
+	v.VMs[0].Alive, v.VMs[0].Incarnation = true, 99
+	if s := v.Steward(); s != "vm-1-0" {
+		t.Errorf("steward %s after a VM started again", s)
+	}
+}
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -264,7 +264,7 @@
 
 func placementVM(s *fleetwire.Status, alive bool) placement.VM {
 	vm := placement.VM{
-		Name: s.Name, DataCentre: s.DataCentre, Weight: s.Weight, Alive: alive,
+		Name: s.Name, DataCentre: s.DataCentre, Weight: s.Weight, Alive: alive, Incarnation: s.Incarnation,
 		Leaving: s.Leaving, StoreCutOff: s.StoreCutOff,
 	}
 	if len(s.Unreachable) > 0 {
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -95,6 +95,7 @@
 // with New.
 type Steward struct {
 	Options
+	started     time.Duration
 	chosenSince time.Duration // zero while another VM is the choice; used by Run only
 	orders      tally.Counter
 
@@ -119,7 +120,7 @@
 // New returns a steward.
 func New(o Options) *Steward {
 	return &Steward{
-		Options: o, orders: o.Scope.Counter("promotions_ordered"),
+		Options: o, started: clock.Now(), orders: o.Scope.Counter("promotions_ordered"),
 		mu: lockrank.New(lockrank.Session), groups: make(map[string]*watch),
 	}
 }
@@ -231,7 +232,8 @@
 	defer s.mu.Unlock()
 	w := s.groups[group]
 	if w == nil {
-		w = &watch{since: now}
+		// A VM that takes the duty over has heard of proofs before.
+		w = &watch{since: s.started}
 		s.groups[group] = w
 	}
 	if w.busy {
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -24,8 +24,9 @@
 	// running: for a primary to be found, or for a connection. A failover takes
 	// longer than the wait that a client would choose for a repetition.
 	holdPart = 0.4
-	// retryDelay is the pause after every server that fits has refused.
-	retryDelay = 15 * time.Millisecond
+	// retryDelay is the pause after every server that fits has refused. A
+	// failover takes a second or more.
+	retryDelay = 30 * time.Millisecond
 	// minTimeout is used for routes without a time-out.
 	minTimeout = 50 * time.Millisecond
 	// busyRetryAfter is what clients are told to wait when capacity is missing.
@@ -59,7 +60,13 @@
 	tried    map[string]bool
 	attempts int
 	span     trace.Span
-	last     statement.Answer // of the latest attempt
+	failed   failure // the latest one that was logged
+}
+
+// failure is an attempt that failed.
+type failure struct {
+	server string
+	code   statement.Code
 }
 
 func (c *session) busy() bool { return c.current != nil || c.waiting }
@@ -219,14 +226,15 @@
 		}
 		return
 	}
-	u.last = r.Answer
 	if u.op.Judge(&r) == sqlsession.Tell {
 		c.conclude(u, r, vm, w.Server)
 		return
 	}
-	c.server.Logger.WithFields(log.Fields{
-		"id": u.op.Request.ID, "server": w.Server, "vm": vm, "attempt": u.attempts, "code": r.Answer.Code.String(), "why": r.Answer.Text,
-	}).Info("session: attempt failed.")
+	// Repetitions of the same failure are counted by the attempts only.
+	if f := (failure{w.Server, r.Answer.Code}); f != u.failed {
+		u.failed = f
+		c.server.logAttempt(u, vm, w, &r)
+	}
 	u.tried[w.Server] = true
 	if clock.Now() < u.deadline {
 		c.attempt(u)
@@ -235,6 +243,18 @@
 	c.later(u, u.deadline)
 }
 
+// logAttempt logs a failed attempt with what decided it: the configuration in
+// force and the age of the latest proof of the group's lead.
+func (s *Server) logAttempt(u *run, vm string, w *statement.Work, r *statement.Result) {
+	var proofAge time.Duration
+	s.Leads.With(w.Group, func(g *leadership.Group) { proofAge = clock.Now() - g.ProvenAt() })
+	s.Logger.WithFields(log.Fields{
+		"id": u.op.Request.ID, "customer": w.Customer, "group": w.Group, "server": w.Server, "vm": vm, "attempt": u.attempts,
+		"code": r.Answer.Code.String(), "why": r.Answer.Text,
+		"config": s.Table.Current().Config.Version, "proof_age_ms": proofAge.Milliseconds(),
+	}).Info("session: attempt failed.")
+}
+
 // later tries again after a pause, or refuses an operation that has waited for
 // as long as it may.
 func (c *session) later(u *run, now time.Duration) {
