--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -22,8 +22,9 @@
 const (
 	// holdPart is the part of a statement's time for which it may wait without
 	// running: for a primary to be found, or for a connection. A failover takes
-	// longer than the wait that a client would choose for a repetition.
-	holdPart = 0.4
+	// longer than the statement's time, so a longer wait only keeps the client
+	// from coming back.
+	holdPart = 0.2
 	// retryDelay is the pause after every server that fits has refused. A
 	// failover takes a second or more.
 	retryDelay = 30 * time.Millisecond
