--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -10,7 +10,6 @@
 
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
-	"github.com/chestnutdyke/chestnutdyke/transport/network"
 )
 
 // commit is one entry of a group's log.
@@ -21,6 +20,15 @@
 	at         time.Time
 }
 
+// Codec is the wire protocol of backend servers, from the servers' side.
+type Codec interface {
+	ReadOpening(r *bufio.Reader) (group, customer, server string, err error)
+	ReadCommand(r *bufio.Reader) (statement.Command, error)
+	AppendOpened(dst []byte, a *statement.Answer) []byte
+	AppendAnswer(dst []byte, a *statement.Answer) []byte
+	EncodeReport(primary bool, p state.Point, connections int) string
+}
+
 // Group is a database group: a log and the servers that hold a part of it.
 type Group struct {
 	Name         string
@@ -29,6 +37,7 @@
 	MaxConns     int
 	Work         time.Duration // of a statement
 	Handshake    time.Duration // of a new connection
+	Codec        Codec
 
 	mu      sync.Mutex // guards the fields below and those of the servers
 	term    uint64
@@ -45,14 +54,14 @@
 	Zone    string
 	Address string
 
-	group   *Group
-	net     network.Network
-	primary bool
-	held    int  // length of the log that it has, if it does not receive
-	deaf    bool // receives nothing
-	down    bool
-	conns   map[net.Conn]bool
-	cancel  context.CancelFunc
+	group    *Group
+	primary  bool
+	held     int  // length of the log that it has, if it does not receive
+	deaf     bool // receives nothing
+	draining bool // registers as leaving
+	down     bool
+	conns    map[net.Conn]bool
+	cancel   context.CancelFunc
 	// loseAnswers makes the server break the connection after the next write
 	// it ran, instead of answering.
 	loseAnswers int
@@ -90,6 +99,28 @@
 	return state.Point{Term: s.group.term, Position: uint64(s.received())}
 }
 
+// NewGroup returns a group without servers.
+func NewGroup(name string, maxConns int, lag time.Duration, codec Codec) *Group {
+	return &Group{
+		Name: name, Lag: lag, PromoteDelay: 300 * time.Millisecond, MaxConns: maxConns, Work: 5 * time.Millisecond,
+		Handshake: 10 * time.Millisecond, Codec: codec, term: 1, starts: map[uint64]uint64{1: 0}, servers: make(map[string]*Server),
+	}
+}
+
+// Add adds a server, which answers at the listener until ctx is done.
+func (g *Group) Add(ctx context.Context, id, zone string, l net.Listener, primary bool) *Server {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &Server{
+		ID: id, Zone: zone, Address: l.Addr().String(), group: g, primary: primary, conns: make(map[net.Conn]bool),
+		cancel: cancel, runs: make(map[string]int),
+	}
+	g.mu.Lock()
+	g.servers[id] = s
+	g.mu.Unlock()
+	go s.serve(ctx, l)
+	return s
+}
+
 // promote makes the server the primary, with what it has received.
 func (g *Group) promote(id string) {
 	g.mu.Lock()
@@ -138,11 +169,11 @@
 func (s *Server) handle(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
-	var o opening
-	if readJSON(r, &o) != nil {
+	g := s.group
+	group, customer, id, err := g.Codec.ReadOpening(r)
+	if err != nil {
 		return
 	}
-	g := s.group
 	time.Sleep(g.Handshake)
 	g.mu.Lock()
 	refusal := statement.OK
@@ -150,7 +181,7 @@
 	case s.down:
 		g.mu.Unlock()
 		return
-	case o.Group != g.Name || o.Server != s.ID:
+	case group != g.Name || id != s.ID:
 		refusal = statement.WrongServer
 	case len(s.conns) >= g.MaxConns:
 		refusal = statement.ConnectionLimit
@@ -163,20 +194,20 @@
 		delete(s.conns, c)
 		g.mu.Unlock()
 	}()
-	if _, err := c.Write(appendJSON(nil, statement.Answer{Code: refusal})); err != nil || refusal != statement.OK {
+	if _, err := c.Write(g.Codec.AppendOpened(nil, &statement.Answer{Code: refusal})); err != nil || refusal != statement.OK {
 		return
 	}
-	x := &session{server: s, customer: o.Customer, prepared: make(map[string]statement.Command)}
+	x := &session{server: s, customer: customer, prepared: make(map[string]statement.Command)}
 	for {
-		var command statement.Command
-		if readJSON(r, &command) != nil {
+		command, err := g.Codec.ReadCommand(r)
+		if err != nil {
 			return
 		}
 		a, lose := x.run(&command)
 		if lose {
 			return
 		}
-		if _, err := c.Write(appendJSON(nil, a)); err != nil {
+		if _, err := c.Write(g.Codec.AppendAnswer(nil, &a)); err != nil {
 			return
 		}
 	}
@@ -244,9 +275,9 @@
 		clear(x.prepared)
 	case statement.StepDown:
 		s.primary = false
-		return statement.Answer{Rows: []string{encodeReport(false, s.point(), len(s.conns))}}, false
+		return statement.Answer{Rows: []string{g.Codec.EncodeReport(false, s.point(), len(s.conns))}}, false
 	case statement.Status:
-		return statement.Answer{Rows: []string{encodeReport(s.primary, s.point(), len(s.conns))}}, false
+		return statement.Answer{Rows: []string{g.Codec.EncodeReport(s.primary, s.point(), len(s.conns))}}, false
 	}
 	return statement.Answer{}, false
 }
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -128,12 +128,9 @@
 func zone(z int) string { return fmt.Sprintf("zone-%d", z) }
 
 func (d *Deployment) startGroup(name string, index int) {
-	g := &Group{
-		Name: name, Lag: d.Lag, PromoteDelay: 300 * time.Millisecond, MaxConns: d.MaxConns, Work: 5 * time.Millisecond,
-		Handshake: 10 * time.Millisecond, term: 1, starts: map[uint64]uint64{1: 0}, servers: make(map[string]*Server),
-	}
+	g := NewGroup(name, d.MaxConns, d.Lag, Backend{})
 	d.Groups[name] = g
-	d.Store.groups[name] = g
+	d.Store.AddGroup(g)
 	for z := range d.Zones {
 		d.StartServer(g, fmt.Sprintf("%s-s%d", name, z), zone(z), z == index%d.Zones)
 	}
@@ -143,33 +140,26 @@
 func (d *Deployment) StartServer(g *Group, id, zone string, primary bool) *Server {
 	host := d.Net.Host(id, zone)
 	address := fmt.Sprintf("%s:%d", id, serverPort)
-	ctx, cancel := context.WithCancel(d.ctx)
-	s := &Server{
-		ID: id, Zone: zone, Address: address, group: g, net: host, primary: primary, conns: make(map[net.Conn]bool),
-		cancel: cancel, runs: make(map[string]int),
-	}
-	g.mu.Lock()
-	g.servers[id] = s
-	g.mu.Unlock()
 	l, err := host.Listen(address)
 	if err != nil {
 		panic(err)
 	}
-	go s.serve(ctx, l)
-	d.Register(s, false)
-	go d.reportRole(ctx, s)
+	s := g.Add(d.ctx, id, zone, l, primary)
+	s.Address = address
+	go Report(d.ctx, d.Store, s)
 	return s
 }
 
-// reportRole registers the server anew when its role changes.
-func (d *Deployment) reportRole(ctx context.Context, s *Server) {
-	last := s.isPrimary()
+// Report registers the server in the store, and again when its role changes,
+// until ctx is done.
+func Report(ctx context.Context, store *Store, s *Server) {
+	registered, last := false, false
 	for ctx.Err() == nil {
-		time.Sleep(10 * time.Millisecond)
-		if now := s.isPrimary(); now != last {
-			last = now
-			d.Register(s, false)
+		if now := s.isPrimary(); now != last || !registered {
+			registered, last = true, now
+			register(store, s)
 		}
+		time.Sleep(10 * time.Millisecond)
 	}
 }
 
@@ -179,11 +169,27 @@
 	return s.primary
 }
 
-// Register writes the server's registration.
-func (d *Deployment) Register(s *Server, draining bool) {
-	d.Store.Put(directory.Servers, directory.Entry{Name: s.ID, Server: &catalog.Server{
-		ID: s.ID, Group: s.group.Name, Address: s.Address, DataCentre: s.Zone, Primary: s.isPrimary(), Draining: draining, Born: 1,
-	}})
+// register writes the server's registration.
+func register(store *Store, s *Server) {
+	s.group.mu.Lock()
+	entry := catalog.Server{
+		ID: s.ID, Group: s.group.Name, Address: s.Address, DataCentre: s.Zone, Primary: s.primary, Draining: s.draining, Born: 1,
+	}
+	s.group.mu.Unlock()
+	store.Put(directory.Servers, directory.Entry{Name: s.ID, Server: &entry})
+}
+
+// Drain makes the server register as leaving. It goes on answering.
+func Drain(store *Store, s *Server) { setDraining(store, s, true) }
+
+// Undrain takes Drain back.
+func Undrain(store *Store, s *Server) { setDraining(store, s, false) }
+
+func setDraining(store *Store, s *Server, draining bool) {
+	s.group.mu.Lock()
+	s.draining = draining
+	s.group.mu.Unlock()
+	register(store, s)
 }
 
 // Primary returns the group's primary, or nil.
--- a/standin/managed/dialect.go
+++ b/standin/managed/dialect.go
@@ -92,7 +92,29 @@
 	return r, err
 }
 
-func encodeReport(primary bool, p state.Point, connections int) string {
+// Backend is the wire protocol of Servers from the servers' side.
+type Backend struct{}
+
+// ReadOpening implements Codec.
+func (Backend) ReadOpening(r *bufio.Reader) (group, customer, server string, err error) {
+	var o opening
+	err = readJSON(r, &o)
+	return o.Group, o.Customer, o.Server, err
+}
+
+// ReadCommand implements Codec.
+func (Backend) ReadCommand(r *bufio.Reader) (c statement.Command, err error) {
+	return c, readJSON(r, &c)
+}
+
+// AppendOpened implements Codec.
+func (Backend) AppendOpened(dst []byte, a *statement.Answer) []byte { return appendJSON(dst, a) }
+
+// AppendAnswer implements Codec.
+func (Backend) AppendAnswer(dst []byte, a *statement.Answer) []byte { return appendJSON(dst, a) }
+
+// EncodeReport implements Codec.
+func (Backend) EncodeReport(primary bool, p state.Point, connections int) string {
 	role := "replica"
 	if primary {
 		role = "primary"
--- a/standin/managed/faults_test.go
+++ b/standin/managed/faults_test.go
@@ -69,7 +69,7 @@
 		time.Sleep(2 * time.Second)
 		g := d.Groups[GroupName(1)]
 		old := g.Primary()
-		d.Register(old, true)
+		Drain(d.Store, old)
 		time.Sleep(4 * time.Second)
 		if now := g.Primary(); now == nil || now == old {
 			t.Errorf("the leaving primary was not replaced")
--- a/standin/managed/load_test.go
+++ b/standin/managed/load_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -15,34 +14,21 @@
 	t *testing.T
 	d *Deployment
 
-	mu       sync.Mutex // guards the fields below
-	acked    map[string][]ack
-	promised []promise
-	codes    map[statement.Code]int
-	reasons  map[string]int       // of refusals
-	lastOK   map[string]time.Time // by database
-	gap      map[string]time.Duration
-	stop     bool
-	wg       sync.WaitGroup
-}
-
-// ack is an acknowledged write of an item's next value.
-type ack struct {
-	value int
-	at    time.Time
-	id    string
-}
+	checker *Checker
 
-// promise is a write of which the client was told that it is not kept.
-type promise struct {
-	id    string
-	group *Group
+	mu      sync.Mutex // guards the fields below
+	codes   map[statement.Code]int
+	reasons map[string]int       // of refusals
+	lastOK  map[string]time.Time // by database
+	gap     map[string]time.Duration
+	stop    bool
+	wg      sync.WaitGroup
 }
 
 // startLoad starts a writer and readers on every VM for a customer and group.
 func startLoad(t *testing.T, d *Deployment) *load {
 	l := &load{
-		t: t, d: d, acked: make(map[string][]ack), codes: make(map[statement.Code]int), reasons: make(map[string]int),
+		t: t, d: d, checker: NewChecker(), codes: make(map[statement.Code]int), reasons: make(map[string]int),
 		lastOK: make(map[string]time.Time), gap: make(map[string]time.Duration),
 	}
 	n := 0
@@ -66,18 +52,8 @@
 	l.stop = true
 	l.mu.Unlock()
 	l.wg.Wait()
-	for _, p := range l.promised {
-		if n := p.group.Commits(p.id); n > 0 {
-			l.t.Errorf("write %s was committed though its client was told that nothing is kept", p.id)
-		}
-	}
-	for _, g := range l.d.Groups {
-		seen := make(map[string]int)
-		for _, c := range g.log {
-			if seen[c.id]++; seen[c.id] == 2 {
-				l.t.Errorf("write %s is in the log twice", c.id)
-			}
-		}
+	for _, v := range l.checker.Finish(l.d.Groups) {
+		l.t.Error(v)
 	}
 }
 
@@ -141,18 +117,12 @@
 			value++
 			id, a := l.writeOnce(c, fmt.Sprintf("%s %d", item, value), value%4 == 0)
 			l.count(a)
+			l.checker.Wrote(g, item, value, id, a.Code)
 			switch a.Code {
 			case statement.OK:
 				l.ok(database)
-				l.mu.Lock()
-				l.acked[item] = append(l.acked[item], ack{value, time.Now(), id})
-				l.mu.Unlock()
 			case statement.Lost:
 				return
-			case statement.Busy, statement.Aborted, statement.ReadOnly, statement.Lagging, statement.ConnectionLimit:
-				l.mu.Lock()
-				l.promised = append(l.promised, promise{id, g})
-				l.mu.Unlock()
 			}
 			time.Sleep(pace)
 		}
@@ -194,7 +164,7 @@
 			switch a.Code {
 			case statement.OK:
 				l.ok(database)
-				l.check(g, kind, item, begun, a)
+				l.checker.Read(g, item, bounds[kind], begun, a)
 			case statement.Lost:
 				return
 			}
@@ -203,27 +173,6 @@
 	})
 }
 
-// check reports a read that misses a commit which was acknowledged in time and
-// not dropped by a promotion.
-func (l *load) check(g *Group, kind, item string, begun time.Time, a statement.Answer) {
-	got := 0
-	if len(a.Rows) == 1 {
-		var err error
-		if got, err = strconv.Atoi(a.Rows[0]); err != nil {
-			l.t.Errorf("read %q of %s", a.Rows, item)
-		}
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	acks := l.acked[item]
-	for i := len(acks) - 1; i >= 0 && acks[i].value > got; i-- {
-		if acks[i].at.Before(begun.Add(-bounds[kind])) && g.Commits(acks[i].id) > 0 {
-			l.t.Errorf("%s read %d of %s on %s, %v after %d was acknowledged", kind, got, item, a.Signature, begun.Sub(acks[i].at), acks[i].value)
-			return
-		}
-	}
-}
-
 // longestGap returns the longest time without a success on the databases of a
 // kind of route.
 func (l *load) longestGap(kind string) time.Duration {
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -130,7 +130,27 @@
 	return ctx.Err()
 }
 
-// client is a VM's access to the store.
+// NewStore returns an empty store.
+func NewStore() *Store { return newStore() }
+
+// Access is a VM's access to the store.
+type Access interface {
+	directory.Source
+	promotion.Duties
+	promotion.Platform
+}
+
+// Client returns the named VM's access.
+func (s *Store) Client(vm string) Access { return client{Store: s, vm: vm} }
+
+// AddGroup makes the store promote servers of the group.
+func (s *Store) AddGroup(g *Group) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.groups[g.Name] = g
+}
+
+// client implements Access.
 type client struct {
 	*Store
 	vm string
