--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -121,6 +121,14 @@
 	return s
 }
 
+// leads reports whether the server is the primary.
+func (g *Group) leads(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.servers[id]
+	return s != nil && s.primary
+}
+
 // promote makes the server the primary, with what it has received.
 func (g *Group) promote(id string) {
 	g.mu.Lock()
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -291,6 +291,10 @@
 	if refused || g == nil {
 		return false
 	}
+	if g.leads(server) {
+		// An order for the present primary changes nothing.
+		return true
+	}
 	time.AfterFunc(g.PromoteDelay, func() { g.promote(server) })
 	return true
 }
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
+	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
@@ -39,6 +40,9 @@
 	// customer to one server.
 	maxWaiting = 64
 	queueLimit = 1 << 14
+	// abandonedSlack is added to the time for which clients may rest inside a
+	// transaction.
+	abandonedSlack = time.Second
 	// transientIdle is how long customers without a connection of their own keep
 	// one, see placement.PlanConnections.
 	transientIdle = 150 * time.Millisecond
@@ -64,7 +68,8 @@
 	done     func(statement.Result)
 	timer    *time.Timer
 	conn     *conn
-	offered  bool // some bytes of the statement were sent
+	begun    state.Point // position at the beginning of its transaction
+	offered  bool        // some bytes of the statement were sent
 	finished bool
 	aborted  bool // its client is gone: end the transaction
 }
@@ -421,6 +426,7 @@
 			e.finishAnswer(c, a)
 			return
 		}
+		c.job.begun = a.At
 	case stepMain:
 		e.mainAnswered(c, a)
 		return
@@ -467,6 +473,11 @@
 	c.job = nil
 	w := j.work
 	ok := a.Code == statement.OK
+	if w.Command.Verb == statement.Rollback {
+		// The server may have lost the lead since BEGIN; only its position at
+		// BEGIN goes with the proof.
+		a.At = j.begun
+	}
 	r := statement.Result{Answer: a}
 	r.Proven = ok && w.Proves()
 	keep := ok && a.State == statement.InTx && (w.Opens || w.Tx != 0) && !j.aborted
@@ -483,7 +494,7 @@
 		c.tx, c.from = e.lastTx, j.from
 		e.txs[c.tx] = c
 	}
-	c.state = connResting
+	c.state, c.idleSince = connResting, time.Now()
 	r.Tx = c.tx
 	e.finishResult(j, r)
 }
@@ -616,6 +627,7 @@
 func (e *Executor) sweep() {
 	d := e.table.Current()
 	e.mu.Lock()
+	e.endAbandoned(d)
 	var idle []*conn
 	for key, p := range e.pools {
 		if len(p.conns) == 0 && len(p.waiting) == 0 {
@@ -645,6 +657,20 @@
 	}
 }
 
+// endAbandoned ends transactions that rest for longer than VMs let their clients
+// rest: the VM that opened one may have gone before it had the answer.
+func (e *Executor) endAbandoned(d *catalog.Deployment) {
+	if d.Config == nil || d.Config.TxIdle <= 0 {
+		return
+	}
+	for _, c := range e.txs {
+		if c.state == connResting && time.Since(c.idleSince) > d.Config.TxIdle+abandonedSlack {
+			e.logger.WithField("server", c.pool.key.server).Warn("backend: abandoned transaction ended.")
+			e.rollback(c)
+		}
+	}
+}
+
 // probe tries the servers that could not be reached. A connection without an
 // opening costs the server no slot.
 func (e *Executor) probe(ctx context.Context) {
