--- a/state/lockrank/lockrank.go
+++ b/state/lockrank/lockrank.go
@@ -18,8 +18,8 @@
 
 // Ranks of all locks in the system, in the order in which they may be taken.
 const (
-	Sessions Rank = 10 // the map of sessions
-	Session  Rank = 20 // one session's state
+	Sessions Rank = 10 // the map of sessions; the documents of the directory
+	Session  Rank = 20 // one session's state; operations that wait for tokens; the steward's groups
 	Config   Rank = 30 // the ticket in force and the freshness of the configuration
 	Members  Rank = 40 // VMs heard of
 	Lease    Rank = 50 // confirmations of this VM's incarnation
