--- a/node.go
+++ b/node.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/coordination/quota"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
@@ -153,6 +154,9 @@
 	return g.Wait()
 }
 
+// View returns what the VM knows of the fleet.
+func (n *Node) View() *placement.View { return n.links.View() }
+
 // Ready reports whether the VM should be sent new sessions.
 func (n *Node) Ready() bool {
 	return n.settled.Load() && !n.isolated.Load() && !n.leaving.Load() && n.table.Current().Config != nil
--- a/standin/managed/managed_test.go
+++ b/standin/managed/managed_test.go
@@ -155,3 +155,15 @@
 		}
 	})
 }
+
+// Guards against VMs that start together and miss each other for good, because
+// each read a list of members from before the other one announced itself.
+func TestVMsThatStartTogetherMeet(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		for name, vm := range d.VMs {
+			if n := vm.Node.View().AliveCount(); n != len(d.VMs) {
+				t.Errorf("%s hears %d of %d VMs", name, n, len(d.VMs))
+			}
+		}
+	})
+}
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -25,7 +25,7 @@
 	events   map[directory.Kind][]directory.Entry
 	oldest   uint64 // revisions up to this one are forgotten
 	changed  chan struct{}
-	members  map[string]directory.Member
+	members  map[string]member
 	duty     promotion.Duty
 	tokens   map[string]uint64 // highest fencing token by group
 	groups   map[string]*Group
@@ -56,7 +56,7 @@
 func newStore() *Store {
 	return &Store{
 		revision: 1, docs: make(map[directory.Kind]map[string]directory.Entry), events: make(map[directory.Kind][]directory.Entry),
-		changed: make(chan struct{}), members: make(map[string]directory.Member), tokens: make(map[string]uint64),
+		changed: make(chan struct{}), members: make(map[string]member), tokens: make(map[string]uint64),
 		groups: make(map[string]*Group), down: make(map[string]Outage),
 	}
 }
@@ -202,7 +202,16 @@
 	}
 }
 
-func (c client) Members(ctx context.Context, _ bool) ([]directory.Member, error) {
+// staleness is the age of lists that need not be fresh.
+const staleness = 3 * time.Second
+
+// member is a VM in the list of members.
+type member struct {
+	directory.Member
+	since time.Time
+}
+
+func (c client) Members(ctx context.Context, fresh bool) ([]directory.Member, error) {
 	if err := c.reach(ctx, c.vm); err != nil {
 		return nil, err
 	}
@@ -210,7 +219,9 @@
 	defer c.mu.Unlock()
 	var all []directory.Member
 	for m := range maps.Values(c.members) {
-		all = append(all, m)
+		if fresh || time.Since(m.since) >= staleness {
+			all = append(all, m.Member)
+		}
 	}
 	return all, nil
 }
@@ -221,7 +232,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.members[m.Name] = m
+	c.members[m.Name] = member{m, time.Now()}
 	return nil
 }
 
