--- /dev/null
+++ b/transport/fleetlink/dial.go
@@ -0,0 +1,238 @@
+package fleetlink
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
+)
+
+// dial keeps a link to the peer until ctx is done.
+func (l *Links) dial(ctx context.Context, p *peer) {
+	for ctx.Err() == nil {
+		dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+		conn, err := l.net.Dial(dialCtx, p.address)
+		cancel()
+		if err == nil {
+			l.hold(ctx, p, conn)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialDelay):
+		}
+	}
+}
+
+// hold uses a link that this VM dialled until it breaks.
+func (l *Links) hold(ctx context.Context, p *peer, conn net.Conn) {
+	k := newLink(conn)
+	stop := context.AfterFunc(ctx, k.out.Abort)
+	defer stop()
+	l.mu.Lock()
+	p.link, p.lastHeard, p.lastPing = k, clock.Now(), 0
+	body := l.self.Encode()
+	l.mu.Unlock()
+	k.send(fleetwire.Frame{Kind: fleetwire.KindStatus, Body: body})
+	l.ping(p, k)
+	err := l.read(ctx, k, func(f fleetwire.Frame) {
+		if f.Kind == fleetwire.KindStatus {
+			l.receiveStatus(f.Body)
+			return
+		}
+		k.answered(f)
+	})
+	k.out.Abort()
+	l.lost(p, k, err)
+	k.fail()
+}
+
+// ping asks the peer for a pong.
+func (l *Links) ping(p *peer, k *link) {
+	sentAt := clock.Now()
+	k.call(fleetwire.Frame{Kind: fleetwire.KindPing}, func(f fleetwire.Frame, ok bool) {
+		if !ok {
+			return
+		}
+		pong, err := fleetwire.DecodePong(f.Body)
+		if err != nil {
+			l.logger.WithError(err).Error("fleet: a pong cannot be decoded.")
+			return
+		}
+		l.heard(p, k)
+		l.mu.Lock()
+		name := p.status.Name
+		l.mu.Unlock()
+		if name != "" {
+			l.handler.PongReceived(name, pong, sentAt)
+		}
+	})
+}
+
+func (l *Links) receiveStatus(body []byte) string {
+	s, err := fleetwire.DecodeStatus(body)
+	if err != nil {
+		l.logger.WithError(err).Error("fleet: a status cannot be decoded.")
+		return ""
+	}
+	l.Meet(s.Address)
+	l.learn(s)
+	l.handler.StatusReceived()
+	return s.Name
+}
+
+// read passes the frames of a link to f on pool workers, in order, until the
+// link breaks.
+func (l *Links) read(ctx context.Context, k *link, f func(fleetwire.Frame)) error {
+	queue := l.pool.NewQueue(queueLimit)
+	defer queue.Close()
+	r := bufio.NewReader(k.conn)
+	for {
+		frame, err := fleetwire.ReadFrame(r)
+		if err != nil {
+			return err
+		}
+		if !queue.PostWait(func() { f(frame) }) {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// serve answers the calls of a VM that dialled this one.
+func (l *Links) serve(ctx context.Context, conn net.Conn) {
+	k := newLink(conn)
+	stop := context.AfterFunc(ctx, k.out.Abort)
+	defer stop()
+	l.mu.Lock()
+	body := l.self.Encode()
+	l.mu.Unlock()
+	k.send(fleetwire.Frame{Kind: fleetwire.KindStatus, Body: body})
+	// A VM that dials again may use its new link before the old one is seen to
+	// be closed, so transactions belong to a link.
+	number := strconv.FormatUint(l.accepted.Add(1), 10)
+	var from string
+	err := l.read(ctx, k, func(f fleetwire.Frame) {
+		if f.Kind == fleetwire.KindStatus {
+			if name := l.receiveStatus(f.Body); name != "" {
+				from = name
+			}
+			return
+		}
+		l.answer(from, number, k, f)
+	})
+	k.out.Abort()
+	l.logger.WithFields(log.Fields{"link": number, "why": err.Error()}).Debug("fleet: VM closed its link.")
+	l.handler.LinkClosed(number)
+}
+
+// answer runs one call.
+func (l *Links) answer(from, origin string, k *link, f fleetwire.Frame) {
+	reply := func(kind fleetwire.Kind, body []byte) {
+		k.send(fleetwire.Frame{Kind: kind, ID: f.ID, Body: body})
+	}
+	var err error
+	switch f.Kind {
+	case fleetwire.KindPing:
+		pong := l.handler.Pong(from)
+		reply(fleetwire.KindPong, pong.Append(nil))
+	case fleetwire.KindWork:
+		var w *statement.Work
+		if w, err = fleetwire.DecodeWork(f.Body); err == nil {
+			l.handler.Execute(origin, w, func(r statement.Result) { reply(fleetwire.KindResult, fleetwire.AppendResult(nil, &r)) })
+		}
+	case fleetwire.KindAbort:
+		var tx uint64
+		if tx, err = fleetwire.DecodeNumber(f.Body); err == nil {
+			l.handler.EndTx(origin, tx)
+		}
+	case fleetwire.KindTokens:
+		var customer string
+		var n int
+		if customer, n, err = fleetwire.DecodeTokens(f.Body); err == nil {
+			reply(fleetwire.KindGrant, fleetwire.AppendNumber(nil, uint64(l.handler.Grant(customer, n))))
+		}
+	case fleetwire.KindSnapshot:
+		reply(fleetwire.KindDocument, l.handler.Document(f.Body))
+	}
+	if err != nil {
+		l.logger.WithError(err).WithField("vm", from).Error("fleet: a call cannot be decoded.")
+		k.out.Abort()
+	}
+}
+
+// tick pings the other VMs and closes silent links until ctx is done.
+func (l *Links) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		l.check()
+	}
+}
+
+func (l *Links) check() {
+	now := clock.Now()
+	type due struct {
+		p *peer
+		k *link
+	}
+	var pings []due
+	var silent []*link
+	l.mu.Lock()
+	near, far := l.intervals()
+	for _, p := range l.peers {
+		interval := far
+		if p.status.DataCentre == l.self.DataCentre {
+			interval = near
+		}
+		limit := max(deadAfter, deadPings*interval)
+		switch {
+		case p.link == nil:
+		case now-p.lastHeard > limit:
+			silent = append(silent, p.link)
+		case now-p.lastPing >= interval:
+			p.lastPing = now
+			pings = append(pings, due{p, p.link})
+		}
+	}
+	l.mu.Unlock()
+	for _, k := range silent {
+		k.out.Abort()
+	}
+	for _, d := range pings {
+		l.ping(d.p, d.k)
+	}
+}
+
+// intervals returns the times between pings inside the data centre and to
+// others. The caller holds mu.
+func (l *Links) intervals() (near, far time.Duration) {
+	nearby := 0
+	for _, p := range l.peers {
+		if p.status.DataCentre == l.self.DataCentre {
+			nearby++
+		}
+	}
+	interval := func(n int) time.Duration {
+		return max(pingInterval, time.Duration(n)*time.Second/pingsPerSecond)
+	}
+	return interval(nearby), interval(len(l.peers) - nearby)
+}
+
+// PingInterval returns the longest time between two pings to a VM.
+func (l *Links) PingInterval() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	near, far := l.intervals()
+	return max(near, far)
+}
