--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -121,6 +121,13 @@
 	return s
 }
 
+// Term returns the group's term.
+func (g *Group) Term() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.term
+}
+
 // leads reports whether the server is the primary.
 func (g *Group) leads(id string) bool {
 	g.mu.Lock()
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -56,8 +57,9 @@
 	Net    *memnet.Network
 	Store  *Store
 	Groups map[string]*Group
-	VMs    map[string]*VM
+	VMs    map[string]*VM // by name; use VM while others may start
 
+	mu     sync.Mutex // guards VMs
 	ctx    context.Context
 	cancel context.CancelFunc
 	config catalog.Config
@@ -342,7 +344,9 @@
 		Network:      host, Clients: Clients{}, Servers: Servers{}, Source: c, Duties: c, Platform: c,
 		Logger: d.Logger.WithField("vm", name), Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""),
 	})
+	d.mu.Lock()
 	d.VMs[name] = vm
+	d.mu.Unlock()
 	go func() {
 		defer close(vm.ended)
 		if err := vm.Node.Run(); err != nil {
@@ -352,6 +356,13 @@
 	return vm
 }
 
+// VM returns the VM that was started last under the name.
+func (d *Deployment) VM(name string) *VM {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.VMs[name]
+}
+
 // Kill ends the VM's process at once; its connections break.
 func (vm *VM) Kill() {
 	vm.cancel()
--- a/standin/managed/faults_test.go
+++ b/standin/managed/faults_test.go
@@ -131,14 +131,14 @@
 		d.Store.LoseOrders(1, 3*time.Second)
 		g.Primary().Crash()
 		time.Sleep(2500 * time.Millisecond)
-		term := g.term
+		term := g.Term()
 		if term < 2 {
 			t.Errorf("no promotion after a lost order")
 		}
 		time.Sleep(4 * time.Second)
 		l.finish()
-		if g.term != term {
-			t.Errorf("the late order changed term %d to %d", term, g.term)
+		if now := g.Term(); now != term {
+			t.Errorf("the late order changed term %d to %d", term, now)
 		}
 	})
 }
@@ -149,9 +149,9 @@
 	inDeployment(t, fes, func(d *Deployment) {
 		l := startLoad(t, d)
 		time.Sleep(2 * time.Second)
-		holder := d.Store.duty.Holder
+		holder := d.Store.DutyHolder()
 		d.Groups[GroupName(0)].Primary().Crash()
-		d.vm(holder).Kill()
+		d.VM(holder).Kill()
 		time.Sleep(8 * time.Second)
 		l.finish()
 		if gap := l.longestGap(Latest); gap > failoverWithin {
@@ -233,7 +233,7 @@
 		l := startLoad(t, d)
 		time.Sleep(time.Second)
 		for _, name := range []string{"vm-0-0", "vm-1-0", "vm-2-0"} {
-			d.vm(name).Terminate()
+			d.VM(name).Terminate()
 		}
 		l.finish()
 		for _, code := range []statement.Code{statement.InDoubt, statement.Timeout} {
@@ -332,7 +332,7 @@
 		cut.Heal()
 		time.Sleep(time.Second)
 		for _, name := range []string{"vm-1-0", "vm-2-0", "vm-0-1"} {
-			vm := d.vm(name)
+			vm := d.VM(name)
 			vm.Kill()
 			time.Sleep(300 * time.Millisecond)
 			d.StartVM(name, vm.Zone)
@@ -356,7 +356,7 @@
 // flood writes up to a hundred times a second, several times the limit together.
 func flood(d *Deployment, vm string, n int, stop chan struct{}) {
 	for {
-		c, _ := d.vm(vm).Connect(vm+string(rune('a'+n)), Database(Latest, n%2), 0)
+		c, _ := d.VM(vm).Connect(vm+string(rune('a'+n)), Database(Latest, n%2), 0)
 		for c != nil {
 			select {
 			case <-stop:
--- a/standin/managed/load_test.go
+++ b/standin/managed/load_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +17,7 @@
 	d *Deployment
 
 	checker *Checker
+	names   []string // of the VMs
 
 	mu      sync.Mutex // guards the fields below
 	codes   map[statement.Code]int
@@ -32,7 +35,8 @@
 		lastOK: make(map[string]time.Time), gap: make(map[string]time.Duration),
 	}
 	n := 0
-	for name := range d.VMs {
+	l.names = slices.Sorted(maps.Keys(d.VMs))
+	for _, name := range l.names {
 		customer := n % d.Customers
 		group := n % d.Options.Groups
 		n++
@@ -85,12 +89,9 @@
 
 // session calls f with a session again and again, on any VM that takes one.
 func (l *load) session(name, home, database string, customer int, f func(c *Client)) {
-	names := []string{home}
-	for other := range l.d.VMs {
-		names = append(names, other)
-	}
+	names := append([]string{home}, l.names...)
 	for i := 0; !l.stopped(); i++ {
-		vm := l.d.vm(names[i%len(names)])
+		vm := l.d.VM(names[i%len(names)])
 		if !vm.Node.Ready() {
 			time.Sleep(20 * time.Millisecond)
 			continue
--- a/standin/managed/managed_test.go
+++ b/standin/managed/managed_test.go
@@ -47,8 +47,6 @@
 	return c
 }
 
-func (d *Deployment) vm(name string) *VM { return d.VMs[name] }
-
 // mustDo runs a request that has to succeed.
 func mustDo(t *testing.T, c *Client, verb statement.Verb, payload string) statement.Answer {
 	t.Helper()
@@ -64,7 +62,7 @@
 func TestSessionReadsItsWrites(t *testing.T) {
 	inDeployment(t, fes, func(d *Deployment) {
 		for _, kind := range []string{Latest, Own} {
-			c := connect(t, d.vm("vm-2-0"), kind, Database(kind, 1), 0)
+			c := connect(t, d.VM("vm-2-0"), kind, Database(kind, 1), 0)
 			for i := range 20 {
 				data := fmt.Sprintf("%s-%d", kind, i)
 				mustDo(t, c, statement.Write, "item "+data)
@@ -82,7 +80,7 @@
 // against writes that stay after a rollback.
 func TestTransactions(t *testing.T) {
 	inDeployment(t, fes, func(d *Deployment) {
-		c := connect(t, d.vm("vm-0-1"), "tx", Database(Latest, 0), 1)
+		c := connect(t, d.VM("vm-0-1"), "tx", Database(Latest, 0), 1)
 		mustDo(t, c, statement.Begin, "")
 		mustDo(t, c, statement.Write, "a 1")
 		mustDo(t, c, statement.Write, "b 1")
@@ -103,8 +101,8 @@
 	o := fes
 	o.Lag = 500 * time.Millisecond
 	inDeployment(t, o, func(d *Deployment) {
-		w := connect(t, d.vm("vm-0-0"), "w", Database(Latest, 0), 0)
-		r := connect(t, d.vm("vm-1-0"), "r", Database(Latest, 0), 0)
+		w := connect(t, d.VM("vm-0-0"), "w", Database(Latest, 0), 0)
+		r := connect(t, d.VM("vm-1-0"), "r", Database(Latest, 0), 0)
 		for i := range 5 {
 			data := fmt.Sprint(i)
 			mustDo(t, w, statement.Write, "x "+data)
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -107,6 +107,13 @@
 	s.loseOrders, s.orderDelay = n, delay
 }
 
+// DutyHolder returns the VM that orders promotions.
+func (s *Store) DutyHolder() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.duty.Holder
+}
+
 // Orders returns the promotions that were ordered.
 func (s *Store) Orders() []Order {
 	s.mu.Lock()
