--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -144,7 +144,7 @@
 		if !vm.Alive || !fits(vm) {
 			continue
 		}
-		s := score53(key, vm)
+		s := weightedScore(key, vm)
 		if name == "" || s > score || s == score && vm.Name < name {
 			name, score = vm.Name, s
 		}
@@ -152,9 +152,9 @@
 	return name
 }
 
-// score53 turns the hash into a uniform number u in (0, 1) and returns
+// weightedScore turns the hash into a uniform number u in (0, 1) and returns
 // -weight/ln(u), which gives each VM keys in proportion to its weight.
-func score53(key string, vm *VM) float64 {
+func weightedScore(key string, vm *VM) float64 {
 	u := (float64(lease.Score(key, vm.Name)>>11) + 0.5) / (1 << 53)
 	return -vm.Weight / math.Log(u)
 }
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -88,7 +88,6 @@
 	askedUntil  time.Duration            // another VM was asked, and may answer until then
 	behindSince time.Duration            // another VM is known to know more; zero if none
 	failing     bool                     // the latest call to the store failed
-	lastGood    time.Duration
 }
 
 // New returns the directory of the VM that self describes.
@@ -172,9 +171,6 @@
 	d.mu.Lock()
 	turned := failed != d.failing
 	d.failing = failed
-	if !failed {
-		d.lastGood = clock.Now()
-	}
 	d.mu.Unlock()
 	if turned {
 		entry := d.logger.WithFields(log.Fields{"call": call, "kind": string(kind)})
