--- a/coordination/share/broken_test.go
+++ b/coordination/share/broken_test.go
@@ -29,10 +29,16 @@
 	w.f.after(10*time.Second, func() { w.f.start("vm1", "dc1", w.speed(), w.f.config) })
 }
 
-// saturate sends so much that every token is spent at once.
+// saturate lets the buckets fill, then sends so much that every token is spent
+// at once, and starts a second process of vm1. A bucket that starts full then
+// holds tokens that the first process has spent.
 func saturate(w *world) {
-	twoOfVM1(w)
+	const begin = 25 * time.Second
+	w.f.after(begin+5*time.Second, func() { w.f.start("vm1", "dc1", w.speed(), w.f.config) })
 	w.script = func(string) (*proc, float64) {
+		if w.f.now < begin {
+			return nil, 10
+		}
 		running := w.f.running()
 		return running[w.f.rng.IntN(len(running))], 10
 	}
