--- a/coordination/failover/attempt.go
+++ b/coordination/failover/attempt.go
@@ -72,8 +72,9 @@
 }
 
 // fresh reports whether a majority answered queries sent since the given time,
-// and asks for a round if there was none. Without this a VM could begin on
-// answers from before another VM's promotion.
+// and every server that others follow was asked since then. It asks for a round
+// if not. Without this a VM could begin on answers from before another VM's
+// promotion, and depose the primary that was just promoted.
 func (d *decision) fresh(since time.Time) bool {
 	n := 0
 	for i := range d.Group.Servers {
@@ -81,7 +82,7 @@
 			n++
 		}
 	}
-	if n >= d.Group.Majority() {
+	if n >= d.Group.Majority() && d.leadersAsked(since) {
 		return true
 	}
 	if d.State.Round.Started.Before(since) {
@@ -90,6 +91,27 @@
 	return false
 }
 
+// leadersAsked reports whether each server that another one follows, after it
+// has promised to a later term than the known primary's, was asked since the
+// given time, with or without an answer.
+func (d *decision) leadersAsked(since time.Time) bool {
+	for i := range d.Group.Servers {
+		v := d.State.Servers[d.Group.Servers[i].Name]
+		if v == nil || v.Status.AdoptedTerm <= d.State.Term {
+			continue
+		}
+		name := v.Status.Primary
+		if name == d.State.Primary || d.Group.Server(name) == nil {
+			continue
+		}
+		leader := d.State.Servers[name]
+		if leader == nil || leader.AskedAt.Before(since) && leader.FailedAt.Before(since) {
+			return false
+		}
+	}
+	return true
+}
+
 // startDelay returns how long the condition must last before this VM acts.
 func (d *decision) startDelay() (delay time.Duration, act bool) {
 	switch d.f.Condition {
--- a/coordination/failover/failover_test.go
+++ b/coordination/failover/failover_test.go
@@ -229,3 +229,44 @@
 		}
 	}
 }
+
+// Guards against a VM with an old view that deposes a primary which another VM
+// has promoted: a majority answered before the new primary did.
+func TestPromotedPrimaryIsAskedFirst(t *testing.T) {
+	const term = 3 << indexBits
+	in := newInput(Part{Watcher: true, DataCentre: "dc-b"})
+	in.State.Waiters = []state.PositionWaiter{{Kind: state.WaitPrimary}}
+	observe := func(at time.Duration, servers ...string) []string {
+		for _, name := range servers {
+			s := st(name, term, term, 11)
+			s.Role, s.Primary = state.Replica, "c"
+			if name == "c" {
+				s.Role, s.Primary = state.Primary, ""
+			}
+			in.State.Observe(s, start.Add(at))
+		}
+		orders, _ := calls(Tick(in.at(at)))
+		return orders
+	}
+	at := time.Duration(0)
+	for ; at <= 2*promotionPatience; at += 10 * time.Millisecond {
+		if orders := observe(at, "a", "b"); len(orders) > 0 {
+			t.Fatalf("orders %v after %v, although b follows c and c was not asked", orders, at)
+		}
+	}
+	if orders := observe(at, "c"); len(orders) > 0 || in.State.Primary != "c" {
+		t.Errorf("orders %v, primary %s after c has answered", orders, in.State.Primary)
+	}
+	// A new primary that does not answer is replaced.
+	in = newInput(Part{Watcher: true, DataCentre: "dc-b"})
+	in.State.Waiters = []state.PositionWaiter{{Kind: state.WaitPrimary}}
+	var orders []string
+	for at = 0; at <= 3*time.Second && len(orders) == 0; at += 10 * time.Millisecond {
+		in.State.ObserveFailure("c", start.Add(at))
+		in.State.View("c").Missed++
+		orders = observe(at, "a", "b")
+	}
+	if len(orders) == 0 {
+		t.Error("a new primary that does not answer is not replaced")
+	}
+}
