--- a/matrix/client_test.go
+++ b/matrix/client_test.go
@@ -81,11 +81,16 @@
 		return true
 	}
 	cl.tx = 0
-	if cl.cell.warmingUp(cl.vm) || !cl.connect() {
-		cl.vm = (cl.vm + 1) % cl.cell.fleet.Profile.VMs
-		return false
+	if !cl.cell.warmingUp(cl.vm) && cl.connect() {
+		if !cl.cell.warmingUp(cl.vm) {
+			return true
+		}
+		// The VM was started again after the choice, so the load balancer does not
+		// know it as ready.
+		cl.close()
 	}
-	return true
+	cl.vm = (cl.vm + 1) % cl.cell.fleet.Profile.VMs
+	return false
 }
 
 func (cl *client) connect() bool {
