--- a/coordination/session/answer.go
+++ b/coordination/session/answer.go
@@ -58,9 +58,16 @@
 		return nil
 	}
 	if d.mayRerouteWrite(s, end) {
-		return d.rerouteWrite(s, now)
+		return d.rerouteWrite(s, end, now)
+	}
+	if d.mayReopen(s, end) {
+		return d.reopen(s, now)
+	}
+	s.InTransaction, s.Reopening = end.InTransaction, false
+	s.Opening = nil
+	if s.InTransaction && s.Request.OnlyBegins && end.ErrorCode == "" {
+		s.Opening = s.Request.Payload
 	}
-	s.InTransaction = end.InTransaction
 	var effects []Effect
 	if end.ErrorCode == readOnlyViolation && s.TargetsPrimary {
 		// The primary may be handing over; find out before the next transaction.
@@ -96,10 +103,11 @@
 	return s.Completed && !end.RolledBack && !d.Options.AckOnCommit
 }
 
-// mayRerouteWrite reports whether the server refused the request as a write
-// before running it, so that another server may run it.
+// mayRerouteWrite reports whether the server refused the request as a write and
+// keeps nothing of it, so that another server may run it. A transaction that the
+// request began itself is rolled back.
 func (d *Decider) mayRerouteWrite(s *state.Session, end End) bool {
-	if end.ErrorCode != readOnlyViolation || end.InTransaction || s.InTransaction || s.Forwarded {
+	if end.ErrorCode != readOnlyViolation || end.Committed || s.InTransaction || s.Reopening || s.Forwarded {
 		return false
 	}
 	if s.Request.Class == state.ClassBeginRO || s.Refusals >= maxWriteRefusals {
@@ -109,7 +117,7 @@
 	return route != nil && route.Access == state.ReadWrite
 }
 
-func (d *Decider) rerouteWrite(s *state.Session, now time.Time) []Effect {
+func (d *Decider) rerouteWrite(s *state.Session, end End, now time.Time) []Effect {
 	s.Refusals++
 	effects := []Effect{DropHeld{}}
 	if !readOnly(s.Request.Class) {
@@ -119,7 +127,28 @@
 	}
 	s.Request.Class = state.ClassWrite
 	s.Sent = false
-	effects = append(effects, d.releaseConn(s)...)
+	if end.InTransaction {
+		effects = append(effects, d.dropConn(s)...)
+	} else {
+		effects = append(effects, d.releaseConn(s)...)
+	}
+	return append(effects, d.route(s, now)...)
+}
+
+// mayReopen reports whether the first statement of a transaction was refused as
+// a write by a server that has ceased to be the primary. The transaction has
+// done nothing yet, so it can begin again on the new primary.
+func (d *Decider) mayReopen(s *state.Session, end End) bool {
+	return end.ErrorCode == readOnlyViolation && s.Opening != nil && (s.InTransaction || s.Reopening) &&
+		!s.Forwarded && s.Refusals < maxWriteRefusals
+}
+
+func (d *Decider) reopen(s *state.Session, now time.Time) []Effect {
+	s.Refusals++
+	s.InTransaction, s.Reopening = false, true
+	s.Excluded, s.Sent = s.Server, false
+	effects := []Effect{DropHeld{}, Suspect{Group: d.groupOf(s), Server: s.Server}}
+	effects = append(effects, d.dropConn(s)...)
 	return append(effects, d.route(s, now)...)
 }
 
@@ -146,7 +175,7 @@
 
 // afterLoss ends or retries a request that was sent and whose connection is gone.
 func (d *Decider) afterLoss(s *state.Session, reason Reason, now time.Time) []Effect {
-	if s.InTransaction {
+	if s.InTransaction || s.Reopening {
 		out := Outcome{Kind: Unknown, Reason: TransactionLost}
 		if s.Request.Class == state.ClassEnd || s.Request.MayCommit {
 			out.Reason = reason
--- a/coordination/session/decider.go
+++ b/coordination/session/decider.go
@@ -117,6 +117,7 @@
 	s.Sent, s.Forwarded, s.MayHaveRun = false, false, false
 	s.Attempts, s.Refusals = 0, 0
 	s.Excluded, s.CoverAsked = "", ""
+	s.Reopening = false
 }
 
 // refuseAccess refuses a request whose session may not run it. The session is
@@ -254,7 +255,7 @@
 		Group:          group,
 		DataCentre:     d.Tables.Self.DataCentre,
 		Now:            now,
-		Read:           readOnly(s.Request.Class),
+		Read:           readOnly(s.Request.Class) && !s.Reopening,
 		ReplicaAllowed: known || s.TokenSet,
 		Point:          point,
 		MaxAge:         maxAge,
@@ -359,7 +360,10 @@
 		Conn:     s.Conn,
 		Request:  s.Request.Number,
 		Payload:  s.Request.Payload,
-		ReadOnly: !s.InTransaction && readOnly(s.Request.Class),
+		ReadOnly: !s.InTransaction && readOnly(s.Request.Class) && !s.Reopening,
+	}
+	if s.Reopening {
+		send.Opening = s.Opening
 	}
 	return []Effect{send, Wake{Request: s.Request.Number, At: now.Add(firstCheck)}}
 }
--- a/coordination/session/effects.go
+++ b/coordination/session/effects.go
@@ -30,6 +30,9 @@
 	Request  uint64
 	Payload  any
 	ReadOnly bool
+	// Opening is the payload of a request that begins the transaction first; its
+	// answer is dropped. It may be nil.
+	Opening any
 }
 
 // Forward passes a part of the answer to the client.
--- a/coordination/session/end.go
+++ b/coordination/session/end.go
@@ -113,8 +113,12 @@
 }
 
 // refuse ends a request without an answer of a backend server. It says "not
-// run" only if no earlier attempt was sent.
+// run" only if no earlier attempt was sent. If the request's transaction is not
+// open any more, the session ends: later requests would run outside of it.
 func (d *Decider) refuse(s *state.Session, out Outcome) []Effect {
+	if s.Reopening {
+		return d.close(s, Outcome{Kind: Unknown, Reason: TransactionLost})
+	}
 	if s.MayHaveRun {
 		out.Kind = Unknown
 	}
--- a/protocol/pgwire/batch.go
+++ b/protocol/pgwire/batch.go
@@ -31,7 +31,10 @@
 	// MayCommit says that the batch has several statements, of which one may end
 	// a transaction.
 	MayCommit bool
-	Hints     Hints
+	// OnlyBegins says that the batch begins a transaction and otherwise at most
+	// ends one, so that outside of a transaction it does nothing else.
+	OnlyBegins bool
+	Hints      Hints
 	// Unsupported says why the batch must be refused; empty if it may run.
 	Unsupported string
 	// Setting is set if the batch is a single SET, RESET or SHOW of a session
@@ -128,6 +131,7 @@
 		// even a batch that begins a transaction must not be repeated.
 		b.Class = state.ClassWrite
 		b.MayCommit = mentionsEnd(sql)
+		b.OnlyBegins = onlyBegins(sql)
 		return
 	}
 	if st.class == state.ClassLocal {
@@ -135,6 +139,7 @@
 		b.Setting = settingOf(sql, st)
 		return
 	}
+	b.OnlyBegins = st.class == state.ClassBegin
 	b.Setting = showOf(sql)
 }
 
@@ -145,6 +150,21 @@
 	return i >= 0 && skipSpace(sql[i+1:]) != ""
 }
 
+// onlyBegins reports whether the statements of the text only end and begin
+// transactions, and the last one begins one. A semicolon in a literal or a
+// comment separates what is not such a statement.
+func onlyBegins(sql string) bool {
+	last := state.ClassRead
+	for _, statement := range strings.Split(strings.TrimSuffix(strings.TrimSpace(sql), ";"), ";") {
+		switch last = classify(statement).class; last {
+		case state.ClassBegin, state.ClassEnd, state.ClassRollback:
+		default:
+			return false
+		}
+	}
+	return last == state.ClassBegin
+}
+
 // mentionsEnd reports whether the text may hold a statement that ends a
 // transaction. The words count in literals and names too; that only makes a
 // statement about a lost transaction less certain.
@@ -207,10 +227,11 @@
 	}
 	if a.bound == 1 {
 		b.Class = st.class
+		b.OnlyBegins = st.class == state.ClassBegin
 		b.Hints = hintsIn(p.Query)
 		return
 	}
-	b.Setting, b.Hints = nil, Hints{}
+	b.Setting, b.Hints, b.OnlyBegins = nil, Hints{}, false
 	b.Class = combine(b.Class, st.class)
 	b.MayCommit = b.Class == state.ClassEnd || b.Class == state.ClassRollback
 }
--- a/protocol/pgwire/benchmark_test.go
+++ b/protocol/pgwire/benchmark_test.go
@@ -51,7 +51,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				n++
-				c.Prepare(1+n%bm.owners, nil, true, false, batch, lookup)
+				c.Prepare(Preparation{Owner: 1 + n%bm.owners, ReadOnly: true, Lookup: lookup}, batch)
 			}
 		})
 	}
--- a/protocol/pgwire/prepare.go
+++ b/protocol/pgwire/prepare.go
@@ -23,15 +23,35 @@
 	Preparations int // ReadyForQuery messages that answer the preparation
 }
 
+// Preparation says what a connection must hold before a batch runs on it.
+type Preparation struct {
+	Owner         uint64 // session
+	Variables     []state.Variable
+	ReadOnly      bool
+	InTransaction bool   // the batch runs in a transaction that is open on the connection
+	Opening       *Batch // begins the transaction that the batch runs in; may be nil
+	Lookup        func(name string) *pgproto3.Parse
+}
+
 // Prepare encodes a batch for the connection. If the connection was used by
 // another session, everything which that session left behind is discarded
 // first. Inside a transaction nothing is prepared but statements.
-func (c *Connection) Prepare(owner uint64, vars []state.Variable, readOnly, inTransaction bool, b *Batch, lookup func(string) *pgproto3.Parse) Prepared {
+func (c *Connection) Prepare(want Preparation, b *Batch) Prepared {
 	var p Prepared
-	if !inTransaction {
-		p.discardOthers(c, owner)
-		p.applySettings(c, vars, readOnly)
+	if !want.InTransaction {
+		p.discardOthers(c, want.Owner)
+		p.applySettings(c, want.Variables, want.ReadOnly)
+	}
+	if want.Opening != nil {
+		p.batch(c, want.Opening, want.Lookup)
+		p.Preparations++
 	}
+	p.batch(c, b, want.Lookup)
+	return p
+}
+
+// batch adds a batch and the statements that it uses.
+func (p *Prepared) batch(c *Connection, b *Batch, lookup func(string) *pgproto3.Parse) {
 	p.prepareStatements(c, b, lookup)
 	for _, m := range b.Messages {
 		p.add(m)
@@ -42,7 +62,6 @@
 	for _, name := range b.Closed {
 		delete(c.prepared, name)
 	}
-	return p
 }
 
 // Changed tells that settings or statements of the connection are not known, so
--- a/state/session.go
+++ b/state/session.go
@@ -41,6 +41,7 @@
 	Number       uint64
 	Class        Class
 	MayCommit    bool // several statements, of which one may end a transaction
+	OnlyBegins   bool // begins a transaction and does nothing else
 	Payload      any
 	Idempotent   bool
 	MaxStaleness time.Duration
@@ -109,7 +110,11 @@
 	CoverAsked     string    // replica whose position was already asked for this request
 
 	InTransaction bool
-	Draining      bool // close at the next moment without a request or transaction
+	// Opening is the payload of the request that began the transaction, while
+	// nothing else has run in it; nil otherwise.
+	Opening   any
+	Reopening bool // the transaction is begun again on another server, with the current request
+	Draining  bool // close at the next moment without a request or transaction
 }
 
 // Lock locks the session.
--- a/transport/sessions/client.go
+++ b/transport/sessions/client.go
@@ -111,6 +111,7 @@
 			Number:       c.st.Request.Number + 1,
 			Class:        b.Class,
 			MayCommit:    b.MayCommit,
+			OnlyBegins:   b.OnlyBegins,
 			Payload:      b,
 			Idempotent:   c.st.Idempotent || b.Hints.Idempotent,
 			MaxStaleness: b.Hints.MaxStaleness,
@@ -200,10 +201,15 @@
 		s.metrics.onReplica.Inc(1)
 	}
 	c.startHop(e)
-	inTransaction := c.st.InTransaction
+	want := pgwire.Preparation{
+		Owner: c.st.ID, Variables: c.st.Variables, ReadOnly: e.ReadOnly, InTransaction: c.st.InTransaction,
+		Lookup: func(name string) *pgproto3.Parse { return c.statements[name] },
+	}
+	if e.Opening != nil {
+		want.Opening = e.Opening.(*pgwire.Batch)
+	}
 	ok := s.backends.Send(e.Conn, c, e.Request, c.batch, func(w *pgwire.Connection) pgwire.Prepared {
-		lookup := func(name string) *pgproto3.Parse { return c.statements[name] }
-		return w.Prepare(c.st.ID, c.st.Variables, e.ReadOnly, inTransaction, c.batch, lookup)
+		return w.Prepare(want, c.batch)
 	})
 	if !ok {
 		c.post(func(now time.Time) []session.Effect {
