--- a/coordination/failover/attempt.go
+++ b/coordination/failover/attempt.go
@@ -91,27 +91,33 @@
 	return false
 }
 
-// leadersAsked reports whether each server that another one follows, after it
-// has promised to a later term than the known primary's, was asked since the
-// given time, with or without an answer.
+// leadersAsked reports whether no server may lead that was not asked since the
+// given time: the known primary, and those that servers follow that have
+// promised to a later term.
 func (d *decision) leadersAsked(since time.Time) bool {
+	if !d.heardAs(d.State.Primary, d.State.Term, since) {
+		return false
+	}
 	for i := range d.Group.Servers {
 		v := d.State.Servers[d.Group.Servers[i].Name]
-		if v == nil || v.Status.AdoptedTerm <= d.State.Term {
-			continue
-		}
-		name := v.Status.Primary
-		if name == d.State.Primary || d.Group.Server(name) == nil {
-			continue
-		}
-		leader := d.State.Servers[name]
-		if leader == nil || leader.AskedAt.Before(since) && leader.FailedAt.Before(since) {
+		if v != nil && v.Status.AdoptedTerm > d.State.Term && !d.heardAs(v.Status.Primary, v.Status.AdoptedTerm, since) {
 			return false
 		}
 	}
 	return true
 }
 
+// heardAs reports whether the status of a server that is said to lead the term
+// is from after its promise to the term, or it was asked since the given time,
+// with or without an answer.
+func (d *decision) heardAs(server string, term uint64, since time.Time) bool {
+	if d.Group.Server(server) == nil {
+		return true
+	}
+	v := d.State.Servers[server]
+	return v != nil && (v.Status.AdoptedTerm >= term || !v.AskedAt.Before(since) || !v.FailedAt.Before(since))
+}
+
 // startDelay returns how long the condition must last before this VM acts.
 func (d *decision) startDelay() (delay time.Duration, act bool) {
 	switch d.f.Condition {
--- a/coordination/failover/failover_test.go
+++ b/coordination/failover/failover_test.go
@@ -257,6 +257,19 @@
 	if orders := observe(at, "c"); len(orders) > 0 || in.State.Primary != "c" {
 		t.Errorf("orders %v, primary %s after c has answered", orders, in.State.Primary)
 	}
+	// The same if another VM tells of the promotion when the group has been
+	// without a primary for long.
+	in = newInput(Part{Watcher: true, DataCentre: "dc-b"})
+	in.State.Waiters = []state.PositionWaiter{{Kind: state.WaitPrimary}}
+	for at = 0; at < promotionPatience; at += 10 * time.Millisecond {
+		observe(at, "a", "b")
+	}
+	Merge(in.at(at), term, "c", false)
+	for ; at <= 2*promotionPatience; at += 10 * time.Millisecond {
+		if orders := observe(at, "a", "b"); len(orders) > 0 {
+			t.Fatalf("orders %v after %v, although c was promoted and not asked", orders, at)
+		}
+	}
 	// A new primary that does not answer is replaced.
 	in = newInput(Part{Watcher: true, DataCentre: "dc-b"})
 	in.State.Waiters = []state.PositionWaiter{{Kind: state.WaitPrimary}}
