--- a/coordination/share/policy_test.go
+++ b/coordination/share/policy_test.go
@@ -185,6 +185,31 @@
 
 func percent(n, of int) float64 { return 100 * float64(n) / float64(max(of, 1)) }
 
+// Guards against a refusal inside the customer's rate while a data centre
+// returns: until all VMs have applied the ticket, each has the smaller of its
+// old and its new share, and the tokens for the rest come with the agreement.
+func TestRequestWaitsForAgreement(t *testing.T) {
+	hold := state.Hold{Since: epoch, Until: epoch.Add(time.Minute)}
+	customer := &state.CustomerShare{Name: "c", Limit: state.RateShare{Rate: 100, Burst: 10}}
+	customer.Loans.Holders = []state.Holder{}
+	w := state.ShareWaiter{Cost: 1, Joined: epoch, Deadline: epoch.Add(5 * time.Second)}
+	ticket := func(n uint64) state.TicketShares { return state.TicketShares{Config: fleetConfig(n, 1)} }
+	for _, tt := range []struct {
+		name    string
+		tickets []state.TicketShares
+		want    Verdict
+	}{
+		{"agreed", []state.TicketShares{ticket(2)}, Refused},
+		{"not agreed", []state.TicketShares{ticket(1), ticket(2)}, Wait},
+	} {
+		s := &state.Shares{Tickets: tt.tickets, Agreed: 1}
+		if a := enqueue(s, customer, hold, w, epoch); a.Verdict != tt.want {
+			t.Errorf("%s: verdict %d, want %d", tt.name, a.Verdict, tt.want)
+		}
+		customer.Waiters = nil
+	}
+}
+
 // Guards against a policy that refuses or delays requests inside their
 // customer's rate more often than equal static shares do. Prints the figures.
 func TestPolicy(t *testing.T) {
--- a/coordination/share/take.go
+++ b/coordination/share/take.go
@@ -126,11 +126,13 @@
 	leased   bool      // the lease hold is valid
 	loan     bool      // a loan may come
 	loanFrom time.Time // but not before this time
+	agreeing bool      // the base share may grow soon, when all VMs have applied the newest ticket
 }
 
 func prospectsOf(s *state.Shares, c *state.CustomerShare, hold state.Hold, now time.Time) prospects {
 	p := prospects{bucket: viewOf(c), now: now, leased: hold.Valid(now)}
 	p.loanFrom, p.loan = loanFrom(s, c, now)
+	p.agreeing = len(s.Tickets) > 1 && !s.Static
 	return p
 }
 
@@ -144,7 +146,7 @@
 		}
 	}
 	until := earlier(w.Deadline, w.Joined.Add(loanWait))
-	hope := !p.leased || p.loan && p.loanFrom.Before(until)
+	hope := !p.leased || p.agreeing || p.loan && p.loanFrom.Before(until)
 	return until, hope && p.now.Before(until)
 }
 
