--- a/coordination/share/broken_test.go
+++ b/coordination/share/broken_test.go
@@ -124,6 +124,23 @@
 	}
 }
 
+// restartedLender makes vm1 borrow connections of the others, which then need
+// theirs themselves, and restarts one of them. What its process has lent is in
+// use until after the hold of the next one has begun.
+func restartedLender(w *world) {
+	const restart = 10500 * time.Millisecond // right after a renewal of the loans
+	w.wanted = func(p *proc) int {
+		if p.name == "vm1" || w.f.now >= restart {
+			return 20
+		}
+		return 0
+	}
+	w.f.after(restart, func() {
+		w.f.current["vm2"].dead = true
+		w.f.start("vm2", "dc1", w.speed(), w.f.config)
+	})
+}
+
 // record finds the lender's record of a loan.
 func record(s *state.Shares, from Peer, req LoanRequest) *state.Lent {
 	var book *state.LoanBook
@@ -270,7 +287,7 @@
 		{name: "ticket reported although loans exceed it", broken: hooks{report: func(p *proc, _ uint64) uint64 {
 			return p.tables.Config.Current().Ticket.Number
 		}}},
-		{name: "new process uses all its connections", broken: hooks{recomputed: func(p *proc) {
+		{name: "new process uses all its connections", script: restartedLender, broken: hooks{recomputed: func(p *proc) {
 			p.tables.Shares.With(func(s *state.Shares) { s.EarlierLoansTill = time.Time{} })
 		}}},
 	}
--- a/coordination/share/limits_test.go
+++ b/coordination/share/limits_test.go
@@ -77,6 +77,7 @@
 	f         *fleet
 	clocks    string
 	script    func(customer string) (p *proc, load float64) // where requests go; optional
+	wanted    func(p *proc) int                             // connections to each server; optional
 	limits    map[string]*ideal                             // by customer with constant limits
 	configs   []*state.Config
 	open      map[*proc]map[string]int // connections, by server
@@ -202,6 +203,9 @@
 	for _, p := range w.f.procs {
 		server := []string{"few", "some", "many"}[w.f.rng.IntN(3)]
 		wanted := w.f.rng.IntN(8)
+		if w.wanted != nil {
+			wanted = w.wanted(p)
+		}
 		w.f.on(p, 0, func() {
 			if WantConnections(p.tables, server, wanted, p.local()) {
 				p.advance()
@@ -297,12 +301,23 @@
 	}
 }
 
-// restart starts a new process of a VM with the configuration of some VM.
+// storeRetry is the pause of a process that finds no configuration.
+const storeRetry = 500 * time.Millisecond
+
+// restart starts a new process of a VM. It gets its configuration from some
+// process that runs, else from the store.
 func (w *world) restart(old *proc) {
-	if w.f.current[old.name] == old {
-		from := w.f.procs[w.f.rng.IntN(len(w.f.procs))]
-		w.f.start(old.name, old.dc, w.speed(), from.tables.Config.Current())
+	if w.f.current[old.name] != old {
+		return
+	}
+	config := w.f.config
+	if running := w.f.running(); len(running) > 0 {
+		config = running[w.f.rng.IntN(len(running))].tables.Config.Current()
+	} else if w.f.faults.storeDown {
+		w.f.after(storeRetry, func() { w.restart(old) })
+		return
 	}
+	w.f.start(old.name, old.dc, w.speed(), config)
 }
 
 // replace starts a new process while the old one is paused or goes on. Only one
