--- /dev/null
+++ b/standin/dbgroup/translog/main_test.go
@@ -0,0 +1,10 @@
+package translog
+
+import (
+	"os"
+	"testing"
+
+	"github.com/chestnutdyke/chestnutdyke/internal/testseed"
+)
+
+func TestMain(m *testing.M) { os.Exit(testseed.Run(m)) }
