--- a/fleettest/world_test.go
+++ b/fleettest/world_test.go
@@ -45,8 +45,14 @@
 // per lock, which is five sixths of the time of these tests.
 var lockOrder = flag.Bool("lockorder", false, "check the order of locks; slow")
 
+// limitParallel limits the number of fleets that run at once.
+var limitParallel = func() error { return nil }
+
 func TestMain(m *testing.M) {
 	flag.Parse()
+	if err := limitParallel(); err != nil {
+		panic(err) // the testing package has the flag
+	}
 	if *lockOrder {
 		lockrank.EnableChecks()
 	}
