--- a/standin/managed/managed_test.go
+++ b/standin/managed/managed_test.go
@@ -154,6 +154,22 @@
 	})
 }
 
+// Guards against a fleet that asks the store for everything on every VM when it
+// starts: calls are paid for, and their rates grow more slowly than fleets.
+func TestStartAsksStoreLittle(t *testing.T) {
+	o := fes
+	o.VMs = 8
+	inDeployment(t, o, func(d *Deployment) {
+		const (
+			perVM    = 2  // it announces itself and reads the list of members
+			perFleet = 50 // watches, duty, and VMs that hear of no other yet
+		)
+		if calls, most := d.Store.Calls(), perVM*len(d.VMs)+perFleet; calls > most {
+			t.Errorf("%d calls by %d VMs, want %d at most", calls, len(d.VMs), most)
+		}
+	})
+}
+
 // Guards against VMs that start together and miss each other for good, because
 // each read a list of members from before the other one announced itself.
 func TestVMsThatStartTogetherMeet(t *testing.T) {
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -34,6 +34,7 @@
 	loseOrders int // orders to come that are not answered and carried out late
 	orderDelay time.Duration
 	orders     []Order
+	calls      int // of all VMs, waiting watches included
 }
 
 // Outage is a way in which the store fails a VM.
@@ -107,6 +108,13 @@
 	s.loseOrders, s.orderDelay = n, delay
 }
 
+// Calls returns the number of calls that the store got.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // DutyHolder returns the VM that orders promotions.
 func (s *Store) DutyHolder() string {
 	s.mu.Lock()
@@ -124,6 +132,7 @@
 // reach waits for the store's answer to the VM, or fails.
 func (s *Store) reach(ctx context.Context, vm string) error {
 	s.mu.Lock()
+	s.calls++
 	how := max(s.down[vm], s.down[""])
 	s.mu.Unlock()
 	switch how {
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -43,8 +43,16 @@
 	// relayTimeout is how long a VM leaves it to its data centre's relay to
 	// fetch what other data centres know.
 	relayTimeout = 500 * time.Millisecond
+	// meetTime is how long a new VM's links take to come up, after which it knows
+	// whether others watch the store for it.
+	meetTime = 300 * time.Millisecond
+	// learnTimeout is how long a new VM leaves it to others to tell it what the
+	// store holds. It is asked for by the hundreds when a fleet starts, and each
+	// call is paid for.
+	learnTimeout = time.Second
 	// watchCheck is how often a VM that does not watch looks whether it should.
 	watchCheck = 250 * time.Millisecond
+	learnCheck = 50 * time.Millisecond
 	// membersInterval is how often the list of members is read. VMs meet by
 	// their links too, so the list heals what links miss.
 	membersInterval = 8 * time.Second
@@ -88,6 +96,8 @@
 	askedUntil  time.Duration            // another VM was asked, and may answer until then
 	behindSince time.Duration            // another VM is known to know more; zero if none
 	failing     bool                     // the latest call to the store failed
+
+	met chan struct{} // closed after the first attempt to read the list of members
 }
 
 // New returns the directory of the VM that self describes.
@@ -96,7 +106,7 @@
 		source: source, fleet: fleet, table: table, leads: leads, logger: logger, self: self,
 		calls: scope.Counter("store_calls"), failures: scope.Counter("store_failures"),
 		mu: lockrank.New(lockrank.Sessions), docs: make(map[Kind]document), lapsed: make(map[string]time.Duration),
-		unfit: make(map[string]time.Duration), missing: make(map[string]time.Duration),
+		unfit: make(map[string]time.Duration), missing: make(map[string]time.Duration), met: make(chan struct{}),
 	}
 }
 
@@ -111,8 +121,23 @@
 	return g.Wait()
 }
 
+// learn gives other VMs the time to tell a new one about the kind.
+func (d *Directory) learn(ctx context.Context, kind Kind) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-d.met:
+	}
+	sleep(ctx, meetTime)
+	until := clock.Now() + learnTimeout
+	for ctx.Err() == nil && clock.Now() < until && !d.known(kind) && !d.fleet.View().Watches(string(kind)) {
+		sleep(ctx, learnCheck)
+	}
+}
+
 // follow lists a kind and watches it.
 func (d *Directory) follow(ctx context.Context, kind Kind) {
+	d.learn(ctx, kind)
 	backoff := minBackoff
 	revision := uint64(0)
 	for ctx.Err() == nil {
--- a/transport/directory/members.go
+++ b/transport/directory/members.go
@@ -12,7 +12,7 @@
 
 // join announces this VM and reads the list of members now and then.
 func (d *Directory) join(ctx context.Context) {
-	announced := false
+	announced, tried := false, false
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if announced && !d.fleet.View().Watches("members") {
@@ -20,6 +20,10 @@
 			continue
 		}
 		err := d.meet(ctx, &announced)
+		if !tried {
+			tried = true
+			close(d.met)
+		}
 		if err != nil {
 			pause(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
