--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -195,10 +195,20 @@
 		if p.status.DataCentre == l.self.DataCentre {
 			interval = near
 		}
-		limit := max(deadAfter, deadPings*interval)
+		if p.link == nil {
+			continue
+		}
+		limit, heard := max(deadAfter, deadPings*interval), p.lastHeard
+		if since, waiting := p.link.waits(); waiting {
+			// Statements wait behind this link, so it matters sooner than the
+			// interval of a large fleet tells whether the VM is there.
+			interval = min(interval, pingInterval)
+			if now-max(heard, since) > deadAfter {
+				limit = deadAfter
+			}
+		}
 		switch {
-		case p.link == nil:
-		case now-p.lastHeard > limit:
+		case now-heard > limit:
 			silent = append(silent, p.link)
 		case now-p.lastPing >= interval:
 			p.lastPing = now
--- a/transport/fleetlink/link.go
+++ b/transport/fleetlink/link.go
@@ -3,8 +3,10 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 	"github.com/chestnutdyke/chestnutdyke/transport/outbox"
 )
 
@@ -15,12 +17,22 @@
 
 	mu     sync.Mutex // guards the fields below; no other lock is taken under it
 	lastID uint64
-	calls  map[uint64]func(fleetwire.Frame, bool)
+	calls  map[uint64]pending
 	broken bool
+	// waiting is the number of calls under way but for pings, and waitsFrom the
+	// time since which it is not zero.
+	waiting   int
+	waitsFrom time.Duration
+}
+
+// pending is a call that was not answered.
+type pending struct {
+	ping bool
+	done func(fleetwire.Frame, bool)
 }
 
 func newLink(conn net.Conn) *link {
-	return &link{conn: conn, out: outbox.New(conn, outboxHigh), calls: make(map[uint64]func(fleetwire.Frame, bool))}
+	return &link{conn: conn, out: outbox.New(conn, outboxHigh), calls: make(map[uint64]pending)}
 }
 
 // call sends a call and reports whether it was sent.
@@ -32,7 +44,14 @@
 	}
 	k.lastID++
 	f.ID = k.lastID
-	k.calls[f.ID] = done
+	ping := f.Kind == fleetwire.KindPing
+	k.calls[f.ID] = pending{ping, done}
+	if !ping {
+		if k.waiting == 0 {
+			k.waitsFrom = clock.Now()
+		}
+		k.waiting++
+	}
 	k.mu.Unlock()
 	k.send(f)
 	return true
@@ -40,14 +59,24 @@
 
 func (k *link) answered(f fleetwire.Frame) {
 	k.mu.Lock()
-	done := k.calls[f.ID]
+	c, known := k.calls[f.ID]
 	delete(k.calls, f.ID)
+	if known && !c.ping {
+		k.waiting--
+	}
 	k.mu.Unlock()
-	if done != nil {
-		done(f, true)
+	if known {
+		c.done(f, true)
 	}
 }
 
+// waits reports since when calls other than pings wait for their answers.
+func (k *link) waits() (since time.Duration, waiting bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.waitsFrom, k.waiting > 0
+}
+
 // fail ends the calls that were not answered.
 func (k *link) fail() {
 	k.mu.Lock()
@@ -55,7 +84,7 @@
 	calls := k.calls
 	k.calls = nil
 	k.mu.Unlock()
-	for _, done := range calls {
-		done(fleetwire.Frame{}, false)
+	for _, c := range calls {
+		c.done(fleetwire.Frame{}, false)
 	}
 }
