--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -27,6 +28,11 @@
 // all of them. In a larger one the VMs of a data centre have enough of their own.
 const smallFleet = 16
 
+// maxLeads bounds the proofs of lead in a pong, about 40 bytes each. With 60
+// pongs a second inside a data centre that is 19 KB/s; deployments with more
+// groups get them by turns.
+const maxLeads = 8
+
 // Options are the parts that a Dispatcher connects.
 type Options struct {
 	Self     string
@@ -43,6 +49,7 @@
 type Dispatcher struct {
 	Options
 	directory Directory
+	turn      atomic.Uint64 // place of newestLeads among the groups
 
 	mu      sync.Mutex // guards ledgers; no other lock is taken under it
 	ledgers ledgers
@@ -142,15 +149,26 @@
 	if len(view.VMs) > smallFleet && !view.Near(from) {
 		return p
 	}
-	for i := range config.Groups {
-		name := config.Groups[i].Name
+	p.Leads = d.newestLeads(config, now)
+	return p
+}
+
+// newestLeads returns the newest proofs of lead, of up to maxLeads groups by
+// turns.
+func (d *Dispatcher) newestLeads(config *catalog.Config, now time.Duration) []fleetwire.Lead {
+	groups := len(config.Groups)
+	count := min(groups, maxLeads)
+	end := int(d.turn.Add(uint64(count)) % uint64(max(groups, 1)))
+	var leads []fleetwire.Lead
+	for i := range count {
+		name := config.Groups[(end+groups-count+i)%groups].Name
 		d.Leads.With(name, func(g *leadership.Group) {
 			if server, sample, ok := g.Newest(); ok {
-				p.Leads = append(p.Leads, fleetwire.Lead{Group: name, Server: server, Point: sample.Point, Age: now - sample.At})
+				leads = append(leads, fleetwire.Lead{Group: name, Server: server, Point: sample.Point, Age: now - sample.At})
 			}
 		})
 	}
-	return p
+	return leads
 }
 
 // counts returns the customers whose ledger is the VM.
