--- a/cmd/chestnutdyke/main.go
+++ b/cmd/chestnutdyke/main.go
@@ -29,7 +29,7 @@
 const exportTimeout = 5 * time.Second
 
 const usage = `Usage: chestnutdyke -config FILE [-check-config] [-drain-timeout DURATION]
-       chestnutdyke platform
+       chestnutdyke platform [-trace none|stdout|otlp] [-trace-endpoint HOST:PORT]
 
 Runs one VM of the fleet. The settings file says who the VM is, where it listens
 and how it reaches the platform's store and other VMs; customers, keys, database
@@ -49,11 +49,7 @@
 	flags := flag.NewFlagSet("chestnutdyke", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	if len(args) > 0 && args[0] == "platform" {
-		if err := platform.Run(stdout); err != nil {
-			fmt.Fprintln(stderr, "chestnutdyke:", err)
-			return 1
-		}
-		return 0
+		return runPlatform(args[1:], stdout, stderr)
 	}
 	path := flags.String("config", "", "settings `file` in YAML")
 	check := flags.Bool("check-config", false, "check the settings and exit; prints every error with its line")
@@ -88,6 +84,24 @@
 	return 0
 }
 
+// runPlatform runs a VM on a platform, which passes the path of the settings in
+// the environment.
+func runPlatform(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("chestnutdyke platform", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	var tracing platform.Tracing
+	flags.StringVar(&tracing.Exporter, "trace", "none", "where spans go: none, stdout or otlp")
+	flags.StringVar(&tracing.Endpoint, "trace-endpoint", "", "`HOST:PORT` of the OTLP collector")
+	if err := flags.Parse(args); err != nil {
+		return 2
+	}
+	if err := platform.Run(stdout, tracing); err != nil {
+		fmt.Fprintln(stderr, "chestnutdyke:", err)
+		return 1
+	}
+	return 0
+}
+
 // serve runs the VM until a signal arrives and its sessions have ended.
 func serve(s *settings.Settings, drainTimeout time.Duration, stdout, stderr io.Writer) error {
 	logger, err := telemetry.NewLogger(s.Log.Level, s.Log.Format, stderr)
--- a/node.go
+++ b/node.go
@@ -103,7 +103,7 @@
 		Name: o.Name, Address: o.LinkAddress, DataCentre: o.DataCentre, Weight: o.Weight, Incarnation: time.Now().UnixNano(),
 	}, o.Logger)
 	n.executor = sqlback.New(sqlback.Options{
-		Network: o.Network, Dialect: o.Servers, Pool: n.pool, Table: n.table, Logger: o.Logger, Scope: o.Scope,
+		Network: o.Network, Dialect: o.Servers, Pool: n.pool, Table: n.table, Logger: o.Logger, Scope: o.Scope, Tracer: o.Tracer,
 		Chosen: func(customer string, s *catalog.Server) bool {
 			vm, ok := n.links.View().Executor(customer, s)
 			return ok && vm == o.Name
--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -82,6 +82,7 @@
 	flagWrites
 	flagPrepared
 	flagPreparedWrites
+	flagTraced
 )
 
 // AppendWork appends the encoded work to dst.
@@ -98,6 +99,7 @@
 	set(w.Command.Writes, flagWrites)
 	set(w.Prepared != nil, flagPrepared)
 	set(w.Prepared != nil && w.Prepared.Writes, flagPreparedWrites)
+	set(w.Trace != statement.Trace{}, flagTraced)
 	dst = append(dst, flags, byte(w.Command.Verb))
 	for _, s := range []string{w.Customer, w.Group, w.Server, w.Command.ID, w.Command.Name, w.Command.Payload} {
 		dst = appendString(dst, s)
@@ -112,6 +114,9 @@
 	if w.Prepared != nil {
 		dst = appendString(appendString(dst, w.Prepared.Name), w.Prepared.Shape)
 	}
+	if flags&flagTraced != 0 {
+		dst = append(append(dst, w.Trace.TraceID[:]...), w.Trace.SpanID[:]...)
+	}
 	return dst
 }
 
@@ -134,6 +139,10 @@
 	if flags&flagPrepared != 0 {
 		w.Prepared = &statement.Prepared{Name: r.string(), Writes: flags&flagPreparedWrites != 0, Shape: r.string()}
 	}
+	if flags&flagTraced != 0 {
+		r.copy(w.Trace.TraceID[:])
+		r.copy(w.Trace.SpanID[:])
+	}
 	return w, r.end("work")
 }
 
@@ -290,6 +299,16 @@
 	return s
 }
 
+// copy fills dst with the next bytes.
+func (r *reader) copy(dst []byte) {
+	if len(r.b) < len(dst) {
+		r.failed, r.b = true, nil
+		return
+	}
+	copy(dst, r.b)
+	r.b = r.b[len(dst):]
+}
+
 func (r *reader) end(what string) error {
 	if r.failed || len(r.b) > 0 {
 		return eris.Errorf("%s is not encoded as expected", what)
--- a/protocol/fleetwire/fleetwire_test.go
+++ b/protocol/fleetwire/fleetwire_test.go
@@ -19,6 +19,7 @@
 		Command:  statement.Command{ID: "1f", Verb: statement.Execute, Name: "p1", Payload: "a b", Writes: true, After: state.Point{Term: 3, Position: 9}, Term: 4},
 		Values:   []statement.Value{{Name: "n", Data: "d"}, {Name: "m"}},
 		Prepared: &statement.Prepared{Name: "p1", Writes: true, Shape: "q"},
+		Trace:    statement.Trace{TraceID: [16]byte{1, 15: 2}, SpanID: [8]byte{3, 7: 4}},
 	}
 	gotWork, err := DecodeWork(AppendWork(nil, work))
 	if err != nil || !cmp.Equal(work, gotWork) {
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/chestnutdyke/chestnutdyke"
@@ -49,6 +50,7 @@
 	Lag       time.Duration
 	MaxConns  int
 	Logger    log.Interface // nil discards
+	Tracer    trace.Tracer  // nil discards
 }
 
 // Deployment is a fleet of VMs with their platform, in virtual time.
@@ -101,6 +103,9 @@
 	if d.Logger == nil {
 		d.Logger = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	}
+	if d.Tracer == nil {
+		d.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	d.Net.SetDefaultDelay(100*time.Microsecond, time.Millisecond)
 	for g := range o.Groups {
 		d.startGroup(GroupName(g), g)
@@ -342,7 +347,7 @@
 		ClientAddress: fmt.Sprintf("%s:%d", name, clientPort), LinkAddress: fmt.Sprintf("%s:%d", name, linkPort),
 		ReadyAddress: fmt.Sprintf("%s:%d", name, readyPort),
 		Network:      host, Clients: Clients{}, Servers: Servers{}, Source: c, Duties: c, Platform: c,
-		Logger: d.Logger.WithField("vm", name), Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""),
+		Logger: d.Logger.WithField("vm", name), Scope: tally.NoopScope, Tracer: d.Tracer,
 	})
 	d.mu.Lock()
 	d.VMs[name] = vm
--- a/standin/managed/managed_test.go
+++ b/standin/managed/managed_test.go
@@ -8,6 +8,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 )
@@ -154,6 +159,39 @@
 	})
 }
 
+// Guards against traces that end at the VM which a client is connected to: each
+// hop of a statement has a span, on the VM that runs it too.
+func TestSpanForEachHop(t *testing.T) {
+	spans := tracetest.NewInMemoryExporter()
+	o := fes
+	o.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSyncer(spans)).Tracer("")
+	inDeployment(t, o, func(d *Deployment) {
+		spans.Reset()
+		// The primary of a group is in one zone only, so some of these writes go
+		// through another VM.
+		for z := range o.Zones {
+			c := connect(t, d.VM(fmt.Sprintf("vm-%d-0", z)), "traced", Database(Latest, 0), 0)
+			mustDo(t, c, statement.Write, fmt.Sprintf("item-%d x", z))
+			c.Close()
+		}
+		time.Sleep(time.Second)
+		byID := make(map[trace.SpanID]tracetest.SpanStub)
+		for _, s := range spans.GetSpans() {
+			byID[s.SpanContext.SpanID()] = s
+		}
+		chains := make(map[string]int)
+		for _, s := range byID {
+			if s.Name == "backend" {
+				hop := byID[s.Parent.SpanID()]
+				chains[s.Name+" of "+hop.Name+" of "+byID[hop.Parent.SpanID()].Name]++
+			}
+		}
+		if want := map[string]int{"backend of hop of statement": o.Zones}; !cmp.Equal(want, chains) {
+			t.Errorf("spans: %s", cmp.Diff(want, chains))
+		}
+	})
+}
+
 // Guards against a fleet that asks the store for everything on every VM when it
 // starts: calls are paid for, and their rates grow more slowly than fleets.
 func TestStartAsksStoreLittle(t *testing.T) {
--- a/state/statement/work.go
+++ b/state/statement/work.go
@@ -20,6 +20,14 @@
 	Prepared   *Prepared     // the statement that Execute needs
 	Timeout    time.Duration // from its arrival; whole milliseconds
 	Wait       time.Duration // longest wait for a connection; whole milliseconds
+	Trace      Trace
+}
+
+// Trace names the span that a statement's next hop belongs to. The zero value
+// is not traced.
+type Trace struct {
+	TraceID [16]byte
+	SpanID  [8]byte
 }
 
 // Result answers a Work.
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -86,7 +86,7 @@
 	logger log.Interface
 	self   Member
 
-	calls, failures tally.Counter
+	metrics
 
 	mu          lockrank.Mutex // guards the fields below
 	docs        map[Kind]document
@@ -104,8 +104,8 @@
 func New(source Source, fleet Fleet, table *catalog.Table, leads *leadership.Table, self Member, logger log.Interface, scope tally.Scope) *Directory {
 	return &Directory{
 		source: source, fleet: fleet, table: table, leads: leads, logger: logger, self: self,
-		calls: scope.Counter("store_calls"), failures: scope.Counter("store_failures"),
-		mu: lockrank.New(lockrank.Sessions), docs: make(map[Kind]document), lapsed: make(map[string]time.Duration),
+		metrics: newMetrics(scope),
+		mu:      lockrank.New(lockrank.Sessions), docs: make(map[Kind]document), lapsed: make(map[string]time.Duration),
 		unfit: make(map[string]time.Duration), missing: make(map[string]time.Duration), met: make(chan struct{}),
 	}
 }
@@ -175,30 +175,29 @@
 func (d *Directory) list(ctx context.Context, kind Kind) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	begin := clock.Now()
 	batch, err := d.source.List(ctx, kind)
-	return batch, d.observe("list", kind, err)
+	return batch, d.observe(callList, kind, begin, err)
 }
 
 func (d *Directory) watch(ctx context.Context, kind Kind, after uint64) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
+	begin := clock.Now()
 	batch, err := d.source.Watch(ctx, kind, after, watchWait)
-	return batch, d.observe("watch", kind, err)
+	return batch, d.observe(callWatch, kind, begin, err)
 }
 
 // observe counts a call and logs when the store is lost or regained.
-func (d *Directory) observe(call string, kind Kind, err error) error {
-	d.calls.Inc(1)
+func (d *Directory) observe(c call, kind Kind, begin time.Duration, err error) error {
 	failed := err != nil && !errors.Is(err, ErrHistoryGone) && !errors.Is(err, context.Canceled)
-	if failed {
-		d.failures.Inc(1)
-	}
+	d.record(c, clock.Now()-begin, failed)
 	d.mu.Lock()
 	turned := failed != d.failing
 	d.failing = failed
 	d.mu.Unlock()
 	if turned {
-		entry := d.logger.WithFields(log.Fields{"call": call, "kind": string(kind)})
+		entry := d.logger.WithFields(log.Fields{"call": string(c), "kind": string(kind)})
 		if failed {
 			entry.WithError(err).Warn("directory: the store does not answer.")
 		} else {
--- a/transport/directory/members.go
+++ b/transport/directory/members.go
@@ -38,14 +38,16 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	if !*announced {
-		if err := d.observe("announce", "members", d.source.Announce(ctx, d.self)); err != nil {
+		begin := clock.Now()
+		if err := d.observe(callAnnounce, "members", begin, d.source.Announce(ctx, d.self)); err != nil {
 			return err
 		}
 	}
 	// Of two VMs that start together, the one that lists later must see the
 	// other, so the first list is fresh.
+	begin := clock.Now()
 	members, err := d.source.Members(ctx, !*announced)
-	if d.observe("list", "members", err) != nil {
+	if d.observe(callMembers, "members", begin, err) != nil {
 		return err
 	}
 	*announced = true
@@ -77,7 +79,7 @@
 		case !known:
 			d.missing[m.Address] = now
 		case now-since > retireAfter && 2*len(alive) >= len(members):
-			err := d.observe("retire", "members", d.source.Retire(ctx, m.Name))
+			err := d.observe(callRetire, "members", now, d.source.Retire(ctx, m.Name))
 			d.logger.WithFields(log.Fields{"vm": m.Name, "ok": err == nil}).Info("directory: member retired.")
 		}
 	}
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -173,6 +173,7 @@
 	if !s.order(ctx, group, c.Server, w) {
 		return false
 	}
+	ordered := clock.Now()
 	deadline := time.Now().Add(succession.RepeatAfter)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		proven := make(chan bool, 1)
@@ -188,6 +189,7 @@
 			return false
 		case leads := <-proven:
 			if leads {
+				s.steps[stepLead].RecordDuration(clock.Now() - ordered)
 				s.Logger.WithFields(log.Fields{"group": group, "server": c.Server.ID}).Info("promotion: the new primary leads.")
 				return true
 			}
@@ -213,7 +215,9 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	s.orders.Inc(1)
+	begin := clock.Now()
 	err := s.Platform.Promote(ctx, group, server.ID, s.Name, token)
+	s.steps[stepOrder].RecordDuration(clock.Now() - begin)
 	refused := errors.Is(err, ErrRefused)
 	s.mu.Lock()
 	if err != nil && !refused {
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -97,6 +97,7 @@
 	started     time.Duration
 	chosenSince time.Duration // zero while another VM is the choice; used by Run only
 	orders      tally.Counter
+	steps       map[step]tally.Histogram
 
 	mu        lockrank.Mutex // guards the fields below
 	nextToken uint64         // next reserved fencing token
@@ -104,6 +105,26 @@
 	groups    map[string]*watch
 }
 
+// step is a step of the replacement of a primary.
+type step string
+
+const (
+	stepDetect step = "detect" // from the latest proof of the lead to the decision
+	stepOrder  step = "order"  // an order, whatever its outcome
+	stepLead   step = "lead"   // from the order to the new primary's proof
+)
+
+// stepBuckets reach to the 7 s in which a change of primary must be over.
+var stepBuckets = tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 12)
+
+func newSteps(scope tally.Scope) map[step]tally.Histogram {
+	steps := make(map[step]tally.Histogram)
+	for _, s := range []step{stepDetect, stepOrder, stepLead} {
+		steps[s] = scope.Tagged(map[string]string{"step": string(s)}).Histogram("promotion_step", stepBuckets)
+	}
+	return steps
+}
+
 // watch is what the steward remembers of a group.
 type watch struct {
 	since    time.Duration
@@ -119,7 +140,7 @@
 // New returns a steward.
 func New(o Options) *Steward {
 	return &Steward{
-		Options: o, started: clock.Now(), orders: o.Scope.Counter("promotions_ordered"),
+		Options: o, started: clock.Now(), orders: o.Scope.Counter("promotions_ordered"), steps: newSteps(o.Scope),
 		mu: lockrank.New(lockrank.Session), groups: make(map[string]*watch),
 	}
 }
@@ -253,6 +274,7 @@
 		g.Go(func() error { s.handOver(ctx, group, facts.Primary, w); return nil })
 	case succession.Replace:
 		w.busy = true
+		s.steps[stepDetect].RecordDuration(now - facts.ProvenAt)
 		s.Logger.WithFields(log.Fields{"group": group, "proof_age_ms": (now - facts.ProvenAt).Milliseconds(), "failures": w.failures}).
 			Warn("promotion: the primary is lost.")
 		g.Go(func() error { s.replace(ctx, group, facts.Primary, w); return nil })
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/state"
@@ -50,6 +51,9 @@
 	probeInterval    = 500 * time.Millisecond
 )
 
+// waitBuckets reach from a connection that is free to the longest wait for one.
+var waitBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 11)
+
 type poolKey struct{ customer, server string }
 
 // serverPool is a customer's connections to one server.
@@ -65,6 +69,8 @@
 	work     *statement.Work
 	from     string
 	done     func(statement.Result)
+	span     trace.Span
+	begin    time.Time
 	timer    *time.Timer
 	conn     *conn
 	begun    state.Point // position at the beginning of its transaction
@@ -81,6 +87,8 @@
 	table   *catalog.Table
 	logger  log.Interface
 	opened  tally.Counter
+	waited  tally.Histogram
+	tracer  trace.Tracer
 	// chosen reports whether this VM holds the customer's connections to the
 	// server.
 	chosen func(customer string, s *catalog.Server) bool
@@ -107,6 +115,7 @@
 	Table   *catalog.Table
 	Logger  log.Interface
 	Scope   tally.Scope
+	Tracer  trace.Tracer
 	Chosen  func(customer string, s *catalog.Server) bool
 	Reached func(unreachable []string)
 }
@@ -115,7 +124,8 @@
 func New(o Options) *Executor {
 	return &Executor{
 		net: o.Network, dialect: o.Dialect, queue: o.Pool.NewQueue(queueLimit), table: o.Table, logger: o.Logger,
-		opened: o.Scope.Counter("server_connections_opened"), chosen: o.Chosen, reached: o.Reached,
+		opened: o.Scope.Counter("server_connections_opened"), waited: o.Scope.Histogram("connection_wait", waitBuckets),
+		tracer: o.Tracer, chosen: o.Chosen, reached: o.Reached,
 		mu: lockrank.New(lockrank.Backends), pools: make(map[poolKey]*serverPool), txs: make(map[uint64]*conn),
 		failing: make(map[string]time.Time), unreachable: make(map[string]bool),
 	}
@@ -138,7 +148,7 @@
 
 // Execute runs a statement for a VM and calls done once.
 func (e *Executor) Execute(from string, w *statement.Work, done func(statement.Result)) {
-	j := &job{work: w, from: from, done: done}
+	j := &job{work: w, from: from, done: done, begin: time.Now(), span: e.startSpan(w)}
 	e.post(func() { e.submit(j) })
 }
 
--- a/transport/sqlback/executor_test.go
+++ b/transport/sqlback/executor_test.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/chestnutdyke/chestnutdyke/standin/managed"
 	"github.com/chestnutdyke/chestnutdyke/state"
@@ -112,6 +113,7 @@
 		})
 		e := sqlback.New(sqlback.Options{
 			Network: s, Dialect: managed.Servers{}, Pool: workers, Table: table, Scope: tally.NoopScope,
+			Tracer:  noop.NewTracerProvider().Tracer(""),
 			Logger:  &log.Logger{Handler: discard.Default},
 			Chosen:  func(string, *catalog.Server) bool { return true },
 			Reached: func([]string) {},
--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -1,9 +1,15 @@
 package sqlback
 
 import (
+	"context"
 	"slices"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 )
 
@@ -29,6 +35,20 @@
 	c.tx, c.from = 0, ""
 }
 
+// startSpan begins the span of a statement on this VM, as a part of the hop on
+// which it came.
+func (e *Executor) startSpan(w *statement.Work) trace.Span {
+	if w.Trace == (statement.Trace{}) {
+		return noop.Span{}
+	}
+	parent := trace.NewSpanContext(trace.SpanContextConfig{
+		TraceID: w.Trace.TraceID, SpanID: w.Trace.SpanID, TraceFlags: trace.FlagsSampled, Remote: true,
+	})
+	ctx := trace.ContextWithSpanContext(context.Background(), parent)
+	_, span := e.tracer.Start(ctx, "backend", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("server", w.Server)))
+	return span
+}
+
 // submit gives the job a connection or lets it wait for one.
 func (e *Executor) submit(j *job) {
 	server := e.table.Current().Servers[j.work.Server]
@@ -71,6 +91,7 @@
 // assign starts the job on the connection.
 func (e *Executor) assign(c *conn, j *job) {
 	c.job, j.conn = j, c
+	e.waited.RecordDuration(time.Since(j.begin))
 	c.state = connBusy
 	for _, command := range c.prepare(j) {
 		e.send(c, stepSetup, command)
@@ -248,5 +269,9 @@
 	j.finished = true
 	e.running--
 	j.timer.Stop()
+	if r.Answer.Code != statement.OK {
+		j.span.SetStatus(codes.Error, r.Answer.Code.String())
+	}
+	j.span.End()
 	e.effects = append(e.effects, func() { j.done(r) })
 }
--- a/transport/sqlfront/server.go
+++ b/transport/sqlfront/server.go
@@ -76,8 +76,7 @@
 // Server serves clients. Create it with New.
 type Server struct {
 	Options
-	outcomes [256]tally.Counter // by code
-	latency  tally.Histogram
+	metrics
 
 	mu       lockrank.Mutex // guards the fields below
 	sessions map[*session]struct{}
@@ -88,10 +87,7 @@
 // New returns a server. Run serves.
 func New(o Options) *Server {
 	s := &Server{Options: o, mu: lockrank.New(lockrank.Sessions), sessions: make(map[*session]struct{})}
-	for c := statement.OK; c <= statement.Unreachable; c++ {
-		s.outcomes[c] = o.Scope.Tagged(map[string]string{"code": c.String()}).Counter("statements")
-	}
-	s.latency = o.Scope.Histogram("statement_latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14))
+	s.metrics = newMetrics(o.Scope)
 	return s
 }
 
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -60,6 +60,7 @@
 	hold     time.Duration // until when it may wait
 	tried    map[string]bool
 	attempts int
+	ctx      context.Context // carries span
 	span     trace.Span
 	failed   failure // the latest one that was logged
 }
@@ -142,9 +143,9 @@
 func (c *session) start(op *sqlsession.Operation) {
 	now := clock.Now()
 	timeout := max(op.Route.Timeout, minTimeout)
-	_, span := c.server.Tracer.Start(context.Background(), "statement", trace.WithAttributes(attribute.String("id", op.Request.ID)))
+	ctx, span := c.server.Tracer.Start(context.Background(), "statement", trace.WithAttributes(attribute.String("id", op.Request.ID)))
 	u := &run{
-		op: op, started: now, deadline: now + timeout, tried: make(map[string]bool), span: span,
+		op: op, started: now, deadline: now + timeout, tried: make(map[string]bool), ctx: ctx, span: span,
 		hold: now + time.Duration(holdPart*float64(timeout)),
 	}
 	c.current = u
@@ -157,6 +158,7 @@
 			if c.current != u {
 				return
 			}
+			c.server.admission.RecordDuration(clock.Now() - now)
 			if !admitted {
 				c.conclude(u, statement.Result{Answer: statement.Refusal(statement.Busy, overLimit(retryAfter))}, "", "")
 				return
@@ -185,7 +187,9 @@
 	w.Wait = max(u.hold-now, time.Millisecond)
 	u.attempts++
 	s.Leads.With(w.Group, func(g *leadership.Group) { g.Sent(w.Server) })
+	hop := s.startHop(u, target.VM, &w)
 	s.Runner.Run(target.VM, &w, func(r statement.Result) {
+		hop.end(&r)
 		c.observe(&w, &r, now)
 		posted := c.queue.PostAlways(func() { c.result(u, target.VM, &w, r) })
 		if !posted && r.Tx != 0 {
@@ -273,7 +277,7 @@
 	c.current = nil
 	u.span.End()
 	took := clock.Now() - u.started
-	c.server.latency.RecordDuration(took)
+	c.server.latency[u.op.Route.Consistency].RecordDuration(took)
 	c.server.outcomes[r.Answer.Code].Inc(1)
 	a := c.core.Finish(u.op, r, vm, server)
 	if a.Code != statement.OK {
