--- a/cmd/chestnutctl/ctl/help.go
+++ b/cmd/chestnutctl/ctl/help.go
@@ -12,7 +12,7 @@
 }
 
 // exitCodes is the part of the help text about exit codes. It is repeated in
-// docs/operators.md.
+// docs/OPERATIONS.md.
 const exitCodes = `Exit codes:
   0  done; for status commands: every live VM has applied the ticket
   1  error; nothing was changed
--- a/docs/operators_test.go
+++ b/docs/operators_test.go
@@ -14,7 +14,7 @@
 
 func guide(t *testing.T) string {
 	t.Helper()
-	data, err := os.ReadFile("operators.md")
+	data, err := os.ReadFile("OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -24,7 +24,7 @@
 // Guards against a settings reference that differs from the code.
 func TestSettingsReference(t *testing.T) {
 	if want := settings.ReferenceTable(); !strings.Contains(guide(t), want) {
-		t.Errorf("operators.md lacks the table:\n%s", want)
+		t.Errorf("OPERATIONS.md lacks the table:\n%s", want)
 	}
 }
 
@@ -40,7 +40,7 @@
 	for _, line := range strings.Split(strings.TrimSpace(codes), "\n") {
 		code, meaning, _ := strings.Cut(strings.TrimSpace(line), "  ")
 		if row := "| " + code + " | " + meaning + " |"; !strings.Contains(text, row) {
-			t.Errorf("operators.md lacks %q", row)
+			t.Errorf("OPERATIONS.md lacks %q", row)
 		}
 	}
 }
@@ -52,7 +52,7 @@
 	if !found {
 		t.Fatal("no example")
 	}
-	file := ticketfile.Parse("operators.md", []byte(example))
+	file := ticketfile.Parse("OPERATIONS.md", []byte(example))
 	if err := file.Err(ticket.CheckAlone(file.Ticket)); err != nil {
 		t.Error(err)
 	}
@@ -63,7 +63,7 @@
 	var help bytes.Buffer
 	for _, words := range []string{"ticket check", "ticket apply", "ticket diff", "ticket show", "ticket history", "ticket status", "status", "key new"} {
 		if !strings.Contains(guide(t), "chestnutctl "+words) {
-			t.Errorf("operators.md does not mention %q", words)
+			t.Errorf("OPERATIONS.md does not mention %q", words)
 		}
 		if code := ctl.Run(t.Context(), ctl.Env{Stdout: &help, Stderr: &help}, append(strings.Fields(words), "-h")); code != ctl.ExitOK {
 			t.Errorf("%s -h ended with %d", words, code)
--- a/fleettest/walk_test.go
+++ b/fleettest/walk_test.go
@@ -15,7 +15,7 @@
 // guidePath is the operators' page, and walkTitle the section that shows the
 // commands and outputs of the test below.
 const (
-	guidePath = "../docs/operators.md"
+	guidePath = "../docs/OPERATIONS.md"
 	walkTitle = "## A walk through\n"
 )
 
--- a/protocol/settings/reference.go
+++ b/protocol/settings/reference.go
@@ -50,7 +50,7 @@
 }
 
 // ReferenceTable returns the reference as a Markdown table, as it stands in
-// docs/operators.md.
+// docs/OPERATIONS.md.
 func ReferenceTable() string {
 	var b strings.Builder
 	b.WriteString("| setting | type | default | meaning |\n| --- | --- | --- | --- |\n")
