--- /dev/null
+++ b/coordination/leadership/failing_test.go
@@ -0,0 +1,56 @@
+package leadership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+)
+
+// Guards against reads that go on to a replica which fails part of them while it
+// looks healthy, and against a replica that is never tried again.
+func TestReadsAvoidFailingServers(t *testing.T) {
+	servers := []*catalog.Server{{ID: "near", DataCentre: "x"}, {ID: "far", DataCentre: "y"}}
+	d := &catalog.Deployment{}
+	g := group()
+	now := 10 * second
+	reader := func() string { return g.Reader(d, servers, "x", at(1, 1), nil, now).ID }
+	run := func(id string, o Outcome) {
+		g.Sent(id)
+		g.Done(id, o, 10*time.Millisecond, at(1, 5), now)
+		now += 20 * time.Millisecond
+	}
+	for range 10 {
+		run("near", Answered)
+		run("far", Answered)
+	}
+	if got := reader(); got != "near" {
+		t.Fatalf("reads go to %s although both are healthy", got)
+	}
+	for i := range 20 {
+		o := Answered
+		if i%5 < 2 {
+			o = Failing
+		}
+		run("near", o)
+	}
+	if got := reader(); got != "far" {
+		t.Errorf("reads go to %s, which fails two of five", got)
+	}
+	// With every server failing, reads still go somewhere.
+	for range 20 {
+		run("near", Failing)
+		run("far", Failing)
+	}
+	if got := reader(); got != "near" && got != "far" {
+		t.Errorf("reads go to %q", got)
+	}
+	now += 10 * second
+	if got := reader(); got != "near" {
+		t.Errorf("reads go to %s long after the failures", got)
+	}
+	run("near", Declined)
+	if got := reader(); got != "near" {
+		t.Errorf("reads go to %s after a statement that was only declined", got)
+	}
+}
--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -11,6 +11,7 @@
 package leadership
 
 import (
+	"math"
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/state"
@@ -35,6 +36,13 @@
 	latencyWeight = 0.2
 	// remotePenalty is added to the latency of servers in other data centres.
 	remotePenalty = 4 * time.Millisecond
+	// failureWeight is the weight of the newest outcome in a server's share of
+	// failures, which halves in failureHalfLife so that the server is tried again.
+	failureWeight   = 0.15
+	failureHalfLife = 2 * time.Second
+	// failurePenalty makes a read on a server that fails all statements cost as
+	// much as one of nine times its latency: the read is repeated elsewhere.
+	failurePenalty = 8
 	// primaryPenalty multiplies the cost of a read on the primary, whose slots
 	// the writes need.
 	primaryPenalty = 1.5
@@ -56,6 +64,8 @@
 	lagUntil     time.Duration
 	latency      time.Duration
 	outstanding  int
+	failing      float64 // share of the latest statements that failed, as of failedAt
+	failedAt     time.Duration
 }
 
 // Group is what this VM knows of a group's leadership.
@@ -234,7 +244,7 @@
 	if s.DataCentre != dataCentre {
 		latency += remotePenalty
 	}
-	cost := float64(latency) * float64(1+v.outstanding)
+	cost := float64(latency) * float64(1+v.outstanding) * (1 + failurePenalty*v.failureShare(now))
 	if s.ID == g.primary {
 		return cost * primaryPenalty, true
 	}
@@ -245,12 +255,32 @@
 // Sent records that a statement was sent to the server.
 func (g *Group) Sent(id string) { g.server(id).outstanding++ }
 
-// Done records the end of a statement: whether the server answered, after what
-// time, and where its log stood.
-func (g *Group) Done(id string, answered bool, took time.Duration, at state.Point) {
+// Outcome is what the end of a statement says of the server.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Answered Outcome = iota // the statement succeeded
+	Failing                 // it failed, or no answer came
+	Declined                // not run, for a reason that says nothing of the server's health
+)
+
+// Done records the end of a statement at now: the outcome, after what time, and
+// where the server's log stood.
+func (g *Group) Done(id string, o Outcome, took time.Duration, at state.Point, now time.Duration) {
 	v := g.server(id)
 	v.outstanding--
-	if !answered {
+	if o == Declined {
+		return
+	}
+	failed := 0.0
+	if o == Failing {
+		failed = 1
+	}
+	v.failing = v.failureShare(now)
+	v.failing += failureWeight * (failed - v.failing)
+	v.failedAt = now
+	if o == Failing {
 		return
 	}
 	v.latency += time.Duration(latencyWeight * float64(took-v.latency))
@@ -259,6 +289,15 @@
 	}
 }
 
+// failureShare returns the share of the latest statements that failed, less the
+// longer ago that was.
+func (v *server) failureShare(now time.Duration) float64 {
+	if v.failing == 0 {
+		return 0
+	}
+	return v.failing * math.Exp2(-float64(now-v.failedAt)/float64(failureHalfLife))
+}
+
 // Suspect keeps work away from a server that broke a connection or was silent.
 func (g *Group) Suspect(id string, now time.Duration) { g.server(id).suspectUntil = now + suspectFor }
 
@@ -278,6 +317,6 @@
 	v.born = born
 	if known {
 		v.applied, v.denied, v.suspectUntil, v.lagUntil = state.Point{}, false, 0, 0
-		v.latency = initialLatency
+		v.latency, v.failing = initialLatency, 0
 	}
 }
--- a/coordination/leadership/leadership_test.go
+++ b/coordination/leadership/leadership_test.go
@@ -150,7 +150,7 @@
 	g := group()
 	g.Reborn("a", 1)
 	g.Sent("a")
-	g.Done("a", true, time.Millisecond, at(3, 7))
+	g.Done("a", Answered, time.Millisecond, at(3, 7), second)
 	g.Reborn("a", 2)
 	if got := g.server("a").applied; got != (state.Point{}) {
 		t.Errorf("a new server is taken to hold %v", got)
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -204,8 +204,7 @@
 	s := c.server
 	server := s.Table.Current().Servers[w.Server]
 	s.Leads.With(w.Group, func(g *leadership.Group) {
-		answered := r.Answer.Code == statement.OK
-		g.Done(w.Server, answered, now-sentAt, r.Answer.At)
+		g.Done(w.Server, outcome(r.Answer.Code), now-sentAt, r.Answer.At, now)
 		switch r.Answer.Code {
 		case statement.OK:
 			if r.Proven {
@@ -223,6 +222,17 @@
 	})
 }
 
+// outcome returns what a code says of the server's health.
+func outcome(c statement.Code) leadership.Outcome {
+	switch c {
+	case statement.OK:
+		return leadership.Answered
+	case statement.Failed, statement.Busy, statement.Lost, statement.Timeout, statement.Unreachable:
+		return leadership.Failing
+	}
+	return leadership.Declined
+}
+
 // result takes the result of an attempt.
 func (c *session) result(u *run, vm string, w *statement.Work, r statement.Result) {
 	if c.current != u {
