--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -48,6 +48,24 @@
 	return n
 }
 
+// CutOff reports whether this VM hears nobody of other data centres although it
+// knows VMs of two or more: its own is cut off, rather than all others lost.
+func (v *View) CutOff() bool {
+	self := v.vm(v.Self)
+	others := make(map[string]bool)
+	for i := range v.VMs {
+		vm := &v.VMs[i]
+		if vm.DataCentre == self.DataCentre {
+			continue
+		}
+		if vm.Alive {
+			return false
+		}
+		others[vm.DataCentre] = true
+	}
+	return len(others) > 1
+}
+
 // Isolated reports whether this VM hears no majority of the VMs: it is probably
 // on the small side of a partition.
 func (v *View) Isolated() bool { return v.Members > 2 && 2*v.AliveCount() <= v.Members }
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -5,7 +5,8 @@
 // and burst and lends it to the VM that it takes for the ledger, for a
 // while. A ledger spends its own share and the shares that are lent to it,
 // so two VMs that both believe to be the ledger never spend a share twice. A VM
-// that is cut off from all others is its own ledger, with its own share.
+// that is cut off from all others is its own ledger, with its own share. A loan
+// ends with its time, or with the link on which the ledger asked for it.
 //
 // Times are readings of one clock of this VM that also counts while the VM is
 // suspended.
@@ -46,13 +47,17 @@
 // account is this VM's part as the ledger of a customer.
 type account struct {
 	tokens float64
-	at     time.Duration            // when tokens was last filled
-	loans  map[string]time.Duration // lender to the end of its loan
+	at     time.Duration       // when tokens was last filled
+	loans  map[string]borrowed // by lender
 }
 
+// borrowed is a share that another VM lends to this one.
+type borrowed struct{ since, until time.Duration }
+
 // loan is where this VM's own share of a customer is.
 type loan struct {
 	to    string
+	link  string // on which the ledger asked
 	until time.Duration
 }
 
@@ -95,8 +100,8 @@
 // Lend lends this VM's shares to the asking ledger for the lease and returns the
 // customers whose share it got. candidates are the customers whose ledger this VM takes
 // the asking one for. A share that is lent to another VM stays there until its
-// loan ends.
-func (t *Table) Lend(ledger string, candidates []string, lease, now time.Duration) []string {
+// loan ends. link names the link on which the ledger asked.
+func (t *Table) Lend(ledger, link string, candidates []string, lease, now time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var lent []string
@@ -105,19 +110,48 @@
 		if l.to != ledger && l.until > now {
 			continue
 		}
-		t.loans[c] = loan{to: ledger, until: now + lease}
+		t.loans[c] = loan{to: ledger, link: link, until: now + lease}
 		lent = append(lent, c)
 	}
 	return lent
 }
 
+// LinkClosed ends the loans that were granted on the link. The ledger closed it,
+// or finds it closed with its next question, and counts none of them from then
+// on; without this its customers would get nothing until the loans end.
+func (t *Table) LinkClosed(link string, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c, l := range t.loans {
+		if l.link == link && l.until > now {
+			l.until = now
+			t.loans[c] = l
+		}
+	}
+}
+
+// LenderLost forgets what a lender gave whose link is closed.
+func (t *Table) LenderLost(lender string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range t.accounts {
+		delete(a.loans, lender)
+	}
+}
+
 // Receive records the shares that a lender gave for the lease, in answer to a
 // question that was sent at askedAt.
 func (t *Table) Receive(lender string, customers []string, lease, askedAt time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range customers {
-		t.account(c).loans[lender] = askedAt + lease
+		loans := t.account(c).loans
+		l, known := loans[lender]
+		if !known || l.until < askedAt {
+			l.since = askedAt
+		}
+		l.until = max(l.until, askedAt+lease)
+		loans[lender] = l
 	}
 }
 
@@ -127,12 +161,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := t.account(c.Name)
-	fraction := min(1, float64(t.shares(c.Name, a, now))/float64(max(members, 1)))
+	shares, earned := t.shares(c.Name, a, now)
+	fraction := min(1, float64(shares)/float64(max(members, 1)))
 	if a.at == 0 {
 		a.tokens = initialTokens + initialPart*c.Burst*fraction
-		a.at = now
+		earned = 0
 	}
-	a.tokens = min(a.tokens+c.Rate*fraction*(now-a.at).Seconds(), max(c.Burst*fraction, 1))
+	a.tokens += c.Rate * min(earned.Seconds()/float64(max(members, 1)), (now-a.at).Seconds())
+	a.tokens = min(a.tokens, max(c.Burst*fraction, 1))
 	a.at = now
 	granted := min(want, int(a.tokens))
 	a.tokens -= float64(granted)
@@ -142,26 +178,30 @@
 func (t *Table) account(customer string) *account {
 	a := t.accounts[customer]
 	if a == nil {
-		a = &account{loans: make(map[string]time.Duration)}
+		a = &account{loans: make(map[string]borrowed)}
 		t.accounts[customer] = a
 	}
 	return a
 }
 
-// shares counts the shares that this VM may spend.
-func (t *Table) shares(customer string, a *account, now time.Duration) int {
-	n := 0
-	for lender, until := range a.loans {
-		if until > now {
+// shares returns how many shares the ledger may spend now, and the sum of the
+// times since the account was last filled for which it had each of them. A share
+// that was elsewhere in between was spent there.
+func (t *Table) shares(customer string, a *account, now time.Duration) (n int, earned time.Duration) {
+	for lender, l := range a.loans {
+		earned += max(0, min(l.until, now)-max(l.since, a.at))
+		if l.until > now {
 			n++
 		} else {
 			delete(a.loans, lender)
 		}
 	}
-	if l, lent := t.loans[customer]; (!lent || l.until <= now) && now >= t.started+minLease {
+	own := max(t.started+minLease, t.loans[customer].until) // when this VM's own share came back
+	if own <= now {
 		n++
+		earned += now - max(own, a.at)
 	}
-	return n
+	return n, earned
 }
 
 // Wait is how long a customer at its limit has to wait for a token.
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -17,16 +17,16 @@
 // its mind lends to the new ledger only when the old loan has ended.
 func TestShareIsLentOnce(t *testing.T) {
 	lender := NewTable("a", 0)
-	if got := lender.Lend("l1", []string{"c"}, minLease, later); len(got) != 1 {
+	if got := lender.Lend("l1", "1", []string{"c"}, minLease, later); len(got) != 1 {
 		t.Fatalf("lent %v", got)
 	}
-	if got := lender.Lend("l2", []string{"c"}, minLease, later+minLease/2); len(got) != 0 {
+	if got := lender.Lend("l2", "2", []string{"c"}, minLease, later+minLease/2); len(got) != 0 {
 		t.Errorf("lent to two ledgers: %v", got)
 	}
-	if got := lender.Lend("l1", []string{"c"}, minLease, later+minLease/2); len(got) != 1 {
+	if got := lender.Lend("l1", "1", []string{"c"}, minLease, later+minLease/2); len(got) != 1 {
 		t.Errorf("the loan was not extended: %v", got)
 	}
-	if got := lender.Lend("l2", []string{"c"}, minLease, later+minLease/2+minLease); len(got) != 1 {
+	if got := lender.Lend("l2", "2", []string{"c"}, minLease, later+minLease/2+minLease); len(got) != 1 {
 		t.Errorf("not lent after the loan had ended: %v", got)
 	}
 	// The lender is its own ledger while its share is out.
@@ -109,3 +109,51 @@
 		t.Error("a token was kept for longer than its time")
 	}
 }
+
+// Guards against a share that is kept for a ledger whose link broke, against one
+// that is taken back although the ledger has asked again on a new link, and
+// against a ledger that goes on spending what a lost lender has taken back.
+func TestLoanEndsWithItsLink(t *testing.T) {
+	lender := NewTable("a", 0)
+	lender.Lend("l", "1", []string{"c"}, minLease, later)
+	lender.LinkClosed("1", later)
+	if got := lender.Lend("m", "3", []string{"c"}, minLease, later); len(got) != 1 {
+		t.Error("a share stays with a ledger whose link broke")
+	}
+	lender = NewTable("a", 0)
+	lender.Lend("l", "1", []string{"c"}, minLease, later)
+	lender.Lend("l", "2", []string{"c"}, minLease, later)
+	lender.LinkClosed("1", later)
+	if got := lender.Lend("m", "3", []string{"c"}, minLease, later); len(got) != 0 {
+		t.Error("a share is lent twice after the ledger has dialled again")
+	}
+	ledger := NewTable("l", 0)
+	ledger.Take(customer, 2, 1000, later) // opens the account and empties it
+	ledger.Receive("a", []string{"c"}, minLease, later)
+	ledger.LenderLost("a")
+	// Its own share, half of 100 a second, for half a second.
+	if got := ledger.Take(customer, 2, 1000, later+minLease/2); got > 26 {
+		t.Errorf("%d tokens with the share of a lost lender", got)
+	}
+}
+
+// Guards against tokens for the time in which a share was lent and spent
+// elsewhere.
+func TestShareEarnsWhereItIs(t *testing.T) {
+	table := NewTable("a", 0)
+	take := func(now time.Duration) int { return table.Take(customer, 1, 1000, now) }
+	take(later)
+	take(later) // empties the bucket
+	table.Lend("l", "1", []string{"c"}, time.Minute, later)
+	table.LinkClosed("1", later+10*time.Second)
+	if got := take(later + 10*time.Second + 100*time.Millisecond); got > 10 {
+		t.Errorf("%d tokens for 100 ms at 100 a second", got)
+	}
+	table.Receive("b", []string{"c"}, minLease, later+20*time.Second)
+	table.Take(customer, 2, 1000, later+20*time.Second+minLease)
+	table.Receive("b", []string{"c"}, minLease, later+30*time.Second)
+	// The own share all the time, a bucket full of it; the other one for 100 ms.
+	if got := table.Take(customer, 2, 1000, later+30*time.Second+100*time.Millisecond); got > 50 {
+		t.Errorf("%d tokens", got)
+	}
+}
--- a/node.go
+++ b/node.go
@@ -63,7 +63,11 @@
 	settleTime = 600 * time.Millisecond
 	// provenWithin is the age of a proof of lead up to which a group counts as
 	// served by this VM.
-	provenWithin  = 1500 * time.Millisecond
+	provenWithin = 1500 * time.Millisecond
+	// cutOffProof is the age of a proof from which a group counts as not served
+	// by a VM that hears of no other data centre. Primaries of its own data
+	// centre go on proving their lead until others replace them.
+	cutOffProof   = 800 * time.Millisecond
 	isolationTick = 100 * time.Millisecond
 	// rotationTime is how long the platform goes on sending new sessions to a
 	// VM that is not ready: two misses, one second apart.
@@ -177,7 +181,7 @@
 		if clock.Now()-n.started >= settleTime {
 			n.settled.Store(true)
 		}
-		isolated := n.settled.Load() && n.links.View().Isolated() && n.mostGroupsUnproven()
+		isolated := n.settled.Load() && n.isIsolated()
 		if isolated != n.isolated.Load() {
 			n.isolated.Store(isolated)
 			n.o.Logger.WithField("isolated", isolated).Warn("vm: isolation changed.")
@@ -186,28 +190,38 @@
 	}
 }
 
-// mostGroupsUnproven reports whether the primaries of more than half of the
-// groups have not proven their lead to this VM lately.
-func (n *Node) mostGroupsUnproven() bool {
+// isIsolated reports whether other VMs would serve clients better.
+func (n *Node) isIsolated() bool {
+	view := n.links.View()
+	if view.CutOff() {
+		unproven, _ := n.unproven(cutOffProof)
+		return unproven > 0
+	}
+	unproven, groups := n.unproven(provenWithin)
+	return view.Isolated() && 2*unproven > groups
+}
+
+// unproven returns the number of groups, and how many have a primary that has
+// not proven its lead to this VM within the time.
+func (n *Node) unproven(within time.Duration) (unproven, total int) {
 	config := n.table.Current().Config
 	if config == nil {
-		return false
+		return 0, 0
 	}
 	now := clock.Now()
 	groups := make(map[string]bool)
-	unproven := 0
 	for _, r := range config.Routes {
 		if groups[r.Group] {
 			continue
 		}
 		groups[r.Group] = true
 		n.leads.With(r.Group, func(g *leadership.Group) {
-			if now-g.ProvenAt() > provenWithin {
+			if now-g.ProvenAt() > within {
 				unproven++
 			}
 		})
 	}
-	return 2*unproven > len(groups)
+	return unproven, len(groups)
 }
 
 // shedding reports whether a leaving VM has left the rotation.
--- a/standin/managed/faults_test.go
+++ b/standin/managed/faults_test.go
@@ -1,6 +1,9 @@
 package managed
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -398,3 +401,93 @@
 		t.Errorf("%d operations in the best %v, expected %.0f or more", most, limitWindow, least)
 	}
 }
+
+// Guards against requests inside the limit that are refused until the loans of
+// shares to a ledger end, although the ledger is gone.
+func TestLedgerKilled(t *testing.T) {
+	inDeployment(t, fes, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(2 * time.Second)
+		ledger := d.VM("vm-0-0").Node.View().Ledger(CustomerName(0))
+		d.VM(ledger).Kill()
+		time.Sleep(2 * time.Second)
+		d.StartVM(ledger, d.VM(ledger).Zone)
+		time.Sleep(time.Second)
+		l.finish()
+		refused := 0
+		for reason, n := range l.reasons {
+			if strings.Contains(reason, "over the customer's limit") {
+				refused += n
+			}
+		}
+		// The load asks for about 200 operations a second of each customer.
+		if refused > 40 {
+			t.Errorf("%d operations inside the limit were refused", refused)
+		}
+	})
+}
+
+// Guards against shares that are spent twice when links are reset, alone or
+// while data centres are cut off, and loans end with the links.
+func TestLimitHoldsWhileLinksAreReset(t *testing.T) {
+	o := fes
+	o.Rate = 60
+	inDeployment(t, o, func(d *Deployment) {
+		stop := make(chan struct{})
+		ended := make(chan struct{})
+		names := slices.Sorted(maps.Keys(d.VMs))
+		for _, name := range names {
+			for i := range 3 {
+				go func() { flood(d, name, i, stop); ended <- struct{}{} }()
+			}
+		}
+		time.Sleep(6 * time.Second)
+		for range 5 {
+			d.Net.Break(memnet.Hosts(names...), memnet.Hosts(names...))
+			time.Sleep(700 * time.Millisecond)
+		}
+		for z := range o.Zones {
+			cut := d.Net.Partition(memnet.Zones(zone(z)), memnet.Zones(zone((z+1)%o.Zones), zone((z+2)%o.Zones)))
+			cut.Break()
+			time.Sleep(2 * time.Second)
+			cut.Heal()
+			time.Sleep(500 * time.Millisecond)
+		}
+		close(stop)
+		for range 3 * len(names) {
+			<-ended
+		}
+		var times []time.Time
+		for _, g := range d.Groups {
+			times = append(times, g.CommitsOf(CustomerName(0))...)
+		}
+		checkWindows(t, times, o.Rate, o.Rate)
+	})
+}
+
+// Guards against VMs of a data centre that is cut off which go on taking
+// sessions because primaries beside them still answer.
+func TestCutOffVMsTakeNoSessions(t *testing.T) {
+	const noticedWithin = 1200 * time.Millisecond
+	o := fes
+	o.Groups = 3
+	inDeployment(t, o, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(2 * time.Second)
+		cut := d.Net.Partition(memnet.Zones(zone(0)), memnet.Zones(zone(1), zone(2)))
+		time.Sleep(noticedWithin)
+		for _, name := range l.names {
+			if vm := d.VM(name); vm.Node.Ready() != (vm.Zone != zone(0)) {
+				t.Errorf("%s of %s: ready is %v", name, vm.Zone, vm.Node.Ready())
+			}
+		}
+		cut.Heal()
+		time.Sleep(2 * time.Second)
+		for _, name := range l.names {
+			if !d.VM(name).Node.Ready() {
+				t.Errorf("%s is not ready after the cut", name)
+			}
+		}
+		l.finish()
+	})
+}
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -123,7 +124,29 @@
 func (d *Dispatcher) EndTx(origin string, tx uint64) { d.Executor.Abort(origin, tx) }
 
 // LinkClosed implements fleetlink.Handler.
-func (d *Dispatcher) LinkClosed(origin string) { d.Executor.AbortAll(origin) }
+func (d *Dispatcher) LinkClosed(origin string) {
+	d.Executor.AbortAll(origin)
+	d.Quota.LinkClosed(origin, clock.Now())
+}
+
+// VMLost implements fleetlink.Handler.
+func (d *Dispatcher) VMLost(vm string) {
+	d.Quota.LenderLost(vm)
+	if d.inherits(vm) {
+		d.Links.PingSoon()
+	}
+}
+
+// inherits reports whether this VM is the ledger of a customer now whose ledger
+// the lost VM was. Its shares are collected by pings, which are rare in a large
+// fleet.
+func (d *Dispatcher) inherits(vm string) bool {
+	d.mu.Lock()
+	customers := d.ledgers.customers[vm]
+	d.mu.Unlock()
+	view := d.Links.View()
+	return slices.ContainsFunc(customers, func(c string) bool { return view.Ledger(c) == d.Self })
+}
 
 // Grant implements fleetlink.Handler.
 func (d *Dispatcher) Grant(customer string, n int) int { return d.Gate.Grant(customer, n) }
@@ -136,7 +159,7 @@
 
 // Pong implements fleetlink.Handler: it lends the asking VM what it counts as a
 // ledger, and passes on what is known of the primaries.
-func (d *Dispatcher) Pong(from string) fleetwire.Pong {
+func (d *Dispatcher) Pong(from, origin string) fleetwire.Pong {
 	var p fleetwire.Pong
 	config := d.Table.Current().Config
 	if config == nil {
@@ -145,7 +168,7 @@
 	now := clock.Now()
 	view := d.Links.View()
 	p.Lease = quota.Lease(d.Links.PingInterval())
-	p.Lent = d.Quota.Lend(from, d.counts(from, view, config), p.Lease, now)
+	p.Lent = d.Quota.Lend(from, origin, d.counts(from, view, config), p.Lease, now)
 	if len(view.VMs) > smallFleet && !view.Near(from) {
 		return p
 	}
--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -65,11 +65,7 @@
 			l.logger.WithError(err).Error("fleet: a pong cannot be decoded.")
 			return
 		}
-		l.heard(p, k)
-		l.mu.Lock()
-		name := p.status.Name
-		l.mu.Unlock()
-		if name != "" {
+		if name := l.heard(p, k); name != "" {
 			l.handler.PongReceived(name, pong, sentAt)
 		}
 	})
@@ -139,7 +135,7 @@
 	var err error
 	switch f.Kind {
 	case fleetwire.KindPing:
-		pong := l.handler.Pong(from)
+		pong := l.handler.Pong(from, origin)
 		reply(fleetwire.KindPong, pong.Append(nil))
 	case fleetwire.KindWork:
 		var w *statement.Work
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -50,12 +50,14 @@
 	Execute(origin string, w *statement.Work, reply func(statement.Result))
 	// EndTx ends a transaction that was opened over the link.
 	EndTx(origin string, tx uint64)
-	// LinkClosed says that nothing more is heard of the link's transactions.
+	// LinkClosed says that nothing more is heard on a link of another VM.
 	LinkClosed(origin string)
+	// VMLost says that this VM's link to another VM broke.
+	VMLost(vm string)
 	// Grant grants up to n tokens of a customer.
 	Grant(customer string, n int) int
-	// Pong returns the answer to a ping.
-	Pong(from string) fleetwire.Pong
+	// Pong returns the answer to a ping that came on the link.
+	Pong(from, origin string) fleetwire.Pong
 	// PongReceived takes the answer to a ping that was sent at sentAt.
 	PongReceived(from string, p fleetwire.Pong, sentAt time.Duration)
 	// StatusReceived says that another VM described itself anew.
@@ -204,6 +206,15 @@
 	}
 }
 
+// PingSoon pings all VMs with the next tick.
+func (l *Links) PingSoon() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		p.lastPing = 0
+	}
+}
+
 // Meet dials the VM at the address, now and whenever its link breaks.
 func (l *Links) Meet(address string) {
 	l.mu.Lock()
@@ -296,18 +307,21 @@
 	}
 }
 
-// heard records an answer of the peer on its link.
-func (l *Links) heard(p *peer, k *link) {
+// heard records an answer of the peer on its link. It returns the VM's name, or
+// "" if the link was closed or the VM has not described itself.
+func (l *Links) heard(p *peer, k *link) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if p.link == k {
-		p.lastHeard = clock.Now()
-		if !p.alive && p.known {
-			p.alive = true
-			l.logger.WithField("vm", p.status.Name).Info("fleet: VM is heard.")
-			l.rebuild()
-		}
+	if p.link != k {
+		return ""
+	}
+	p.lastHeard = clock.Now()
+	if !p.alive && p.known {
+		p.alive = true
+		l.logger.WithField("vm", p.status.Name).Info("fleet: VM is heard.")
+		l.rebuild()
 	}
+	return p.status.Name
 }
 
 // lost records that the peer's link broke.
@@ -320,9 +334,11 @@
 		p.alive = false
 		l.rebuild()
 	}
+	name := p.status.Name
 	l.mu.Unlock()
 	if changed {
-		l.logger.WithFields(log.Fields{"vm": p.status.Name, "why": why.Error()}).Warn("fleet: VM is not heard.")
+		l.logger.WithFields(log.Fields{"vm": name, "why": why.Error()}).Warn("fleet: VM is not heard.")
+		l.handler.VMLost(name)
 	}
 }
 
--- a/transport/fleetlink/fleetlink_test.go
+++ b/transport/fleetlink/fleetlink_test.go
@@ -26,7 +26,8 @@
 func (idle) EndTx(string, uint64)                                    {}
 func (idle) LinkClosed(string)                                       {}
 func (idle) Grant(string, int) int                                   { return 0 }
-func (idle) Pong(string) fleetwire.Pong                              { return fleetwire.Pong{} }
+func (idle) VMLost(string)                                           {}
+func (idle) Pong(string, string) fleetwire.Pong                      { return fleetwire.Pong{} }
 func (idle) PongReceived(string, fleetwire.Pong, time.Duration)      {}
 func (idle) StatusReceived()                                         {}
 func (idle) Document([]byte) []byte                                  { return nil }
