--- a/coordination/session/answer.go
+++ b/coordination/session/answer.go
@@ -139,8 +139,12 @@
 // a write by a server that has ceased to be the primary. The transaction has
 // done nothing yet, so it can begin again on the new primary.
 func (d *Decider) mayReopen(s *state.Session, end End) bool {
-	return end.ErrorCode == readOnlyViolation && s.Opening != nil && (s.InTransaction || s.Reopening) &&
-		!s.Forwarded && s.Refusals < maxWriteRefusals
+	if end.ErrorCode != readOnlyViolation || s.Opening == nil || s.Forwarded || s.Refusals >= maxWriteRefusals {
+		return false
+	}
+	// On a read-only route the server refuses writes because it was told to.
+	_, route, _ := d.lookup(s)
+	return (s.InTransaction || s.Reopening) && route != nil && route.Access == state.ReadWrite
 }
 
 func (d *Decider) reopen(s *state.Session, now time.Time) []Effect {
