--- a/coordination/sqlsession/route.go
+++ b/coordination/sqlsession/route.go
@@ -140,7 +140,7 @@
 func (o *Operation) judgeInTx(a *statement.Answer) {
 	switch a.Code {
 	case statement.Busy, statement.Failed, statement.Aborted:
-	case statement.Unreachable, statement.UnknownStatement, statement.ReadOnly, statement.Lagging,
+	case statement.Unreachable, statement.Down, statement.UnknownStatement, statement.ReadOnly, statement.Lagging,
 		statement.WrongServer, statement.ConnectionLimit:
 		a.Code = statement.Aborted
 	case statement.Lost, statement.Timeout:
--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -21,6 +21,8 @@
 	// for lost. It is more than the longest statements and the time in which a
 	// VM that lost its executor finds another one.
 	deadAfter = time.Second
+	// goneAfter is the same for a primary at whose address nothing listens.
+	goneAfter = 500 * time.Millisecond
 	// minFailures is how many questions must have failed in that time.
 	minFailures = 2
 	// RepeatAfter is how long an order may stay without effect.
@@ -33,6 +35,7 @@
 	Leaving  bool            // Primary should take no new work
 	ProvenAt time.Duration   // latest proof of lead by any VM
 	Failures int             // questions that failed since then
+	Refusals int             // of these, those at whose time nothing listened at the primary's address
 	Since    time.Duration   // when the steward began to watch the group
 	Isolated bool            // the steward hears no majority of the VMs
 	Now      time.Duration
@@ -53,8 +56,9 @@
 func Decide(f Facts) Action {
 	age := f.Now - max(f.ProvenAt, f.Since)
 	lost := age > deadAfter && (f.Failures >= minFailures || f.Primary == nil)
+	gone := age > goneAfter && f.Refusals >= minFailures
 	switch {
-	case lost && !f.Isolated:
+	case (lost || gone) && !f.Isolated:
 		return Replace
 	case f.Leaving && age <= deadAfter:
 		return HandOver
--- a/state/statement/statement.go
+++ b/state/statement/statement.go
@@ -63,7 +63,7 @@
 // Code is the outcome of a request.
 type Code uint8
 
-// Outcomes. Lost and Unreachable occur inside the fleet only.
+// Outcomes. Lost, Unreachable and Down occur inside the fleet only.
 const (
 	OK               Code = iota
 	Busy                  // not run: no capacity
@@ -81,12 +81,13 @@
 	UnknownStatement      // not run: no prepared statement of that name
 	Lost                  // sent, and the connection broke before the answer was complete
 	Unreachable           // not sent
+	Down                  // not sent: nothing listens at the server's address
 	codes
 )
 
 var codeNames = [codes]string{
 	"ok", "busy", "aborted", "lagging", "read_only", "wrong_server", "connection_limit", "in_doubt", "timeout",
-	"failed", "malformed", "unknown_database", "access_denied", "unknown_statement", "lost", "unreachable",
+	"failed", "malformed", "unknown_database", "access_denied", "unknown_statement", "lost", "unreachable", "down",
 }
 
 // String returns the code's name in logs and metrics.
@@ -100,7 +101,7 @@
 // NotRun reports whether the code proves that the statement did not run.
 func (c Code) NotRun() bool {
 	switch c {
-	case Busy, Lagging, ReadOnly, WrongServer, ConnectionLimit, UnknownStatement, Unreachable:
+	case Busy, Lagging, ReadOnly, WrongServer, ConnectionLimit, UnknownStatement, Unreachable, Down:
 		return true
 	}
 	return false
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -36,6 +36,9 @@
 		if !r.Proven {
 			w.failures++
 		}
+		if r.Answer.Code == statement.Down {
+			w.refusals++
+		}
 	})
 }
 
@@ -243,6 +246,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w.busy = false
-	w.failures = 0
+	w.failures, w.refusals = 0, 0
 	w.since = clock.Now()
 }
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -129,6 +129,7 @@
 type watch struct {
 	since    time.Duration
 	failures int
+	refusals int // of them, see succession.Facts
 	askedAt  time.Duration
 	asking   bool
 	busy     bool // a promotion is under way
@@ -260,9 +261,9 @@
 		return
 	}
 	if facts.ProvenAt >= w.askedAt {
-		w.failures = 0
+		w.failures, w.refusals = 0, 0
 	}
-	facts.Failures, facts.Since = w.failures, w.since
+	facts.Failures, facts.Refusals, facts.Since = w.failures, w.refusals, w.since
 	switch succession.Decide(facts) {
 	case succession.Ask:
 		if !w.asking {
@@ -275,7 +276,7 @@
 	case succession.Replace:
 		w.busy = true
 		s.steps[stepDetect].RecordDuration(now - facts.ProvenAt)
-		s.Logger.WithFields(log.Fields{"group": group, "proof_age_ms": (now - facts.ProvenAt).Milliseconds(), "failures": w.failures}).
+		s.Logger.WithFields(log.Fields{"group": group, "proof_age_ms": (now - facts.ProvenAt).Milliseconds(), "failures": w.failures, "refusals": w.refusals}).
 			Warn("promotion: the primary is lost.")
 		g.Go(func() error { s.replace(ctx, group, facts.Primary, w); return nil })
 	default:
--- a/transport/sqlback/conn.go
+++ b/transport/sqlback/conn.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -64,7 +66,11 @@
 	defer cancel()
 	nc, err := e.net.Dial(ctx, address)
 	if err != nil {
-		e.post(func() { e.startFailed(c, statement.Answer{Code: statement.Unreachable, Text: err.Error()}) })
+		code := statement.Unreachable
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			code = statement.Down
+		}
+		e.post(func() { e.startFailed(c, statement.Refusal(code, err.Error())) })
 		return
 	}
 	r := bufio.NewReader(nc)
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -259,7 +259,7 @@
 	p.failedAt = time.Now()
 	e.logger.WithFields(log.Fields{"server": server, "customer": p.key.customer, "code": answer.Code.String(), "why": answer.Text}).
 		Warn("backend: connection not opened.")
-	if answer.Code == statement.Unreachable {
+	if answer.Code == statement.Unreachable || answer.Code == statement.Down {
 		if e.failing[server].IsZero() {
 			e.failing[server] = time.Now()
 		}
--- a/transport/sqlfront/hop.go
+++ b/transport/sqlfront/hop.go
@@ -43,7 +43,7 @@
 
 func newMetrics(scope tally.Scope) metrics {
 	m := metrics{latency: make(map[catalog.Consistency]tally.Histogram)}
-	for c := statement.OK; c <= statement.Unreachable; c++ {
+	for c := statement.OK; c <= statement.Down; c++ {
 		m.outcomes[c] = scope.Tagged(map[string]string{"code": c.String()}).Counter("statements")
 	}
 	for kind, name := range consistencyNames {
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -216,7 +216,7 @@
 			}
 		case statement.Lagging:
 			g.Lags(w.Server, now)
-		case statement.Lost, statement.Timeout, statement.Unreachable, statement.WrongServer, statement.ConnectionLimit:
+		case statement.Lost, statement.Timeout, statement.Unreachable, statement.Down, statement.WrongServer, statement.ConnectionLimit:
 			g.Suspect(w.Server, now)
 		}
 	})
@@ -227,7 +227,7 @@
 	switch c {
 	case statement.OK:
 		return leadership.Answered
-	case statement.Failed, statement.Busy, statement.Lost, statement.Timeout, statement.Unreachable:
+	case statement.Failed, statement.Busy, statement.Lost, statement.Timeout, statement.Unreachable, statement.Down:
 		return leadership.Failing
 	}
 	return leadership.Declined
