--- a/standin/managed/faults_test.go
+++ b/standin/managed/faults_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -322,13 +323,7 @@
 	o := fes
 	o.Rate = 60
 	inDeployment(t, o, func(d *Deployment) {
-		stop := make(chan struct{})
-		ended := make(chan struct{})
-		for _, name := range []string{"vm-0-0", "vm-0-1", "vm-1-0", "vm-1-1", "vm-2-0", "vm-2-1"} {
-			for i := range 3 {
-				go func() { flood(d, name, i, stop); ended <- struct{}{} }()
-			}
-		}
+		stop := startFlood(d)
 		time.Sleep(6 * time.Second)
 		cut := d.Net.Partition(memnet.Hosts("vm-0-0"), memnet.Hosts("vm-0-1", "vm-1-0", "vm-1-1", "vm-2-0", "vm-2-1"))
 		time.Sleep(4 * time.Second)
@@ -344,10 +339,7 @@
 		time.Sleep(4 * time.Second)
 		cut.Heal()
 		time.Sleep(4 * time.Second)
-		close(stop)
-		for range 18 {
-			<-ended
-		}
+		stop()
 		var times []time.Time
 		for _, g := range d.Groups {
 			times = append(times, g.CommitsOf(CustomerName(0))...)
@@ -356,6 +348,22 @@
 	})
 }
 
+// startFlood floods all VMs until the returned function is called, which waits
+// for the end.
+func startFlood(d *Deployment) (stop func()) {
+	stopped := make(chan struct{})
+	var clients sync.WaitGroup
+	for name := range d.VMs {
+		for i := range 3 {
+			clients.Go(func() { flood(d, name, i, stopped) })
+		}
+	}
+	return func() {
+		close(stopped)
+		clients.Wait()
+	}
+}
+
 // flood writes up to a hundred times a second, several times the limit together.
 func flood(d *Deployment, vm string, n int, stop chan struct{}) {
 	for {
@@ -433,14 +441,8 @@
 	o := fes
 	o.Rate = 60
 	inDeployment(t, o, func(d *Deployment) {
-		stop := make(chan struct{})
-		ended := make(chan struct{})
 		names := slices.Sorted(maps.Keys(d.VMs))
-		for _, name := range names {
-			for i := range 3 {
-				go func() { flood(d, name, i, stop); ended <- struct{}{} }()
-			}
-		}
+		stop := startFlood(d)
 		time.Sleep(6 * time.Second)
 		for range 5 {
 			d.Net.Break(memnet.Hosts(names...), memnet.Hosts(names...))
@@ -453,10 +455,7 @@
 			cut.Heal()
 			time.Sleep(500 * time.Millisecond)
 		}
-		close(stop)
-		for range 3 * len(names) {
-			<-ended
-		}
+		stop()
 		var times []time.Time
 		for _, g := range d.Groups {
 			times = append(times, g.CommitsOf(CustomerName(0))...)
