--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -6,7 +6,8 @@
 // while. A ledger spends its own share and the shares that are lent to it,
 // so two VMs that both believe to be the ledger never spend a share twice. A VM
 // that is cut off from all others is its own ledger, with its own share. A loan
-// ends with its time, or with the link on which the ledger asked for it.
+// ends with its time, with the link on which the ledger asked for it, or when the
+// ledger says that it does not count the customer any more.
 //
 // Times are readings of one clock of this VM that also counts while the VM is
 // suspended.
@@ -14,6 +15,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
@@ -116,6 +118,32 @@
 	return lent
 }
 
+// Release ends the loans that were granted to the ledger on the link, but for
+// those of the customers that it says it still counts. It has stopped spending
+// the others.
+func (t *Table) Release(ledger, link string, counted []string, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c, l := range t.loans {
+		if l.to == ledger && l.link == link && l.until > now && !slices.Contains(counted, c) {
+			l.until = now
+			t.loans[c] = l
+		}
+	}
+}
+
+// Keep forgets what other VMs lend to this one, but for the customers that it
+// counts. It is called before the lenders are told.
+func (t *Table) Keep(counted []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c, a := range t.accounts {
+		if len(a.loans) > 0 && !slices.Contains(counted, c) {
+			clear(a.loans)
+		}
+	}
+}
+
 // LinkClosed ends the loans that were granted on the link. The ledger closed it,
 // or finds it closed with its next question, and counts none of them from then
 // on; without this its customers would get nothing until the loans end.
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -157,3 +157,28 @@
 		t.Errorf("%d tokens", got)
 	}
 }
+
+// Guards against a share that stays with a ledger which says that it does not
+// count the customer any more, and against one that is taken back from a ledger
+// that counts it.
+func TestLedgerGivesUp(t *testing.T) {
+	lender := NewTable("a", 0)
+	lender.Lend("l", "1", []string{"c", "d"}, minLease, later)
+	lender.Release("l", "2", nil, later) // said on another link
+	lender.Release("m", "1", nil, later)
+	if got := lender.Lend("m", "3", []string{"c", "d"}, minLease, later); len(got) != 0 {
+		t.Errorf("%v are lent twice", got)
+	}
+	lender.Release("l", "1", []string{"d"}, later)
+	if got := lender.Lend("m", "3", []string{"c", "d"}, minLease, later); len(got) != 1 || got[0] != "c" {
+		t.Errorf("%v are free after the ledger gave up c", got)
+	}
+	ledger := NewTable("l", 0)
+	ledger.Take(customer, 2, 1000, later) // opens the account and empties it
+	ledger.Receive("a", []string{"c"}, minLease, later)
+	ledger.Keep([]string{"d"})
+	// Its own share, half of 100 a second, for half a second.
+	if got := ledger.Take(customer, 2, 1000, later+minLease/2); got > 26 {
+		t.Errorf("%d tokens with a share that was given up", got)
+	}
+}
--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -25,7 +25,7 @@
 // Kinds of frames. A reply carries the ID of the call it answers.
 const (
 	KindStatus   Kind = iota + 1 // JSON: the sender describes itself
-	KindPing                     // asks for a pong
+	KindPing                     // asks for a pong; says which customers the sender counts
 	KindPong                     // answers with loans and positions
 	KindWork                     // a statement to run
 	KindResult                   // its answer
@@ -197,10 +197,7 @@
 
 // Append appends the encoded pong to dst.
 func (p *Pong) Append(dst []byte) []byte {
-	dst = binary.AppendUvarint(dst, uint64(len(p.Lent)))
-	for _, c := range p.Lent {
-		dst = appendString(dst, c)
-	}
+	dst = AppendNames(dst, p.Lent)
 	dst = binary.AppendUvarint(dst, uint64(p.Lease.Milliseconds()))
 	dst = binary.AppendUvarint(dst, uint64(len(p.Leads)))
 	for _, l := range p.Leads {
@@ -230,6 +227,25 @@
 	return p, r.end("pong")
 }
 
+// AppendNames encodes a list of names.
+func AppendNames(dst []byte, names []string) []byte {
+	dst = binary.AppendUvarint(dst, uint64(len(names)))
+	for _, n := range names {
+		dst = appendString(dst, n)
+	}
+	return dst
+}
+
+// DecodeNames decodes what AppendNames encoded.
+func DecodeNames(b []byte) ([]string, error) {
+	r := reader{b: b}
+	var names []string
+	for n := r.count(); n > 0; n-- {
+		names = append(names, r.string())
+	}
+	return names, r.end("names")
+}
+
 // AppendTokens encodes a question for n tokens of a customer.
 func AppendTokens(dst []byte, customer string, n int) []byte {
 	return binary.AppendUvarint(appendString(dst, customer), uint64(n))
--- a/standin/managed/faults_test.go
+++ b/standin/managed/faults_test.go
@@ -413,7 +413,9 @@
 // Guards against requests inside the limit that are refused until the loans of
 // shares to a ledger end, although the ledger is gone.
 func TestLedgerKilled(t *testing.T) {
-	inDeployment(t, fes, func(d *Deployment) {
+	o := fes
+	o.Rate = tightRate
+	inDeployment(t, o, func(d *Deployment) {
 		l := startLoad(t, d)
 		time.Sleep(2 * time.Second)
 		ledger := d.VM("vm-0-0").Node.View().Ledger(CustomerName(0))
@@ -422,19 +424,48 @@
 		d.StartVM(ledger, d.VM(ledger).Zone)
 		time.Sleep(time.Second)
 		l.finish()
-		refused := 0
-		for reason, n := range l.reasons {
-			if strings.Contains(reason, "over the customer's limit") {
-				refused += n
-			}
-		}
-		// The load asks for about 200 operations a second of each customer.
-		if refused > 40 {
-			t.Errorf("%d operations inside the limit were refused", refused)
-		}
+		l.checkRefusals()
 	})
 }
 
+// Guards against the same when a ledger stops as planned, while its links stay
+// open, and when it returns.
+func TestLedgerStopsAndReturns(t *testing.T) {
+	o := fes
+	o.Rate = tightRate
+	inDeployment(t, o, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(2 * time.Second)
+		ledger := d.VM("vm-0-0").Node.View().Ledger(CustomerName(0))
+		d.VM(ledger).Terminate()
+		time.Sleep(time.Second)
+		d.StartVM(ledger, d.VM(ledger).Zone)
+		time.Sleep(4 * time.Second)
+		l.finish()
+		l.checkRefusals()
+	})
+}
+
+// tightRate is the limit of customers that need most of it: the load asks for
+// about 200 operations a second of each.
+const tightRate = 300
+
+// checkRefusals checks that hardly any operation was taken to be over its
+// customer's limit.
+func (l *load) checkRefusals() {
+	l.t.Helper()
+	const most = 40
+	refused := 0
+	for reason, n := range l.reasons {
+		if strings.Contains(reason, "over the customer's limit") {
+			refused += n
+		}
+	}
+	if refused > most {
+		l.t.Errorf("%d operations inside the limit were refused", refused)
+	}
+}
+
 // Guards against shares that are spent twice when links are reset, alone or
 // while data centres are cut off, and loans end with the links.
 func TestLimitHoldsWhileLinksAreReset(t *testing.T) {
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -130,23 +130,7 @@
 }
 
 // VMLost implements fleetlink.Handler.
-func (d *Dispatcher) VMLost(vm string) {
-	d.Quota.LenderLost(vm)
-	if d.inherits(vm) {
-		d.Links.PingSoon()
-	}
-}
-
-// inherits reports whether this VM is the ledger of a customer now whose ledger
-// the lost VM was. Its shares are collected by pings, which are rare in a large
-// fleet.
-func (d *Dispatcher) inherits(vm string) bool {
-	d.mu.Lock()
-	customers := d.ledgers.customers[vm]
-	d.mu.Unlock()
-	view := d.Links.View()
-	return slices.ContainsFunc(customers, func(c string) bool { return view.Ledger(c) == d.Self })
-}
+func (d *Dispatcher) VMLost(vm string) { d.Quota.LenderLost(vm) }
 
 // Grant implements fleetlink.Handler.
 func (d *Dispatcher) Grant(customer string, n int) int { return d.Gate.Grant(customer, n) }
@@ -157,9 +141,26 @@
 // StatusReceived implements fleetlink.Handler.
 func (d *Dispatcher) StatusReceived() { d.directory.CatchUp() }
 
+// Ping implements fleetlink.Handler: it names the customers that this VM counts.
+// From then on it spends no other VM's share of any other customer.
+func (d *Dispatcher) Ping() []byte {
+	own := d.own()
+	d.Quota.Keep(own)
+	return fleetwire.AppendNames(nil, own)
+}
+
+// own returns the customers whose ledger this VM is.
+func (d *Dispatcher) own() []string {
+	config := d.Table.Current().Config
+	if config == nil {
+		return nil
+	}
+	return d.counts(d.Self, d.Links.View(), config)
+}
+
 // Pong implements fleetlink.Handler: it lends the asking VM what it counts as a
 // ledger, and passes on what is known of the primaries.
-func (d *Dispatcher) Pong(from, origin string) fleetwire.Pong {
+func (d *Dispatcher) Pong(from, origin string, question []byte) fleetwire.Pong {
 	var p fleetwire.Pong
 	config := d.Table.Current().Config
 	if config == nil {
@@ -167,8 +168,14 @@
 	}
 	now := clock.Now()
 	view := d.Links.View()
+	counted, err := fleetwire.DecodeNames(question)
+	if err != nil {
+		d.Logger.WithError(err).WithField("vm", from).Error("fleet: a ping cannot be decoded.")
+		return p
+	}
+	d.Quota.Release(from, origin, counted, now)
 	p.Lease = quota.Lease(d.Links.PingInterval())
-	p.Lent = d.Quota.Lend(from, origin, d.counts(from, view, config), p.Lease, now)
+	p.Lent = d.Quota.Lend(from, origin, common(d.counts(from, view, config), counted), p.Lease, now)
 	if len(view.VMs) > smallFleet && !view.Near(from) {
 		return p
 	}
@@ -176,6 +183,17 @@
 	return p
 }
 
+// common returns the names that are in both lists.
+func common(a, b []string) []string {
+	var both []string
+	for _, name := range a {
+		if slices.Contains(b, name) {
+			both = append(both, name)
+		}
+	}
+	return both
+}
+
 // newestLeads returns the newest proofs of lead, of up to maxLeads groups by
 // turns.
 func (d *Dispatcher) newestLeads(config *catalog.Config, now time.Duration) []fleetwire.Lead {
@@ -211,7 +229,7 @@
 
 // PongReceived implements fleetlink.Handler.
 func (d *Dispatcher) PongReceived(from string, p fleetwire.Pong, sentAt time.Duration) {
-	d.Quota.Receive(from, p.Lent, p.Lease, sentAt)
+	d.Quota.Receive(from, common(p.Lent, d.own()), p.Lease, sentAt)
 	for _, l := range p.Leads {
 		d.Leads.With(l.Group, func(g *leadership.Group) { g.Prove(l.Server, l.Point, sentAt-l.Age) })
 	}
--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"strconv"
@@ -40,7 +41,7 @@
 	body := l.self.Encode()
 	l.mu.Unlock()
 	k.send(fleetwire.Frame{Kind: fleetwire.KindStatus, Body: body})
-	l.ping(p, k)
+	l.ping(p, k, l.handler.Ping())
 	err := l.read(ctx, k, func(f fleetwire.Frame) {
 		if f.Kind == fleetwire.KindStatus {
 			l.receiveStatus(f.Body)
@@ -54,9 +55,9 @@
 }
 
 // ping asks the peer for a pong.
-func (l *Links) ping(p *peer, k *link) {
+func (l *Links) ping(p *peer, k *link, body []byte) {
 	sentAt := clock.Now()
-	k.call(fleetwire.Frame{Kind: fleetwire.KindPing}, func(f fleetwire.Frame, ok bool) {
+	k.call(fleetwire.Frame{Kind: fleetwire.KindPing, Body: body}, func(f fleetwire.Frame, ok bool) {
 		if !ok {
 			return
 		}
@@ -135,7 +136,7 @@
 	var err error
 	switch f.Kind {
 	case fleetwire.KindPing:
-		pong := l.handler.Pong(from, origin)
+		pong := l.handler.Pong(from, origin, f.Body)
 		reply(fleetwire.KindPong, pong.Append(nil))
 	case fleetwire.KindWork:
 		var w *statement.Work
@@ -178,6 +179,7 @@
 
 func (l *Links) check() {
 	now := clock.Now()
+	body := l.handler.Ping()
 	type due struct {
 		p *peer
 		k *link
@@ -186,6 +188,10 @@
 	var silent []*link
 	l.mu.Lock()
 	near, far := l.intervals()
+	if !bytes.Equal(body, l.said) {
+		l.said, l.eagerUntil = body, now+eagerTime
+	}
+	eager := now < l.eagerUntil
 	for _, p := range l.peers {
 		interval := far
 		if p.status.DataCentre == l.self.DataCentre {
@@ -195,6 +201,9 @@
 			continue
 		}
 		limit, heard := max(deadAfter, deadPings*interval), p.lastHeard
+		if eager {
+			interval = min(interval, pingInterval)
+		}
 		if since, waiting := p.link.waits(); waiting {
 			// Statements wait behind this link, so it matters sooner than the
 			// interval of a large fleet tells whether the VM is there.
@@ -216,7 +225,7 @@
 		k.out.Abort()
 	}
 	for _, d := range pings {
-		l.ping(d.p, d.k)
+		l.ping(d.p, d.k, body)
 	}
 }
 
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -31,6 +31,9 @@
 	// many to others.
 	pingInterval   = 200 * time.Millisecond
 	pingsPerSecond = 60
+	// eagerTime is how long pings are faster after they say something new. The
+	// VMs that it concerns may learn of it in another order.
+	eagerTime = 700 * time.Millisecond
 	// deadAfter is a few ping intervals: a VM that is short of processor time
 	// answers late, and the executor of a statement moves when it is missed.
 	deadAfter   = 800 * time.Millisecond
@@ -56,8 +59,10 @@
 	VMLost(vm string)
 	// Grant grants up to n tokens of a customer.
 	Grant(customer string, n int) int
-	// Pong returns the answer to a ping that came on the link.
-	Pong(from, origin string) fleetwire.Pong
+	// Ping returns what pings say now. While it changes, they are sent faster.
+	Ping() []byte
+	// Pong returns the answer to a ping that came on the link and said question.
+	Pong(from, origin string, question []byte) fleetwire.Pong
 	// PongReceived takes the answer to a ping that was sent at sentAt.
 	PongReceived(from string, p fleetwire.Pong, sentAt time.Duration)
 	// StatusReceived says that another VM described itself anew.
@@ -82,6 +87,9 @@
 	peers   map[string]*peer // by address
 	view    *placement.View
 	members map[string]bool // addresses in the store's list
+
+	said       []byte        // by the latest pings
+	eagerUntil time.Duration // all VMs are pinged as in a small fleet until then
 }
 
 // peer is another VM and the link that this VM dialled to it. Its fields are
@@ -206,15 +214,6 @@
 	}
 }
 
-// PingSoon pings all VMs with the next tick.
-func (l *Links) PingSoon() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, p := range l.peers {
-		p.lastPing = 0
-	}
-}
-
 // Meet dials the VM at the address, now and whenever its link breaks.
 func (l *Links) Meet(address string) {
 	l.mu.Lock()
--- a/transport/fleetlink/fleetlink_test.go
+++ b/transport/fleetlink/fleetlink_test.go
@@ -27,7 +27,8 @@
 func (idle) LinkClosed(string)                                       {}
 func (idle) Grant(string, int) int                                   { return 0 }
 func (idle) VMLost(string)                                           {}
-func (idle) Pong(string, string) fleetwire.Pong                      { return fleetwire.Pong{} }
+func (idle) Ping() []byte                                            { return nil }
+func (idle) Pong(string, string, []byte) fleetwire.Pong              { return fleetwire.Pong{} }
 func (idle) PongReceived(string, fleetwire.Pong, time.Duration)      {}
 func (idle) StatusReceived()                                         {}
 func (idle) Document([]byte) []byte                                  { return nil }
