--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"net"
 	"strconv"
@@ -54,24 +53,6 @@
 	k.fail()
 }
 
-// ping asks the peer for a pong.
-func (l *Links) ping(p *peer, k *link, body []byte) {
-	sentAt := clock.Now()
-	k.call(fleetwire.Frame{Kind: fleetwire.KindPing, Body: body}, func(f fleetwire.Frame, ok bool) {
-		if !ok {
-			return
-		}
-		pong, err := fleetwire.DecodePong(f.Body)
-		if err != nil {
-			l.logger.WithError(err).Error("fleet: a pong cannot be decoded.")
-			return
-		}
-		if name := l.heard(p, k); name != "" {
-			l.handler.PongReceived(name, pong, sentAt)
-		}
-	})
-}
-
 func (l *Links) receiveStatus(body []byte) string {
 	s, err := fleetwire.DecodeStatus(body)
 	if err != nil {
@@ -162,92 +143,3 @@
 		k.out.Abort()
 	}
 }
-
-// tick pings the other VMs and closes silent links until ctx is done.
-func (l *Links) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		l.check()
-	}
-}
-
-func (l *Links) check() {
-	now := clock.Now()
-	body := l.handler.Ping()
-	type due struct {
-		p *peer
-		k *link
-	}
-	var pings []due
-	var silent []*link
-	l.mu.Lock()
-	near, far := l.intervals()
-	if !bytes.Equal(body, l.said) {
-		l.said, l.eagerUntil = body, now+eagerTime
-	}
-	eager := now < l.eagerUntil
-	for _, p := range l.peers {
-		interval := far
-		if p.status.DataCentre == l.self.DataCentre {
-			interval = near
-		}
-		if p.link == nil {
-			continue
-		}
-		limit, heard := max(deadAfter, deadPings*interval), p.lastHeard
-		if eager {
-			interval = min(interval, pingInterval)
-		}
-		if since, waiting := p.link.waits(); waiting {
-			// Statements wait behind this link, so it matters sooner than the
-			// interval of a large fleet tells whether the VM is there.
-			interval = min(interval, pingInterval)
-			if now-max(heard, since) > deadAfter {
-				limit = deadAfter
-			}
-		}
-		switch {
-		case now-heard > limit:
-			silent = append(silent, p.link)
-		case now-p.lastPing >= interval:
-			p.lastPing = now
-			pings = append(pings, due{p, p.link})
-		}
-	}
-	l.mu.Unlock()
-	for _, k := range silent {
-		k.out.Abort()
-	}
-	for _, d := range pings {
-		l.ping(d.p, d.k, body)
-	}
-}
-
-// intervals returns the times between pings inside the data centre and to
-// others. The caller holds mu.
-func (l *Links) intervals() (near, far time.Duration) {
-	nearby := 0
-	for _, p := range l.peers {
-		if p.status.DataCentre == l.self.DataCentre {
-			nearby++
-		}
-	}
-	interval := func(n int) time.Duration {
-		return max(pingInterval, time.Duration(n)*time.Second/pingsPerSecond)
-	}
-	return interval(nearby), interval(len(l.peers) - nearby)
-}
-
-// PingInterval returns the longest time between two pings to a VM.
-func (l *Links) PingInterval() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	near, far := l.intervals()
-	return max(near, far)
-}
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -24,20 +24,6 @@
 )
 
 const (
-	// tickInterval is how often links are checked.
-	tickInterval = 100 * time.Millisecond
-	// pingInterval in a small fleet. It grows with the fleet so that a VM
-	// sends no more than pingsPerSecond pings inside its data centre, and as
-	// many to others.
-	pingInterval   = 200 * time.Millisecond
-	pingsPerSecond = 60
-	// eagerTime is how long pings are faster after they say something new. The
-	// VMs that it concerns may learn of it in another order.
-	eagerTime = 700 * time.Millisecond
-	// deadAfter is a few ping intervals: a VM that is short of processor time
-	// answers late, and the executor of a statement moves when it is missed.
-	deadAfter   = 800 * time.Millisecond
-	deadPings   = 3
 	dialTimeout = 500 * time.Millisecond
 	redialDelay = 250 * time.Millisecond
 	// outboxHigh is how many bytes may wait for a VM that does not read.
--- a/transport/sqlfront/hop.go
+++ b/transport/sqlfront/hop.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
@@ -91,3 +92,38 @@
 	}
 	h.span.End()
 }
+
+// observe records what the result says of the server.
+func (c *session) observe(w *statement.Work, r *statement.Result, sentAt time.Duration) {
+	now := clock.Now()
+	s := c.server
+	server := s.Table.Current().Servers[w.Server]
+	s.Leads.With(w.Group, func(g *leadership.Group) {
+		g.Done(w.Server, outcome(r.Answer.Code), now-sentAt, r.Answer.At, now)
+		switch r.Answer.Code {
+		case statement.OK:
+			if r.Proven {
+				g.Prove(w.Server, r.Answer.At, sentAt)
+			}
+		case statement.ReadOnly:
+			if server != nil {
+				g.Deny(server)
+			}
+		case statement.Lagging:
+			g.Lags(w.Server, now)
+		case statement.Lost, statement.Timeout, statement.Unreachable, statement.Down, statement.WrongServer, statement.ConnectionLimit:
+			g.Suspect(w.Server, now)
+		}
+	})
+}
+
+// outcome returns what a code says of the server's health.
+func outcome(c statement.Code) leadership.Outcome {
+	switch c {
+	case statement.OK:
+		return leadership.Answered
+	case statement.Failed, statement.Busy, statement.Lost, statement.Timeout, statement.Unreachable, statement.Down:
+		return leadership.Failing
+	}
+	return leadership.Declined
+}
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -198,41 +198,6 @@
 	})
 }
 
-// observe records what the result says of the server.
-func (c *session) observe(w *statement.Work, r *statement.Result, sentAt time.Duration) {
-	now := clock.Now()
-	s := c.server
-	server := s.Table.Current().Servers[w.Server]
-	s.Leads.With(w.Group, func(g *leadership.Group) {
-		g.Done(w.Server, outcome(r.Answer.Code), now-sentAt, r.Answer.At, now)
-		switch r.Answer.Code {
-		case statement.OK:
-			if r.Proven {
-				g.Prove(w.Server, r.Answer.At, sentAt)
-			}
-		case statement.ReadOnly:
-			if server != nil {
-				g.Deny(server)
-			}
-		case statement.Lagging:
-			g.Lags(w.Server, now)
-		case statement.Lost, statement.Timeout, statement.Unreachable, statement.Down, statement.WrongServer, statement.ConnectionLimit:
-			g.Suspect(w.Server, now)
-		}
-	})
-}
-
-// outcome returns what a code says of the server's health.
-func outcome(c statement.Code) leadership.Outcome {
-	switch c {
-	case statement.OK:
-		return leadership.Answered
-	case statement.Failed, statement.Busy, statement.Lost, statement.Timeout, statement.Unreachable, statement.Down:
-		return leadership.Failing
-	}
-	return leadership.Declined
-}
-
 // result takes the result of an attempt.
 func (c *session) result(u *run, vm string, w *statement.Work, r statement.Result) {
 	if c.current != u {
