--- a/standin/managed/faults_test.go
+++ b/standin/managed/faults_test.go
@@ -511,6 +511,10 @@
 				t.Errorf("%s of %s: ready is %v", name, vm.Zone, vm.Node.Ready())
 			}
 		}
+		// A session that is closed in place of being refused may have sent a request.
+		if c, a := d.VM("vm-0-0").Connect("late", Database(Latest, 0), 0); c != nil || a.Code != statement.Busy {
+			t.Errorf("a session of a VM that is cut off: %v, %s", c != nil, a.Code)
+		}
 		cut.Heal()
 		time.Sleep(2 * time.Second)
 		for _, name := range l.names {
--- a/transport/sqlfront/server.go
+++ b/transport/sqlfront/server.go
@@ -126,6 +126,12 @@
 	if err != nil {
 		return
 	}
+	if s.isShedding() {
+		// It would be closed as soon as it rests, perhaps with a request under way.
+		refusal := statement.Refusal(statement.Busy, "this VM takes no sessions, connect to another one")
+		out.Write(s.Dialect.AppendRefusal(nil, &refusal))
+		return
+	}
 	config := s.awaitConfig(ctx)
 	if config == nil {
 		refusal := statement.Refusal(statement.Busy, "no configuration is known yet")
