--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -77,19 +77,18 @@
 // Table holds the accounts, loans and stocks of this VM.
 type Table struct {
 	mu       lockrank.Mutex // guards the fields below
-	self     string
 	started  time.Duration
 	accounts map[string]*account
 	loans    map[string]loan
 	stocks   map[string]*stock
 }
 
-// NewTable returns the table of the named VM, which started at now. The shares
+// NewTable returns the table of a VM that started at now. The shares
 // of its previous run may still be lent, so it spends its own only minLease
 // later; lending them again to the same ledger is safe at once.
-func NewTable(self string, now time.Duration) *Table {
+func NewTable(now time.Duration) *Table {
 	return &Table{
-		mu: lockrank.New(lockrank.Shares), self: self, started: now,
+		mu: lockrank.New(lockrank.Shares), started: now,
 		accounts: make(map[string]*account), loans: make(map[string]loan), stocks: make(map[string]*stock),
 	}
 }
@@ -122,14 +121,7 @@
 // those of the customers that it says it still counts. It has stopped spending
 // the others.
 func (t *Table) Release(ledger, link string, counted []string, now time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for c, l := range t.loans {
-		if l.to == ledger && l.link == link && l.until > now && !slices.Contains(counted, c) {
-			l.until = now
-			t.loans[c] = l
-		}
-	}
+	t.endLoans(now, func(c string, l loan) bool { return l.to == ledger && l.link == link && !slices.Contains(counted, c) })
 }
 
 // Keep forgets what other VMs lend to this one, but for the customers that it
@@ -148,10 +140,16 @@
 // or finds it closed with its next question, and counts none of them from then
 // on; without this its customers would get nothing until the loans end.
 func (t *Table) LinkClosed(link string, now time.Duration) {
+	t.endLoans(now, func(_ string, l loan) bool { return l.link == link })
+}
+
+// endLoans ends the loans of this VM's shares that are chosen. The end is kept,
+// since the share earns here from then on.
+func (t *Table) endLoans(now time.Duration, chosen func(customer string, l loan) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c, l := range t.loans {
-		if l.link == link && l.until > now {
+		if l.until > now && chosen(c, l) {
 			l.until = now
 			t.loans[c] = l
 		}
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -16,7 +16,7 @@
 // Guards against a share that two ledgers spend at once: a lender that changes
 // its mind lends to the new ledger only when the old loan has ended.
 func TestShareIsLentOnce(t *testing.T) {
-	lender := NewTable("a", 0)
+	lender := NewTable(0)
 	if got := lender.Lend("l1", "1", []string{"c"}, minLease, later); len(got) != 1 {
 		t.Fatalf("lent %v", got)
 	}
@@ -38,7 +38,7 @@
 // Guards against a ledger that spends loans which have ended, and against a
 // loan that is counted from its arrival.
 func TestLoansEnd(t *testing.T) {
-	ledger := NewTable("l", 0)
+	ledger := NewTable(0)
 	take := func(now time.Duration) int { return ledger.Take(customer, 4, 1000, now) }
 	take(later) // opens the account
 	ledger.Receive("a", []string{"c"}, minLease, later)
@@ -57,7 +57,7 @@
 // Guards against a VM that starts again and spends a share that its previous
 // run lent.
 func TestNewVMSpendsNothingOfItsOwn(t *testing.T) {
-	table := NewTable("a", later)
+	table := NewTable(later)
 	table.Take(customer, 1, 1000, later)
 	if got := table.Take(customer, 1, 1000, later+minLease*9/10); got > 0 {
 		t.Errorf("%d tokens within the lease of the previous run", got)
@@ -69,7 +69,7 @@
 
 // Guards against a lowered burst that stays in a bucket.
 func TestLoweredLimit(t *testing.T) {
-	table := NewTable("a", 0)
+	table := NewTable(0)
 	table.Take(customer, 1, 0, later)
 	table.Take(customer, 1, 0, later+time.Minute) // fills the bucket
 	lowered := &catalog.Customer{Name: "c", Rate: 10, Burst: 5}
@@ -80,7 +80,7 @@
 
 // Guards against operations that wait for ever or are admitted twice.
 func TestAdmission(t *testing.T) {
-	table := NewTable("a", 0)
+	table := NewTable(0)
 	a := table.Admit("c", later)
 	if a.Admitted || a.Ask != 1 {
 		t.Fatalf("first operation: %+v", a)
@@ -114,20 +114,20 @@
 // that is taken back although the ledger has asked again on a new link, and
 // against a ledger that goes on spending what a lost lender has taken back.
 func TestLoanEndsWithItsLink(t *testing.T) {
-	lender := NewTable("a", 0)
+	lender := NewTable(0)
 	lender.Lend("l", "1", []string{"c"}, minLease, later)
 	lender.LinkClosed("1", later)
 	if got := lender.Lend("m", "3", []string{"c"}, minLease, later); len(got) != 1 {
 		t.Error("a share stays with a ledger whose link broke")
 	}
-	lender = NewTable("a", 0)
+	lender = NewTable(0)
 	lender.Lend("l", "1", []string{"c"}, minLease, later)
 	lender.Lend("l", "2", []string{"c"}, minLease, later)
 	lender.LinkClosed("1", later)
 	if got := lender.Lend("m", "3", []string{"c"}, minLease, later); len(got) != 0 {
 		t.Error("a share is lent twice after the ledger has dialled again")
 	}
-	ledger := NewTable("l", 0)
+	ledger := NewTable(0)
 	ledger.Take(customer, 2, 1000, later) // opens the account and empties it
 	ledger.Receive("a", []string{"c"}, minLease, later)
 	ledger.LenderLost("a")
@@ -140,7 +140,7 @@
 // Guards against tokens for the time in which a share was lent and spent
 // elsewhere.
 func TestShareEarnsWhereItIs(t *testing.T) {
-	table := NewTable("a", 0)
+	table := NewTable(0)
 	take := func(now time.Duration) int { return table.Take(customer, 1, 1000, now) }
 	take(later)
 	take(later) // empties the bucket
@@ -162,7 +162,7 @@
 // count the customer any more, and against one that is taken back from a ledger
 // that counts it.
 func TestLedgerGivesUp(t *testing.T) {
-	lender := NewTable("a", 0)
+	lender := NewTable(0)
 	lender.Lend("l", "1", []string{"c", "d"}, minLease, later)
 	lender.Release("l", "2", nil, later) // said on another link
 	lender.Release("m", "1", nil, later)
@@ -173,7 +173,7 @@
 	if got := lender.Lend("m", "3", []string{"c", "d"}, minLease, later); len(got) != 1 || got[0] != "c" {
 		t.Errorf("%v are free after the ledger gave up c", got)
 	}
-	ledger := NewTable("l", 0)
+	ledger := NewTable(0)
 	ledger.Take(customer, 2, 1000, later) // opens the account and empties it
 	ledger.Receive("a", []string{"c"}, minLease, later)
 	ledger.Keep([]string{"d"})
--- a/node.go
+++ b/node.go
@@ -102,7 +102,7 @@
 // NewNode wires a VM, which works from Run's call until ctx is done.
 func NewNode(ctx context.Context, o NodeOptions) *Node {
 	n := &Node{o: o, ctx: ctx, started: clock.Now(), pool: pool.New(o.Workers), table: catalog.NewTable(), leads: leadership.NewTable()}
-	n.quota = quota.NewTable(o.Name, n.started)
+	n.quota = quota.NewTable(n.started)
 	n.links = fleetlink.New(ctx, o.Network, n.pool, fleetwire.Status{
 		Name: o.Name, Address: o.LinkAddress, DataCentre: o.DataCentre, Weight: o.Weight, Incarnation: time.Now().UnixNano(),
 	}, o.Logger)
--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -155,13 +155,10 @@
 	}
 	dst = append(dst, byte(a.Code), byte(a.State), proven)
 	dst = appendString(appendString(dst, a.Text), a.Signature)
-	for _, n := range []uint64{a.At.Term, a.At.Position, res.Tx, uint64(len(a.Rows))} {
+	for _, n := range []uint64{a.At.Term, a.At.Position, res.Tx} {
 		dst = binary.AppendUvarint(dst, n)
 	}
-	for _, row := range a.Rows {
-		dst = appendString(dst, row)
-	}
-	return dst
+	return AppendStrings(dst, a.Rows)
 }
 
 // DecodeResult decodes what AppendResult encoded.
@@ -174,9 +171,7 @@
 	a.Text, a.Signature = r.string(), r.string()
 	a.At = state.Point{Term: r.uvarint(), Position: r.uvarint()}
 	res.Tx = r.uvarint()
-	for n := r.count(); n > 0; n-- {
-		a.Rows = append(a.Rows, r.string())
-	}
+	a.Rows = r.strings()
 	return res, r.end("result")
 }
 
@@ -197,7 +192,7 @@
 
 // Append appends the encoded pong to dst.
 func (p *Pong) Append(dst []byte) []byte {
-	dst = AppendNames(dst, p.Lent)
+	dst = AppendStrings(dst, p.Lent)
 	dst = binary.AppendUvarint(dst, uint64(p.Lease.Milliseconds()))
 	dst = binary.AppendUvarint(dst, uint64(len(p.Leads)))
 	for _, l := range p.Leads {
@@ -214,9 +209,7 @@
 func DecodePong(b []byte) (Pong, error) {
 	r := reader{b: b}
 	var p Pong
-	for n := r.count(); n > 0; n-- {
-		p.Lent = append(p.Lent, r.string())
-	}
+	p.Lent = r.strings()
 	p.Lease = time.Duration(r.uvarint()) * time.Millisecond
 	for n := r.count(); n > 0; n-- {
 		l := Lead{Group: r.string(), Server: r.string()}
@@ -227,8 +220,8 @@
 	return p, r.end("pong")
 }
 
-// AppendNames encodes a list of names.
-func AppendNames(dst []byte, names []string) []byte {
+// AppendStrings encodes a list of names or rows.
+func AppendStrings(dst []byte, names []string) []byte {
 	dst = binary.AppendUvarint(dst, uint64(len(names)))
 	for _, n := range names {
 		dst = appendString(dst, n)
@@ -236,14 +229,11 @@
 	return dst
 }
 
-// DecodeNames decodes what AppendNames encoded.
-func DecodeNames(b []byte) ([]string, error) {
+// DecodeStrings decodes what AppendStrings encoded.
+func DecodeStrings(b []byte) ([]string, error) {
 	r := reader{b: b}
-	var names []string
-	for n := r.count(); n > 0; n-- {
-		names = append(names, r.string())
-	}
-	return names, r.end("names")
+	all := r.strings()
+	return all, r.end("list")
 }
 
 // AppendTokens encodes a question for n tokens of a customer.
@@ -315,6 +305,15 @@
 	return s
 }
 
+// strings reads what AppendStrings encoded.
+func (r *reader) strings() []string {
+	var all []string
+	for n := r.count(); n > 0; n-- {
+		all = append(all, r.string())
+	}
+	return all
+}
+
 // copy fills dst with the next bytes.
 func (r *reader) copy(dst []byte) {
 	if len(r.b) < len(dst) {
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"fmt"
@@ -250,12 +251,7 @@
 			all = append(all, s)
 		}
 	}
-	slices.SortFunc(all, func(a, b *Server) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -159,12 +159,7 @@
 			servers = append(servers, s)
 		}
 	}
-	slices.SortFunc(servers, func(a, b *Server) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
 	return servers
 }
 
--- a/state/statement/statement.go
+++ b/state/statement/statement.go
@@ -98,6 +98,9 @@
 	return codeNames[c]
 }
 
+// Internal reports whether the code occurs inside the fleet only.
+func (c Code) Internal() bool { return c == Lost || c == Unreachable || c == Down }
+
 // NotRun reports whether the code proves that the statement did not run.
 func (c Code) NotRun() bool {
 	switch c {
--- a/transport/directory/members.go
+++ b/transport/directory/members.go
@@ -79,7 +79,7 @@
 		case !known:
 			d.missing[m.Address] = now
 		case now-since > retireAfter && 2*len(alive) >= len(members):
-			err := d.observe(callRetire, "members", now, d.source.Retire(ctx, m.Name))
+			err := d.observe(callRetire, "members", clock.Now(), d.source.Retire(ctx, m.Name))
 			d.logger.WithFields(log.Fields{"vm": m.Name, "ok": err == nil}).Info("directory: member retired.")
 		}
 	}
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -146,7 +146,7 @@
 func (d *Dispatcher) Ping() []byte {
 	own := d.own()
 	d.Quota.Keep(own)
-	return fleetwire.AppendNames(nil, own)
+	return fleetwire.AppendStrings(nil, own)
 }
 
 // own returns the customers whose ledger this VM is.
@@ -168,7 +168,7 @@
 	}
 	now := clock.Now()
 	view := d.Links.View()
-	counted, err := fleetwire.DecodeNames(question)
+	counted, err := fleetwire.DecodeStrings(question)
 	if err != nil {
 		d.Logger.WithError(err).WithField("vm", from).Error("fleet: a ping cannot be decoded.")
 		return p
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,21 +114,11 @@
 	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	stop := context.AfterFunc(ctx, func() { listener.Close() })
-	defer stop()
 	wg.Go(func() { l.tick(ctx) })
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			l.logger.WithError(err).Warn("fleet: a link could not be accepted.")
-			time.Sleep(tickInterval)
-			continue
-		}
-		wg.Go(func() { l.serve(ctx, conn) })
-	}
+	network.Accept(ctx, listener, tickInterval, func(conn net.Conn) { l.serve(ctx, conn) }, func(err error) {
+		l.logger.WithError(err).Warn("fleet: a link could not be accepted.")
+	})
+	return nil
 }
 
 // View returns the current view of the fleet.
--- a/transport/sqlfront/hop.go
+++ b/transport/sqlfront/hop.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
@@ -66,14 +67,13 @@
 
 // startHop begins the span of an attempt and puts it into the work, so that the
 // VM that runs it can add its own.
-func (s *Server) startHop(u *run, vm string, w *statement.Work) hop {
+func (s *Server) startHop(u *run, view *placement.View, vm string, w *statement.Work) hop {
 	_, span := s.Tracer.Start(u.ctx, "hop", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
 		attribute.String("vm", vm), attribute.String("server", w.Server), attribute.Int("attempt", u.attempts),
 	))
 	if sc := span.SpanContext(); sc.IsSampled() {
 		w.Trace = statement.Trace{TraceID: sc.TraceID(), SpanID: sc.SpanID()}
 	}
-	view := s.View()
 	kind := hopFar
 	switch {
 	case vm == view.Self:
--- a/transport/sqlfront/server.go
+++ b/transport/sqlfront/server.go
@@ -9,7 +9,6 @@
 	"context"
 	"crypto/sha256"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -97,22 +96,10 @@
 	if err != nil {
 		return err
 	}
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	stop := context.AfterFunc(ctx, func() { listener.Close() })
-	defer stop()
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			s.Logger.WithError(err).Warn("session: a client could not be accepted.")
-			time.Sleep(configCheck)
-			continue
-		}
-		wg.Go(func() { s.serve(ctx, conn) })
-	}
+	network.Accept(ctx, listener, configCheck, func(conn net.Conn) { s.serve(ctx, conn) }, func(err error) {
+		s.Logger.WithError(err).Warn("session: a client could not be accepted.")
+	})
+	return nil
 }
 
 // serve frames a client's requests until its connection ends.
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -174,9 +174,9 @@
 		return
 	}
 	s := c.server
-	now := clock.Now()
+	now, view := clock.Now(), s.View()
 	target, ok := sqlsession.Choose(u.op, sqlsession.Env{
-		Deployment: s.Table.Current(), Leads: s.Leads, View: s.View(), DataCentre: s.DataCentre, Now: now, Tried: u.tried,
+		Deployment: s.Table.Current(), Leads: s.Leads, View: view, DataCentre: s.DataCentre, Now: now, Tried: u.tried,
 	})
 	if !ok {
 		c.later(u, now)
@@ -187,7 +187,7 @@
 	w.Wait = max(u.hold-now, time.Millisecond)
 	u.attempts++
 	s.Leads.With(w.Group, func(g *leadership.Group) { g.Sent(w.Server) })
-	hop := s.startHop(u, target.VM, &w)
+	hop := s.startHop(u, view, target.VM, &w)
 	s.Runner.Run(target.VM, &w, func(r statement.Result) {
 		hop.end(&r)
 		c.observe(&w, &r, now)
