Pause between refused lists after a lost history

Cause: found by reading. A watch answered that its history is gone, the list that followed was refused, and the loop went back to the watch at once, so a store that refuses lists got calls without a pause. Calls are paid for, refused ones too.

Change: a VM that has to list again does so with the same backoff as any other failed call, and does not watch in between.

--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -140,32 +140,31 @@
 	d.learn(ctx, kind)
 	backoff := minBackoff
 	revision := uint64(0)
+	relist := false // the history that a watch needs is gone
 	for ctx.Err() == nil {
 		if !d.fleet.View().Watches(string(kind)) && d.known(kind) {
 			sleep(ctx, watchCheck)
 			continue
 		}
 		revision = max(revision, d.revision(kind))
+		whole := relist || revision == 0
 		var batch Batch
 		var err error
-		if revision == 0 {
+		if whole {
 			batch, err = d.list(ctx, kind)
 		} else {
 			batch, err = d.watch(ctx, kind, revision)
 		}
+		relist = errors.Is(err, ErrHistoryGone)
 		switch {
 		case err == nil:
-			d.apply(kind, batch, revision == 0)
+			d.apply(kind, batch, whole)
 			revision = max(revision, batch.AsOf)
 			backoff = minBackoff
-		case errors.Is(err, ErrHistoryGone):
+		case relist:
 			d.logger.WithField("kind", string(kind)).Info("directory: history is gone, listing again.")
-			batch, err = d.list(ctx, kind)
-			if err == nil {
-				d.apply(kind, batch, true)
-				revision = max(revision, batch.AsOf)
-			}
 		default:
+			relist = whole
 			pause(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
 		}
