Refuse codes, states and verbs of newer VMs when a message is decoded

Cause: found by reading. A result with a code that this version does not know ended the process in the counters of the sessions, and work with an unknown verb in the dialect of the backend servers.

Change: fleetwire fails to decode them. A result then counts as lost, work breaks the link, as for any other message that cannot be read.

Test: TestUnknownValuesAreRefused failed before the change.

--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -126,6 +126,9 @@
 	flags, verb := r.byte(), r.byte()
 	w := &statement.Work{Proof: flags&flagProof != 0, Opens: flags&flagOpens != 0, ReadOnlyTx: flags&flagReadOnlyTx != 0}
 	w.Command.Verb, w.Command.Writes = statement.Verb(verb), flags&flagWrites != 0
+	if !w.Command.Verb.Valid() {
+		return nil, eris.Errorf("work with the unknown verb %d", verb)
+	}
 	for _, s := range []*string{&w.Customer, &w.Group, &w.Server, &w.Command.ID, &w.Command.Name, &w.Command.Payload} {
 		*s = r.string()
 	}
@@ -167,6 +170,9 @@
 	var res statement.Result
 	a := &res.Answer
 	a.Code, a.State = statement.Code(r.byte()), statement.TxState(r.byte())
+	if !a.Code.Valid() || !a.State.Valid() {
+		return statement.Result{}, eris.Errorf("result with the unknown code %d or state %d", a.Code, a.State)
+	}
 	res.Proven = r.byte() == 1
 	a.Text, a.Signature = r.string(), r.string()
 	a.At = state.Point{Term: r.uvarint(), Position: r.uvarint()}
--- a/protocol/fleetwire/fleetwire_test.go
+++ b/protocol/fleetwire/fleetwire_test.go
@@ -48,6 +48,20 @@
 	}
 }
 
+// Guards against a newer VM's codes, states and verbs that end the process of
+// one that does not know them.
+func TestUnknownValuesAreRefused(t *testing.T) {
+	const unknown = 0xee
+	for name, answer := range map[string]statement.Answer{"code": {Code: unknown}, "state": {State: unknown}} {
+		if r, err := DecodeResult(AppendResult(nil, &statement.Result{Answer: answer})); err == nil {
+			t.Errorf("result with an unknown %s is read as %+v", name, r)
+		}
+	}
+	if w, err := DecodeWork(AppendWork(nil, &statement.Work{Command: statement.Command{Verb: unknown}})); err == nil {
+		t.Errorf("work with an unknown verb is read as %+v", w)
+	}
+}
+
 // Guards against bytes of a foreign or broken VM that end the process.
 func FuzzDecode(f *testing.F) {
 	f.Add(AppendWork(nil, &statement.Work{Customer: "c", Values: []statement.Value{{Name: "n"}}}))
--- a/state/statement/statement.go
+++ b/state/statement/statement.go
@@ -23,8 +23,12 @@
 	Discard // drops a connection's session values and prepared names
 	Status  // asks a backend server for its role and position
 	StepDown
+	verbs
 )
 
+// Valid reports whether the verb is one of this version's.
+func (v Verb) Valid() bool { return v < verbs }
+
 // Request is one request of a client.
 type Request struct {
 	ID   string
@@ -92,12 +96,15 @@
 
 // String returns the code's name in logs and metrics.
 func (c Code) String() string {
-	if c >= codes {
+	if !c.Valid() {
 		return "invalid"
 	}
 	return codeNames[c]
 }
 
+// Valid reports whether the code is one of this version's.
+func (c Code) Valid() bool { return c < codes }
+
 // Internal reports whether the code occurs inside the fleet only.
 func (c Code) Internal() bool { return c == Lost || c == Unreachable || c == Down }
 
@@ -118,8 +125,12 @@
 	Idle     TxState = iota
 	InTx             // a transaction is open
 	FailedTx         // the transaction failed; only its end is accepted
+	txStates
 )
 
+// Valid reports whether the state is one of this version's.
+func (s TxState) Valid() bool { return s < txStates }
+
 // Answer is the complete answer to a request or command.
 type Answer struct {
 	Code      Code
