Link VMs that start at once, and trust the process that answers

An attempt to dial a VM that is not up yet hangs for up to 0.5 s and is followed by a pause of 0.25 s, although the VM that started has dialled this one meanwhile. Calls on the link of a VM that lost its power waited for 0.8 s although its new process had described itself. And a VM that started again while its clock was set back was taken for an older run of itself: the others kept the description of the old process, which had said that it leaves.

Change: a VM that is dialled by another one dials it at once. A description on the link to a VM's address counts whatever its incarnation; one that names another incarnation than the link's ends the link.

Tests: TestVMThatStartsIsLinkedAtOnce, TestRestartWithClockSetBack and TestCallsEndWhenVMRunsAnew failed before the change.

--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -17,19 +17,45 @@
 // dial keeps a link to the peer until ctx is done.
 func (l *Links) dial(ctx context.Context, p *peer) {
 	for ctx.Err() == nil {
-		dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-		conn, err := l.net.Dial(dialCtx, p.address)
-		cancel()
-		if err == nil {
+		conn, again := l.attempt(ctx, p)
+		if conn != nil {
 			l.hold(ctx, p, conn)
 		}
+		if again {
+			continue
+		}
 		select {
 		case <-ctx.Done():
+		case <-p.seen:
 		case <-time.After(redialDelay):
 		}
 	}
 }
 
+// attempt dials the peer once. If the peer dials this VM meanwhile, it gives up
+// and reports that another attempt is due: one from before the peer started may
+// hang.
+func (l *Links) attempt(ctx context.Context, p *peer) (conn net.Conn, again bool) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialled := make(chan net.Conn, 1)
+	go func() {
+		conn, err := l.net.Dial(ctx, p.address)
+		if err != nil {
+			conn = nil
+		}
+		dialled <- conn
+	}()
+	select {
+	case conn = <-dialled:
+		return conn, false
+	case <-p.seen:
+		cancel()
+		conn = <-dialled
+		return conn, conn == nil
+	}
+}
+
 // hold uses a link that this VM dialled until it breaks.
 func (l *Links) hold(ctx context.Context, p *peer, conn net.Conn) {
 	k := newLink(conn)
@@ -43,7 +69,7 @@
 	l.ping(p, k, l.handler.Ping())
 	err := l.read(ctx, k, func(f fleetwire.Frame) {
 		if f.Kind == fleetwire.KindStatus {
-			l.receiveStatus(f.Body)
+			l.receiveStatus(f.Body, k)
 			return
 		}
 		k.answered(f)
@@ -53,14 +79,15 @@
 	k.fail()
 }
 
-func (l *Links) receiveStatus(body []byte) string {
+// receiveStatus takes a VM's description, see learn, and returns its name.
+func (l *Links) receiveStatus(body []byte, k *link) string {
 	s, err := fleetwire.DecodeStatus(body)
 	if err != nil {
 		l.logger.WithError(err).Error("fleet: a status cannot be decoded.")
 		return ""
 	}
 	l.Meet(s.Address)
-	l.learn(s)
+	l.learn(s, k)
 	l.handler.StatusReceived()
 	return s.Name
 }
@@ -97,7 +124,7 @@
 	var from string
 	err := l.read(ctx, k, func(f fleetwire.Frame) {
 		if f.Kind == fleetwire.KindStatus {
-			if name := l.receiveStatus(f.Body); name != "" {
+			if name := l.receiveStatus(f.Body, nil); name != "" {
 				from = name
 			}
 			return
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -90,6 +90,7 @@
 	lastHeard time.Duration
 	lastPing  time.Duration
 	cancel    context.CancelFunc
+	seen      chan struct{} // has room for one signal: the VM dialled this one
 }
 
 // New returns the links of a VM that describes itself as self. Other VMs are
@@ -199,7 +200,7 @@
 		return
 	}
 	dialCtx, cancel := context.WithCancel(l.ctx)
-	p := &peer{address: address, cancel: cancel}
+	p := &peer{address: address, cancel: cancel, seen: make(chan struct{}, 1)}
 	l.peers[address] = p
 	go l.dial(dialCtx, p)
 }
@@ -259,28 +260,46 @@
 	return vm
 }
 
-// learn takes what a VM said of itself.
-func (l *Links) learn(s fleetwire.Status) {
+// learn takes what a VM said of itself: on the link k that this VM dialled to
+// it, or on one that it dialled itself, for which k is nil.
+//
+// Incarnations are times of day, which may jump back between two runs of a VM.
+// The process that answers at the VM's address is the current one, whatever its
+// incarnation.
+func (l *Links) learn(s fleetwire.Status, k *link) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.peers[s.Address]
-	if p != nil && s.Name != l.self.Name {
-		// A VM that was replaced by one of the same name at another address
-		// never answers again.
-		for a, other := range l.peers {
-			if a != s.Address && other.known && other.status.Name == s.Name && other.status.Incarnation < s.Incarnation {
-				other.cancel()
-				delete(l.peers, a)
-			}
-		}
-		if !p.known {
-			l.logger.WithFields(log.Fields{"vm": s.Name, "address": s.Address}).Info("fleet: VM learned.")
+	if p == nil || s.Name == l.self.Name || k != nil && p.link != k {
+		return
+	}
+	switch {
+	case k != nil:
+		k.incarnation = s.Incarnation
+	case p.link == nil:
+		select {
+		case p.seen <- struct{}{}:
+		default:
 		}
-		if !p.known || p.status.Incarnation <= s.Incarnation {
-			p.status, p.known = s, true
+	case p.link.incarnation != 0 && p.link.incarnation != s.Incarnation:
+		// The VM runs anew, and its end of the older link is gone.
+		p.link.out.Abort()
+	}
+	// A VM that was replaced by one of the same name at another address never
+	// answers again.
+	for a, other := range l.peers {
+		if a != s.Address && other.known && other.status.Name == s.Name && other.status.Incarnation < s.Incarnation {
+			other.cancel()
+			delete(l.peers, a)
 		}
-		l.rebuild()
 	}
+	if !p.known {
+		l.logger.WithFields(log.Fields{"vm": s.Name, "address": s.Address}).Info("fleet: VM learned.")
+	}
+	if !p.known || k != nil || p.status.Incarnation <= s.Incarnation {
+		p.status, p.known = s, true
+	}
+	l.rebuild()
 }
 
 // heard records an answer of the peer on its link. It returns the VM's name, or
--- a/transport/fleetlink/fleetlink_test.go
+++ b/transport/fleetlink/fleetlink_test.go
@@ -33,9 +33,47 @@
 func (idle) StatusReceived()                                         {}
 func (idle) Document([]byte) []byte                                  { return nil }
 
-// inFleet runs a test with the links of vm-1 and vm-2, which are in different
-// data centres of a fleet of the given size. The other VMs do not run.
-func inFleet(t *testing.T, size int, test func(n *memnet.Network, from *fleetlink.Links)) {
+// world is where the VMs of a test run.
+type world struct {
+	net     *memnet.Network
+	pool    *pool.Pool
+	size    int // of the fleet
+	ctx     context.Context
+	running sync.WaitGroup
+}
+
+func address(vm int) string { return fmt.Sprintf("vm-%d:7000", vm) }
+
+// start starts the links of a VM, which is in a data centre of its own, and
+// returns them and what ends the VM.
+func (w *world) start(vm int, change func(*fleetwire.Status)) (*fleetlink.Links, func()) {
+	ctx, cancel := context.WithCancel(w.ctx)
+	name, dc := fmt.Sprintf("vm-%d", vm), fmt.Sprintf("dc-%d", vm)
+	status := fleetwire.Status{Name: name, Address: address(vm), DataCentre: dc, Incarnation: 1}
+	if change != nil {
+		change(&status)
+	}
+	l := fleetlink.New(ctx, w.net.Host(name, dc), w.pool, status, &log.Logger{Handler: discard.Default})
+	l.Handle(idle{})
+	ended := make(chan struct{})
+	w.running.Go(func() {
+		defer close(ended)
+		_ = l.Run(ctx)
+	})
+	var addresses []string
+	for i := range w.size {
+		addresses = append(addresses, address(i+1))
+	}
+	l.Members(addresses)
+	return l, func() {
+		cancel()
+		<-ended
+		w.net.Break(memnet.Hosts(name), memnet.All())
+	}
+}
+
+// inWorld runs a test with a fleet of the given size, of which no VM runs yet.
+func inWorld(t *testing.T, size int, test func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		begin := time.Now().Add(-time.Hour)
@@ -44,34 +82,27 @@
 		n := memnet.New(1)
 		defer n.Close()
 		ctx, cancel := context.WithCancel(context.Background())
-		var running sync.WaitGroup
-		workers := pool.New(2)
-		running.Go(func() { _ = workers.Run(ctx) })
-		var addresses []string
-		for i := range size {
-			addresses = append(addresses, fmt.Sprintf("vm-%d:7000", i+1))
-		}
-		var links []*fleetlink.Links
-		for i := range 2 {
-			name, dc := fmt.Sprintf("vm-%d", i+1), fmt.Sprintf("dc-%d", i+1)
-			l := fleetlink.New(ctx, n.Host(name, dc), workers, fleetwire.Status{Name: name, Address: addresses[i], DataCentre: dc, Incarnation: 1},
-				&log.Logger{Handler: discard.Default})
-			l.Handle(idle{})
-			running.Go(func() { _ = l.Run(ctx) })
-			links = append(links, l)
-		}
-		for _, l := range links {
-			l.Members(addresses)
-		}
-		time.Sleep(2 * time.Second)
-		test(n, links[0])
+		w := &world{net: n, pool: pool.New(2), size: size, ctx: ctx}
+		w.running.Go(func() { _ = w.pool.Run(ctx) })
+		test(w)
 		cancel()
 		n.Close()
-		running.Wait()
+		w.running.Wait()
 		time.Sleep(time.Minute) // dials to VMs that do not run end by their time-out
 	})
 }
 
+// inFleet runs a test with the links of vm-1 and vm-2. The other VMs do not run.
+func inFleet(t *testing.T, size int, test func(n *memnet.Network, from *fleetlink.Links)) {
+	t.Helper()
+	inWorld(t, size, func(w *world) {
+		first, _ := w.start(1, nil)
+		w.start(2, nil)
+		time.Sleep(2 * time.Second)
+		test(w.net, first)
+	})
+}
+
 // lost returns how long a call to vm-2 takes to fail once vm-2 is silent.
 func lost(t *testing.T, n *memnet.Network, from *fleetlink.Links) time.Duration {
 	t.Helper()
@@ -113,3 +144,70 @@
 		}
 	})
 }
+
+// Guards against VMs that start one after the other and miss each other until
+// the next attempt to dial: after a restart of the fleet the limits' shares are
+// out of reach for that time.
+func TestVMThatStartsIsLinkedAtOnce(t *testing.T) {
+	const linkedWithin = 20 * time.Millisecond // a few round trips
+	for offset := time.Duration(0); offset < 300*time.Millisecond; offset += 60 * time.Millisecond {
+		inWorld(t, 2, func(w *world) {
+			first, _ := w.start(1, nil)
+			time.Sleep(time.Second + offset)
+			w.start(2, nil)
+			time.Sleep(linkedWithin)
+			if n := first.View().AliveCount(); n != 2 {
+				t.Errorf("started %v after an attempt: %d VMs are heard after %v", offset, n, linkedWithin)
+			}
+		})
+	}
+}
+
+// Guards against a VM that started again after its clock was set back and whose
+// description is taken for an older one: the others would go on to believe that
+// it is leaving.
+func TestRestartWithClockSetBack(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		first, _ := w.start(1, nil)
+		_, stop := w.start(2, func(s *fleetwire.Status) { s.Incarnation, s.Leaving = 100, true })
+		time.Sleep(time.Second)
+		stop()
+		w.start(2, func(s *fleetwire.Status) { s.Incarnation = 50 })
+		time.Sleep(time.Second)
+		for _, vm := range first.View().VMs {
+			if vm.Name == "vm-2" && (vm.Leaving || !vm.Alive || vm.Incarnation != 50) {
+				t.Errorf("after its restart vm-2 is known as %+v", vm)
+			}
+		}
+	})
+}
+
+// Guards against calls that wait behind a VM which lost its power and runs
+// again: its new process does not know their link.
+func TestCallsEndWhenVMRunsAnew(t *testing.T) {
+	const noticedWithin = 20 * time.Millisecond // a few round trips
+	inWorld(t, 2, func(w *world) {
+		first, _ := w.start(1, nil)
+		w.start(2, nil)
+		time.Sleep(time.Second)
+		// A call that the old process never answers.
+		cut := w.net.Partition(memnet.Hosts("vm-1"), memnet.Hosts("vm-2"))
+		defer cut.Heal()
+		failed := make(chan time.Time, 1)
+		first.Call("vm-2", fleetwire.KindTokens, fleetwire.AppendTokens(nil, "c", 1), func(fleetwire.Frame, bool) { failed <- time.Now() })
+		// Its successor describes itself, from another path than the silent one.
+		conn, err := w.net.Host("vm-2-again", "dc-2").Dial(w.ctx, address(1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		anew := fleetwire.Status{Name: "vm-2", Address: address(2), DataCentre: "dc-2", Incarnation: 2}
+		said := time.Now()
+		if _, err := conn.Write(fleetwire.Frame{Kind: fleetwire.KindStatus, Body: anew.Encode()}.Append(nil)); err != nil {
+			t.Fatal(err)
+		}
+		if took := (<-failed).Sub(said); took > noticedWithin {
+			t.Errorf("a call of before the restart fails %v after it, want %v", took, noticedWithin)
+		}
+	})
+}
--- a/transport/fleetlink/link.go
+++ b/transport/fleetlink/link.go
@@ -14,6 +14,9 @@
 type link struct {
 	conn net.Conn
 	out  *outbox.Outbox
+	// incarnation is that of the VM at the other end of a link that this VM
+	// dialled; zero until it described itself. It is guarded by Links.mu.
+	incarnation int64
 
 	mu     sync.Mutex // guards the fields below; no other lock is taken under it
 	lastID uint64
