Close connections on which a rollback is not answered; tell reachability in order

Cause, both found by reading: a connection whose rollback is never answered (it went silent without a reset, or the answer was lost) stayed busy without a job, which nothing bounds, and took one of its customer's few places at the server. Changes of reachability were told to the other VMs by goroutines of their own, so two quick ones could arrive in the wrong order and keep the fleet away from a server that is reached.

Reachability is told by the executor's effects, in order.

Tests: TestUnansweredRollback and TestReachabilityIsToldInOrder failed before.

--- a/transport/sqlback/conn.go
+++ b/transport/sqlback/conn.go
@@ -42,8 +42,9 @@
 	tx   uint64
 	from string // VM for which the transaction was opened
 
-	job     *job
-	expects []step // answers to come, oldest first
+	job      *job
+	expects  []step    // answers to come, oldest first
+	ownSince time.Time // since when commands are under way without a job
 }
 
 // step is a command whose answer has not come.
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -28,6 +28,9 @@
 	// startTimeout bounds dialling a server and its answer to the opening, which
 	// waits for a slot.
 	startTimeout = 700 * time.Millisecond
+	// ownTimeout bounds the answer to a command of the VM's own that no statement
+	// waits for, such as the end of a transaction, which takes no slot.
+	ownTimeout = 700 * time.Millisecond
 	// redialDelay is the least time between a failed opening and the next one.
 	redialDelay = 200 * time.Millisecond
 	// sweepInterval is how often idle connections are looked over.
--- a/transport/sqlback/executor_test.go
+++ b/transport/sqlback/executor_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,7 +35,9 @@
 // scripted is a backend server that answers commands as the test says. It is
 // also the network that leads to it.
 type scripted struct {
-	answer func(statement.Command) statement.Answer
+	answer  func(statement.Command) statement.Answer
+	down    atomic.Bool    // connections are not accepted
+	reached func([]string) // told which servers cannot be reached
 
 	mu       sync.Mutex // guards commands
 	commands []statement.Verb
@@ -44,6 +48,9 @@
 
 // Dial implements network.Network.
 func (s *scripted) Dial(context.Context, string) (net.Conn, error) {
+	if s.down.Load() {
+		return nil, errors.New("no route")
+	}
 	near, far := net.Pipe()
 	go s.serve(far)
 	return near, nil
@@ -113,10 +120,14 @@
 		})
 		e := sqlback.New(sqlback.Options{
 			Network: s, Dialect: managed.Servers{}, Pool: workers, Table: table, Scope: tally.NoopScope,
-			Tracer:  noop.NewTracerProvider().Tracer(""),
-			Logger:  &log.Logger{Handler: discard.Default},
-			Chosen:  func(string, *catalog.Server) bool { return true },
-			Reached: func([]string) {},
+			Tracer: noop.NewTracerProvider().Tracer(""),
+			Logger: &log.Logger{Handler: discard.Default},
+			Chosen: func(string, *catalog.Server) bool { return true },
+			Reached: func(unreachable []string) {
+				if s.reached != nil {
+					s.reached(unreachable)
+				}
+			},
 		})
 		running.Go(func() { _ = e.Run(ctx) })
 		test(func(w statement.Work) statement.Result {
@@ -210,3 +221,56 @@
 		}
 	})
 }
+
+// Guards against a connection that is lost for good because the server never
+// answers the end of a transaction, which no statement waits for.
+func TestUnansweredRollback(t *testing.T) {
+	var silent chan struct{} // made where time is virtual
+	s := &scripted{answer: func(c statement.Command) statement.Answer {
+		if c.Verb == statement.Rollback {
+			<-silent
+		}
+		return open(c)
+	}}
+	inExecutor(t, s, func(run func(statement.Work) statement.Result) {
+		silent = make(chan struct{})
+		defer close(silent)
+		read := statement.Work{Proof: true, Command: statement.Command{Verb: statement.Read}}
+		if r := run(read); r.Answer.Code != statement.OK {
+			t.Fatalf("the first read is told as %s", r.Answer.Code)
+		}
+		time.Sleep(time.Second)
+		if r := run(read); r.Answer.Code != statement.OK {
+			t.Errorf("a read after an unanswered rollback is told as %s %s", r.Answer.Code, r.Answer.Text)
+		}
+	})
+}
+
+// Guards against other VMs that are told in the wrong order which servers this
+// one reaches, and keep away from one that it reaches.
+func TestReachabilityIsToldInOrder(t *testing.T) {
+	var mu sync.Mutex
+	var told []int // numbers of unreachable servers
+	s := &scripted{answer: open, reached: func(unreachable []string) {
+		if len(unreachable) > 0 {
+			time.Sleep(2 * time.Second)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		told = append(told, len(unreachable))
+	}}
+	inExecutor(t, s, func(run func(statement.Work) statement.Result) {
+		read := statement.Work{Command: statement.Command{Verb: statement.Read}}
+		s.down.Store(true)
+		run(read)
+		time.Sleep(300 * time.Millisecond)
+		run(read)
+		s.down.Store(false)
+		time.Sleep(5 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		if !slices.Equal(told, []int{1, 0}) {
+			t.Errorf("told of %v unreachable servers, want one and then none", told)
+		}
+	})
+}
--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -26,7 +26,7 @@
 // rollback ends the transaction of a connection without a job.
 func (e *Executor) rollback(c *conn) {
 	e.forgetTx(c)
-	c.state = connBusy
+	c.state, c.ownSince = connBusy, time.Now()
 	e.send(c, stepRollback, statement.Command{Verb: statement.Rollback})
 }
 
@@ -188,6 +188,7 @@
 // settle frees a connection without a job, and ends what is left of a
 // transaction first.
 func (e *Executor) settle(c *conn, s statement.TxState) {
+	c.ownSince = time.Now()
 	switch {
 	case s != statement.Idle && !slices.Contains(c.expects, stepRollback):
 		e.rollback(c)
--- a/transport/sqlback/upkeep.go
+++ b/transport/sqlback/upkeep.go
@@ -11,7 +11,8 @@
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 )
 
-// setReachable tells the other VMs of a change.
+// setReachable tells the other VMs of a change, after the event that it is part
+// of. The caller holds mu.
 func (e *Executor) setReachable(server string, reachable bool) {
 	if e.unreachable[server] == !reachable {
 		return
@@ -27,7 +28,7 @@
 		all = append(all, id)
 	}
 	slices.Sort(all)
-	go e.reached(all)
+	e.effects = append(e.effects, func() { e.reached(all) })
 }
 
 // Run looks after idle connections and unreachable servers until ctx is done.
@@ -43,7 +44,7 @@
 			e.post(e.sweep)
 			if probed := time.Now(); probed.Sub(e.probedAt) >= probeInterval {
 				e.probedAt = probed
-				e.probe(ctx)
+				e.post(func() { e.probe(ctx) })
 			}
 		}
 	}
@@ -69,6 +70,7 @@
 	d := e.table.Current()
 	e.mu.Lock()
 	e.endAbandoned(d)
+	e.closeSilent()
 	var idle []*conn
 	for key, p := range e.pools {
 		if len(p.conns) == 0 && len(p.waiting) == 0 {
@@ -112,6 +114,23 @@
 	}
 }
 
+// closeSilent closes connections on which a command of this VM's own is not
+// answered: nothing else bounds it, and the connection takes a place until then.
+func (e *Executor) closeSilent() {
+	var silent []*conn
+	for _, p := range e.pools {
+		for _, c := range p.conns {
+			if c.state == connBusy && c.job == nil && time.Since(c.ownSince) > ownTimeout {
+				silent = append(silent, c)
+			}
+		}
+	}
+	for _, c := range silent {
+		e.logger.WithField("server", c.pool.key.server).Warn("backend: no answer to a command of the VM's own.")
+		e.close(c, statement.Lost, "no answer in time")
+	}
+}
+
 // probe tries the servers that could not be reached. A connection without an
 // opening costs the server no slot.
 func (e *Executor) probe(ctx context.Context) {
@@ -139,10 +158,12 @@
 				return
 			}
 			nc.Close()
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			delete(e.failing, id)
-			e.setReachable(id, true)
+			e.post(func() {
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				delete(e.failing, id)
+				e.setReachable(id, true)
+			})
 		}()
 	}
 }
