Run reads on a second server when the first does not answer

Cause: a read that was sent to a server, or through a VM, which went silent without a reset waited for the statement's time-out of 1 s or more, beyond every latency objective.

Change: a single read that has no answer after a third of its route's latency objective (50 ms at least) runs on another server too, and the first success counts. Writes, transactions and reads that only the primary may run are not hedged. A twentieth of a group's reads may be hedged, so that slow servers do not get twice the load.

Tests: TestReadsAreHedged failed before (1.0002 s, objective 200 ms); TestHedgeAfter, TestHedgesAreBounded.

--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -43,6 +43,11 @@
 	// failurePenalty makes a read on a server that fails all statements cost as
 	// much as one of nine times its latency: the read is repeated elsewhere.
 	failurePenalty = 8
+	// hedgeShare is the part of the reads that may run on a second server because
+	// the first has not answered: enough for the slowest ones, and little load if
+	// all servers are slow. maxHedges may be saved up.
+	hedgeShare = 0.05
+	maxHedges  = 10.0
 	// primaryPenalty multiplies the cost of a read on the primary, whose slots
 	// the writes need.
 	primaryPenalty = 1.5
@@ -75,6 +80,7 @@
 	provenAt time.Duration
 	samples  []Sample // ascending, all of the current term
 	servers  map[string]*server
+	hedges   float64 // second attempts of reads that are allowed now
 }
 
 // Table holds the groups.
@@ -255,6 +261,18 @@
 // Sent records that a statement was sent to the server.
 func (g *Group) Sent(id string) { g.server(id).outstanding++ }
 
+// CountRead counts a read, which allows a part of a second attempt.
+func (g *Group) CountRead() { g.hedges = min(g.hedges+hedgeShare, maxHedges) }
+
+// Hedge reports whether a read may run on a second server, and counts it.
+func (g *Group) Hedge() bool {
+	if g.hedges < 1 {
+		return false
+	}
+	g.hedges--
+	return true
+}
+
 // Outcome is what the end of a statement says of the server.
 type Outcome uint8
 
--- a/coordination/leadership/leadership_test.go
+++ b/coordination/leadership/leadership_test.go
@@ -156,3 +156,26 @@
 		t.Errorf("a new server is taken to hold %v", got)
 	}
 }
+
+// Guards against second attempts that double the load when all servers are slow.
+func TestHedgesAreBounded(t *testing.T) {
+	g := group()
+	hedged := 0
+	for range 1000 {
+		g.CountRead()
+		if g.Hedge() {
+			hedged++
+		}
+	}
+	if hedged < 45 || hedged > 50 {
+		t.Errorf("%d of 1000 reads hedged, want a twentieth", hedged)
+	}
+	for range 10000 {
+		g.CountRead()
+	}
+	for hedged = 0; g.Hedge(); hedged++ {
+	}
+	if hedged > maxHedges {
+		t.Errorf("%d second attempts at once", hedged)
+	}
+}
--- a/coordination/sqlsession/route.go
+++ b/coordination/sqlsession/route.go
@@ -14,6 +14,24 @@
 // told; one server may fail what another one answers.
 const maxReadFailures = 2
 
+const (
+	// hedgePart of a route's latency objective is how long a read waits for its
+	// server before it runs on another one too. The rest is enough for that.
+	hedgePart = 1.0 / 3
+	// minHedgeDelay is longer than nearly all reads take on a server with load.
+	minHedgeDelay = 50 * time.Millisecond
+)
+
+// HedgeAfter returns how long the operation may stay without an answer before it
+// runs on a second server too. It reports false for what must not run twice or
+// runs on one server only.
+func (o *Operation) HedgeAfter() (time.Duration, bool) {
+	if o.NeedsLead || o.Opens || o.Tx.ID != 0 || o.writes() {
+		return 0, false
+	}
+	return max(time.Duration(hedgePart*float64(o.Route.TargetLatency)), minHedgeDelay), true
+}
+
 // Target is where an attempt of an operation runs.
 type Target struct {
 	VM     string
--- a/coordination/sqlsession/session_test.go
+++ b/coordination/sqlsession/session_test.go
@@ -191,3 +191,27 @@
 		t.Errorf("a reading transaction runs on %s as %+v", got.Server, got.Work)
 	}
 }
+
+// Guards against a second run of what must run once, or on one server only.
+func TestHedgeAfter(t *testing.T) {
+	route := &catalog.Route{TargetLatency: 600 * time.Millisecond}
+	read := Operation{Request: request(statement.Read, ""), Route: route}
+	if delay, may := read.HedgeAfter(); !may || delay != 200*time.Millisecond {
+		t.Errorf("a read: %v %v", delay, may)
+	}
+	for name, change := range map[string]func(*Operation){
+		"a write":                      func(o *Operation) { o.Request.Verb = statement.Write },
+		"a prepared write":             func(o *Operation) { o.Prepared = &statement.Prepared{Writes: true} },
+		"a read of the primary":        func(o *Operation) { o.NeedsLead = true },
+		"a read in a transaction":      func(o *Operation) { o.Tx.ID = 1 },
+		"a read that begins one":       func(o *Operation) { o.Opens = true },
+		"a read without time to hedge": func(o *Operation) { o.Route = &catalog.Route{} },
+	} {
+		o := read
+		change(&o)
+		delay, may := o.HedgeAfter()
+		if short := o.Route.TargetLatency == 0; may != short || short && delay != minHedgeDelay {
+			t.Errorf("%s: %v %v", name, delay, may)
+		}
+	}
+}
--- a/standin/managed/faults_test.go
+++ b/standin/managed/faults_test.go
@@ -334,3 +334,30 @@
 		l.finish()
 	})
 }
+
+// Guards against reads that wait for a server which went silent without a reset,
+// until the statement's time-out, although another one could answer them.
+func TestReadsAreHedged(t *testing.T) {
+	const objective = 200 * time.Millisecond // of the routes, see declare
+	inDeployment(t, fes, func(d *Deployment) {
+		vm := d.VM("vm-0-0")
+		c := connect(t, vm, "hedged", Database(Bounded, 1), 0)
+		for range 40 { // opens connections, and allows hedges
+			mustDo(t, c, statement.Read, "x")
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, s := range d.Groups[GroupName(1)].Replicas() {
+			if s.Zone == vm.Zone {
+				d.Net.Partition(memnet.Hosts(s.ID), memnet.All())
+			}
+		}
+		for range 20 {
+			sent := time.Now()
+			_, a := c.Do(statement.Read, "x")
+			if took := time.Since(sent); a.Code != statement.OK || took > objective {
+				t.Errorf("a read ends after %v with %s %s, want an answer within %v", took, a.Code, a.Text, objective)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
--- a/transport/sqlfront/hop.go
+++ b/transport/sqlfront/hop.go
@@ -41,6 +41,7 @@
 	latency   map[catalog.Consistency]tally.Histogram
 	admission tally.Histogram // from the question whether an operation is inside the limit to the answer
 	hops      [hopKinds]tally.Histogram
+	hedged    tally.Counter // reads that were run on a second server
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -51,6 +52,7 @@
 	for kind, name := range consistencyNames {
 		m.latency[kind] = scope.Tagged(map[string]string{"route": name}).Histogram("statement_latency", latencyBuckets)
 	}
+	m.hedged = scope.Counter("reads_hedged")
 	m.admission = scope.Histogram("admission_latency", latencyBuckets)
 	for kind, name := range hopNames {
 		m.hops[kind] = scope.Tagged(map[string]string{"hop": name}).Histogram("hop_latency", latencyBuckets)
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,8 @@
 	hold     time.Duration // until when it may wait
 	tried    map[string]bool
 	attempts int
+	running  []string        // servers of the attempts without a result
+	hedge    *time.Timer     // runs the operation on a second server
 	ctx      context.Context // carries span
 	span     trace.Span
 	failed   failure // the latest one that was logged
@@ -173,21 +176,56 @@
 	if c.current != u {
 		return
 	}
+	now := clock.Now()
+	target, ok := c.choose(u, now)
+	if !ok {
+		c.later(u, now)
+		return
+	}
+	c.send(u, target, now)
+	if delay, may := u.op.HedgeAfter(); may {
+		c.server.Leads.With(u.op.Route.Group, func(g *leadership.Group) { g.CountRead() })
+		u.hedge = time.AfterFunc(delay, func() { c.queue.PostAlways(func() { c.runHedge(u) }) })
+	}
+}
+
+func (c *session) choose(u *run, now time.Duration) (sqlsession.Target, bool) {
 	s := c.server
-	now, view := clock.Now(), s.View()
-	target, ok := sqlsession.Choose(u.op, sqlsession.Env{
-		Deployment: s.Table.Current(), Leads: s.Leads, View: view, DataCentre: s.DataCentre, Now: now, Tried: u.tried,
+	return sqlsession.Choose(u.op, sqlsession.Env{
+		Deployment: s.Table.Current(), Leads: s.Leads, View: s.View(), DataCentre: s.DataCentre, Now: now, Tried: u.tried,
 	})
+}
+
+// runHedge runs a read on a second server if the first has not answered yet. The
+// first success counts.
+func (c *session) runHedge(u *run) {
+	if c.current != u || len(u.running) != 1 {
+		return
+	}
+	u.tried[u.running[0]] = true
+	now := clock.Now()
+	target, ok := c.choose(u, now)
 	if !ok {
-		c.later(u, now)
 		return
 	}
+	allowed := false
+	c.server.Leads.With(u.op.Route.Group, func(g *leadership.Group) { allowed = g.Hedge() })
+	if allowed {
+		c.server.hedged.Inc(1)
+		c.send(u, target, now)
+	}
+}
+
+// send runs the operation at the target.
+func (c *session) send(u *run, target sqlsession.Target, now time.Duration) {
+	s := c.server
 	w := target.Work
 	w.Timeout = u.deadline - now
 	w.Wait = max(u.hold-now, time.Millisecond)
 	u.attempts++
+	u.running = append(u.running, w.Server)
 	s.Leads.With(w.Group, func(g *leadership.Group) { g.Sent(w.Server) })
-	hop := s.startHop(u, view, target.VM, &w)
+	hop := s.startHop(u, s.View(), target.VM, &w)
 	s.Runner.Run(target.VM, &w, func(r statement.Result) {
 		hop.end(&r)
 		c.observe(&w, &r, now)
@@ -206,21 +244,35 @@
 		}
 		return
 	}
-	if u.op.Judge(&r) == sqlsession.Tell {
-		c.conclude(u, r, vm, w.Server)
-		return
-	}
-	// Repetitions of the same failure are counted by the attempts only.
-	if f := (failure{w.Server, r.Answer.Code}); f != u.failed {
-		u.failed = f
-		c.server.logAttempt(u, vm, w, &r)
+	u.stopHedge()
+	u.running = slices.DeleteFunc(u.running, func(server string) bool { return server == w.Server })
+	failed := r.Answer.Code != statement.OK
+	verdict := u.op.Judge(&r)
+	if failed && verdict == sqlsession.Retry {
+		// Repetitions of the same failure are counted by the attempts only.
+		if f := (failure{w.Server, r.Answer.Code}); f != u.failed {
+			u.failed = f
+			c.server.logAttempt(u, vm, w, &r)
+		}
+		u.tried[w.Server] = true
 	}
-	u.tried[w.Server] = true
-	if clock.Now() < u.deadline {
+	switch {
+	case failed && len(u.running) > 0:
+		// The other attempt may still succeed.
+	case verdict == sqlsession.Tell:
+		c.conclude(u, r, vm, w.Server)
+	case clock.Now() < u.deadline:
 		c.attempt(u)
-		return
+	default:
+		c.later(u, u.deadline)
+	}
+}
+
+func (u *run) stopHedge() {
+	if u.hedge != nil {
+		u.hedge.Stop()
+		u.hedge = nil
 	}
-	c.later(u, u.deadline)
 }
 
 // logAttempt logs a failed attempt with what decided it: the configuration in
@@ -250,6 +302,7 @@
 // conclude answers the operation.
 func (c *session) conclude(u *run, r statement.Result, vm, server string) {
 	c.current = nil
+	u.stopHedge()
 	u.span.End()
 	took := clock.Now() - u.started
 	c.server.latency[u.op.Route.Consistency].RecordDuration(took)
@@ -363,6 +416,7 @@
 		c.server.Runner.Abort(tx.VM, tx.ID)
 	}
 	if c.current != nil {
+		c.current.stopHedge()
 		c.current.span.End()
 		c.current = nil
 	}
