Probe resting connections to servers

Cause, found by reading: a connection that went silent without a reset while it rested was found out by the next statement, which ran into its time-out; a write then has an unknown outcome.

Change: the operating system probes connections to servers after a second, and gives them up after three, the time after which servers drop them too.

Test: TestRestingConnectionsAreProbed.

--- a/transport/sqlback/conn.go
+++ b/transport/sqlback/conn.go
@@ -60,6 +60,21 @@
 // outboxHigh is not reached: a connection has one statement under way.
 const outboxHigh = 2 << 20
 
+// keepAlive finds connections that went silent without a reset while they rest,
+// within about the time after which servers drop such ones themselves (3 s). They
+// stay in the data centre, so that the probes cost little.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// watchSilence makes the operating system probe the connection, if it can.
+func watchSilence(nc net.Conn) error {
+	if c, ok := nc.(interface {
+		SetKeepAliveConfig(net.KeepAliveConfig) error
+	}); ok {
+		return eris.Wrap(c.SetKeepAliveConfig(keepAlive), "keep-alive of a new connection")
+	}
+	return nil
+}
+
 // connect opens the connection and reads its answers until it closes. It runs
 // on a goroutine of its own, which only frames messages.
 func (e *Executor) connect(c *conn, address, group string) {
@@ -74,6 +89,9 @@
 		e.post(func() { e.startFailed(c, statement.Refusal(code, err.Error())) })
 		return
 	}
+	if err := watchSilence(nc); err != nil {
+		e.logger.WithError(err).WithField("server", c.pool.key.server).Warn("backend: a silent connection will be noticed late.")
+	}
 	r := bufio.NewReader(nc)
 	answer, err := e.start(c, nc, r, group)
 	if err == nil && answer.Code != statement.OK {
--- a/transport/sqlback/executor_test.go
+++ b/transport/sqlback/executor_test.go
@@ -38,6 +38,7 @@
 	answer  func(statement.Command) statement.Answer
 	down    atomic.Bool    // connections are not accepted
 	reached func([]string) // told which servers cannot be reached
+	probes  atomic.Pointer[net.KeepAliveConfig]
 
 	mu       sync.Mutex // guards commands
 	commands []statement.Verb
@@ -53,7 +54,19 @@
 	}
 	near, far := net.Pipe()
 	go s.serve(far)
-	return near, nil
+	return &probed{Conn: near, probes: &s.probes}, nil
+}
+
+// probed is a connection that the operating system can probe.
+type probed struct {
+	net.Conn
+	probes *atomic.Pointer[net.KeepAliveConfig]
+}
+
+// SetKeepAliveConfig records the probes that are asked for.
+func (p *probed) SetKeepAliveConfig(c net.KeepAliveConfig) error {
+	p.probes.Store(&c)
+	return nil
 }
 
 func (s *scripted) serve(c net.Conn) {
@@ -274,3 +287,17 @@
 		}
 	})
 }
+
+// Guards against connections that rest, go silent without a reset, and cost the
+// next statement its time-out.
+func TestRestingConnectionsAreProbed(t *testing.T) {
+	const dropped = 3 * time.Second // servers drop a connection whose far end is dark
+	s := &scripted{answer: open}
+	inExecutor(t, s, func(run func(statement.Work) statement.Result) {
+		run(statement.Work{Command: statement.Command{Verb: statement.Read}})
+		p := s.probes.Load()
+		if p == nil || !p.Enable || p.Idle+time.Duration(p.Count)*p.Interval > dropped {
+			t.Errorf("probes %+v", p)
+		}
+	})
+}
