Let few VMs ask a store that answers nobody

A VM that does not reach the store leaves the watch to others; when the last one had lost it, all of them watched, and each took itself for the steward and tried to claim the duty.

Change: while no VM that is heard of reaches the store, two VMs a kind go on asking it, and nobody claims the duty, which its holder keeps. A VM that does not watch and whose last call failed asks again every 5 s, in case the store serves it and refuses the watchers.

TestWatchersAndIsolation asked for any VM to watch when all have lost the store, now for exactly two.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -166,16 +166,25 @@
 	return oldest.Name
 }
 
+// StoreReached reports whether a VM that is heard of reaches the store.
+func (v *View) StoreReached() bool {
+	return slices.ContainsFunc(v.VMs, func(vm VM) bool { return vm.Alive && !vm.StoreCutOff })
+}
+
 // watchers is how many VMs watch a kind of objects. One is enough while the
 // store answers it; the second hides the time until a silent one is noticed.
 const watchers = 2
 
 // Watches reports whether this VM watches the store for the kind of objects.
-// The other VMs learn from those that do.
+// The other VMs learn from those that do. If the store answers no VM that is
+// heard of, as many go on asking it for all: each call is paid for.
 func (v *View) Watches(kind string) bool {
+	reached := v.StoreReached()
 	first := ""
 	for range watchers {
-		next := v.best("watch|"+kind, func(vm *VM) bool { return !vm.Leaving && !vm.StoreCutOff && vm.Name != first })
+		next := v.best("watch|"+kind, func(vm *VM) bool {
+			return !vm.Leaving && (!vm.StoreCutOff || !reached) && vm.Name != first
+		})
 		if next == v.Self || next == "" {
 			return true
 		}
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -103,25 +103,23 @@
 // Guards against a part of the fleet without a watcher, and against both sides
 // of a partition taking themselves for the larger one.
 func TestWatchersAndIsolation(t *testing.T) {
-	watching := 0
-	for _, vm := range fleet(3, 2).VMs {
-		v := fleet(3, 2)
-		v.Self = vm.Name
-		if v.Watches("kind") {
-			watching++
+	for _, lost := range []bool{false, true} { // the store answers nobody
+		watching := 0
+		for _, vm := range fleet(3, 2).VMs {
+			v := fleet(3, 2)
+			v.Self = vm.Name
+			for i := range v.VMs {
+				v.VMs[i].StoreCutOff = lost
+			}
+			if v.Watches("kind") {
+				watching++
+			}
+		}
+		if watching != watchers {
+			t.Errorf("%d VMs watch, want %d (store lost: %v)", watching, watchers, lost)
 		}
-	}
-	if watching != watchers {
-		t.Errorf("%d VMs watch", watching)
 	}
 	v := fleet(3, 2)
-	for i := range v.VMs {
-		v.VMs[i].StoreCutOff = true
-	}
-	if !v.Watches("kind") {
-		t.Error("nobody watches when all VMs have lost the store")
-	}
-	v = fleet(3, 2)
 	for i := 2; i < 6; i++ {
 		v.VMs[i].Alive = false
 	}
--- a/standin/managed/managed_test.go
+++ b/standin/managed/managed_test.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 )
@@ -208,6 +209,38 @@
 	})
 }
 
+// Guards against a fleet of which all VMs go on asking a store that is down, and
+// against one that does not notice its return.
+func TestStoreOutageAsksLittle(t *testing.T) {
+	o := fes
+	o.VMs = 8
+	inDeployment(t, o, func(d *Deployment) {
+		const (
+			outage   = 20 * time.Second
+			kinds    = 3
+			perWatch = 2 * 2 // watchers of a kind, with pauses of half a second or more
+		)
+		before := d.Store.Calls()
+		d.Store.Fail("", Busy)
+		time.Sleep(outage)
+		// One failed call a VM and kind until no VM is left that may reach the
+		// store, the watchers' calls, the steward's and the list of members, and
+		// each VM's now and then.
+		most := len(d.VMs)*kinds + int(outage.Seconds())*(kinds*perWatch+6) + len(d.VMs)*int(outage/(5*time.Second))
+		if calls := d.Store.Calls() - before; calls > most {
+			t.Errorf("%d calls by %d VMs in %v, want %d at most", calls, len(d.VMs), outage, most)
+		}
+		d.Store.Fail("", Up)
+		d.Configure(func(c *catalog.Config) { c.Customers[0].Keys = nil })
+		time.Sleep(3 * time.Second) // in which a configuration must be in force
+		for name, vm := range d.VMs {
+			if c, a := vm.Connect("late", Database(Latest, 0), 0); c != nil || a.Code != statement.AccessDenied {
+				t.Errorf("%s takes a revoked key: %s", name, a.Code)
+			}
+		}
+	})
+}
+
 // Guards against VMs that start together and miss each other for good, because
 // each read a list of members from before the other one announced itself.
 func TestVMsThatStartTogetherMeet(t *testing.T) {
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -52,7 +52,11 @@
 	learnTimeout = time.Second
 	// watchCheck is how often a VM that does not watch looks whether it should.
 	watchCheck = 250 * time.Millisecond
-	learnCheck = 50 * time.Millisecond
+	// recheckInterval is how often a VM that does not watch, and whose last call
+	// the store did not answer, asks it again: it may be one of those that the
+	// store serves while it refuses the watchers.
+	recheckInterval = 5 * time.Second
+	learnCheck      = 50 * time.Millisecond
 	// membersInterval is how often the list of members is read. VMs meet by
 	// their links too, so the list heals what links miss.
 	membersInterval = 8 * time.Second
@@ -96,6 +100,7 @@
 	askedUntil  time.Duration            // another VM was asked, and may answer until then
 	behindSince time.Duration            // another VM is known to know more; zero if none
 	failing     bool                     // the latest call to the store failed
+	calledAt    time.Duration            // when the latest call to the store ended
 
 	met chan struct{} // closed after the first attempt to read the list of members
 }
@@ -142,7 +147,7 @@
 	revision := uint64(0)
 	relist := false // the history that a watch needs is gone
 	for ctx.Err() == nil {
-		if !d.fleet.View().Watches(string(kind)) && d.known(kind) {
+		if !d.fleet.View().Watches(string(kind)) && d.known(kind) && !d.recheck(kind) {
 			sleep(ctx, watchCheck)
 			continue
 		}
@@ -171,6 +176,13 @@
 	}
 }
 
+// recheck reports whether a VM that does not watch the kind asks the store.
+func (d *Directory) recheck(kind Kind) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return kind == Configuration && d.failing && clock.Now()-d.calledAt >= recheckInterval
+}
+
 func (d *Directory) list(ctx context.Context, kind Kind) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -190,10 +202,11 @@
 // observe counts a call and logs when the store is lost or regained.
 func (d *Directory) observe(c call, kind Kind, begin time.Duration, err error) error {
 	failed := err != nil && !errors.Is(err, ErrHistoryGone) && !errors.Is(err, context.Canceled)
-	d.record(c, clock.Now()-begin, failed)
+	now := clock.Now()
+	d.record(c, now-begin, failed)
 	d.mu.Lock()
 	turned := failed != d.failing
-	d.failing = failed
+	d.failing, d.calledAt = failed, now
 	d.mu.Unlock()
 	if turned {
 		entry := d.logger.WithFields(log.Fields{"call": string(c), "kind": string(kind)})
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -164,8 +164,13 @@
 }
 
 // chosen reports whether this VM has been the fleet's choice for long enough.
+// While no VM reaches the store, nobody can claim the duty, and its holder keeps
+// it.
 func (s *Steward) chosen() bool {
 	view := s.View()
+	if !view.StoreReached() {
+		return s.held()
+	}
 	if view.Steward() != s.Name {
 		if s.chosenSince != 0 {
 			s.Logger.Info("promotion: another VM is the steward.")
@@ -184,12 +189,16 @@
 	return now-s.chosenSince >= claimAfter
 }
 
+// held reports whether this VM holds the duty.
+func (s *Steward) held() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nextToken < s.endToken
+}
+
 // hold claims the duty unless this VM holds it.
 func (s *Steward) hold(ctx context.Context) bool {
-	s.mu.Lock()
-	held := s.nextToken < s.endToken
-	s.mu.Unlock()
-	if held {
+	if s.held() {
 		return true
 	}
 	if s.Table.Current().Config == nil {
