Open connections to servers one after the other

Cause: after a restart of all VMs each customer's queue opened as many connections as statements waited. An opening takes a slot of the server for 12 or 27 ms, and the first customers took the places that are free while the servers still count the connections of before (3 s).

Change: one opening for each four statements that wait.

--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -31,6 +31,10 @@
 	// ownTimeout bounds the answer to a command of the VM's own that no statement
 	// waits for, such as the end of a transaction, which takes no slot.
 	ownTimeout = 700 * time.Millisecond
+	// jobsPerOpening is how many jobs wait for each opening that is under way. An
+	// opening takes a slot for about as long as a statement, so more at once delay
+	// the statements, and take the places of other customers after a restart.
+	jobsPerOpening = 4
 	// redialDelay is the least time between a failed opening and the next one.
 	redialDelay = 200 * time.Millisecond
 	// sweepInterval is how often idle connections are looked over.
@@ -217,7 +221,7 @@
 			starting++
 		}
 	}
-	if starting > len(p.waiting) || len(p.conns) >= e.plan(p.key.customer, server).Limit {
+	if starting > len(p.waiting)/jobsPerOpening || len(p.conns) >= e.plan(p.key.customer, server).Limit {
 		return len(p.conns) > 0
 	}
 	c := &conn{pool: p, prepared: make(map[string]bool)}
