Ping a data centre eagerly after one of its VMs went silent

Links on which calls wait are missed after 0.8 s, but the others only after three of the rare pings of a large fleet, 2.6 s, and the platform's two probes come after that.

Change: when a VM goes silent, the VMs of its data centre are pinged as in a small fleet for 2 s, and are missed 0.8 s after that begins.

--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -76,8 +76,9 @@
 	view    *placement.View
 	members map[string]bool // addresses in the store's list
 
-	said       []byte        // by the latest pings
-	eagerUntil time.Duration // all VMs are pinged as in a small fleet until then
+	suspected  map[string]time.Duration // data centre to when a VM of it went silent
+	said       []byte                   // by the latest pings
+	eagerUntil time.Duration            // all VMs are pinged as in a small fleet until then
 }
 
 // peer is another VM and the link that this VM dialled to it. Its fields are
@@ -100,6 +101,7 @@
 	l := &Links{
 		ctx: ctx, net: n, pool: p, logger: logger, self: self,
 		mu: lockrank.New(lockrank.Members), peers: make(map[string]*peer), members: make(map[string]bool),
+		suspected: make(map[string]time.Duration),
 	}
 	l.rebuild()
 	return l
--- a/transport/fleetlink/fleetlink_test.go
+++ b/transport/fleetlink/fleetlink_test.go
@@ -212,3 +212,26 @@
 		}
 	})
 }
+
+// Guards against a data centre that is cut off and, in a large fleet, known to be
+// so only when the next rare pings to all of its VMs are missed.
+func TestCutOffDataCentreIsNoticed(t *testing.T) {
+	const noticedWithin = 2 * time.Second // within the two probes that take a VM out of rotation
+	inWorld(t, 300, func(w *world) {
+		first, _ := w.start(1, nil)
+		far := func(s *fleetwire.Status) { s.DataCentre = "dc-far" }
+		w.start(2, far)
+		w.start(3, far)
+		time.Sleep(2 * time.Second)
+		if n := first.View().AliveCount(); n != 3 {
+			t.Fatalf("%d VMs are heard", n)
+		}
+		cut := w.net.Partition(memnet.Hosts("vm-1"), memnet.Hosts("vm-2", "vm-3"))
+		defer cut.Heal()
+		first.Call("vm-2", fleetwire.KindTokens, fleetwire.AppendTokens(nil, catalog.Half{Customer: "c"}, 1), func(fleetwire.Frame, bool) {})
+		time.Sleep(noticedWithin)
+		if n := first.View().AliveCount(); n != 1 {
+			t.Errorf("%d VMs are taken as alive %v after the cut", n, noticedWithin)
+		}
+	})
+}
--- a/transport/fleetlink/ping.go
+++ b/transport/fleetlink/ping.go
@@ -24,6 +24,10 @@
 	// answers late, and the executor of a statement moves when it is missed.
 	deadAfter = 800 * time.Millisecond
 	deadPings = 3
+	// suspectFor is how long the VMs of a data centre are pinged as in a small
+	// fleet after one of them went silent: the data centre may be cut off, and in
+	// a large fleet the next pings to the others are seconds away.
+	suspectFor = 2 * time.Second
 )
 
 // tick pings the other VMs and closes silent links until ctx is done.
@@ -78,6 +82,12 @@
 		if now < l.eagerUntil {
 			interval = min(interval, pingInterval)
 		}
+		if since, suspected := l.suspected[p.status.DataCentre]; suspected && now-since < suspectFor {
+			interval = min(interval, pingInterval)
+			if now-max(p.lastHeard, since) > deadAfter {
+				limit = deadAfter
+			}
+		}
 		if since, waiting := p.link.waits(); waiting {
 			// Statements wait behind this link, so it matters sooner than the
 			// interval of a large fleet tells whether the VM is there.
@@ -89,6 +99,9 @@
 		switch {
 		case now-p.lastHeard > limit:
 			silent = append(silent, p.link)
+			if now-l.suspected[p.status.DataCentre] >= suspectFor {
+				l.suspected[p.status.DataCentre] = now
+			}
 		case now-p.lastPing >= interval:
 			p.lastPing = now
 			pings = append(pings, duePing{p, p.link})
