--- a/matrix/teeth_test.go
+++ b/matrix/broken_test.go
@@ -8,8 +8,8 @@
 	"github.com/chestnutdyke/chestnutdyke/standin/history"
 )
 
-// teethSeeds is how many seeds a broken rule gets to show itself.
-const teethSeeds = 6
+// noticeSeeds is how many seeds a broken rule gets to show itself.
+const noticeSeeds = 6
 
 // cellOf returns the plan of a cell by its parts.
 func cellOf(t *testing.T, stepName, faultName string, seed uint64) plan {
@@ -29,7 +29,7 @@
 // the cell, with one seed at least.
 func mustBreak(t *testing.T, check, stepName, faultName string, breakRule func(o *chestnutdyke.Options)) {
 	t.Helper()
-	for seed := range uint64(teethSeeds) {
+	for seed := range uint64(noticeSeeds) {
 		p := cellOf(t, stepName, faultName, seed+1)
 		p.adjust = breakRule
 		found := false
@@ -42,11 +42,11 @@
 			return
 		}
 	}
-	t.Errorf("%s/%s: %q held with all %d seeds although the rule is broken", stepName, faultName, check, teethSeeds)
+	t.Errorf("%s/%s: %q held with all %d seeds although the rule is broken", stepName, faultName, check, noticeSeeds)
 }
 
 // Guards against a matrix that does not notice lost writes.
-func TestTeethAckOnCommit(t *testing.T) {
+func TestCheckerNoticesAckOnCommit(t *testing.T) {
 	for _, stepName := range []string{"write-sent", "write-committed", "tx-committed"} {
 		for _, faultName := range []string{"isolate-primary", "flapping-partition"} {
 			t.Run(stepName+"/"+faultName, func(t *testing.T) {
@@ -60,7 +60,7 @@
 }
 
 // Guards against a matrix that does not notice writes that ran twice.
-func TestTeethRetryAnything(t *testing.T) {
+func TestCheckerNoticesRepeatedWrites(t *testing.T) {
 	for _, stepName := range []string{"write-sent", "write-committed"} {
 		for _, faultName := range []string{"break-after-commit", "break-answer", "isolate-primary"} {
 			t.Run(stepName+"/"+faultName, func(t *testing.T) {
--- a/transport/admission/admission.go
+++ b/transport/admission/admission.go
@@ -166,9 +166,7 @@
 	var settled atomic.Bool // the question went on
 	late := time.AfterFunc(answerTimeout, func() {
 		if settled.CompareAndSwap(false, true) {
-			g.mu.Lock()
-			g.slow[ledger] = clock.Now() + slowFor
-			g.mu.Unlock()
+			g.setSlow(ledger, h.Customer)
 			g.askNext(q)
 		}
 	})
@@ -189,6 +187,18 @@
 	return sent || !settled.CompareAndSwap(false, true)
 }
 
+// setSlow asks the ledger only after the other one for a while.
+func (g *Gate) setSlow(ledger, customer string) {
+	now := clock.Now()
+	g.mu.Lock()
+	known := g.slow[ledger] > now
+	g.slow[ledger] = now + slowFor
+	g.mu.Unlock()
+	if !known {
+		g.logger.WithFields(log.Fields{"vm": ledger, "customer": customer}).Warn("limits: a ledger does not answer in time.")
+	}
+}
+
 // decodeGrant returns the tokens that a ledger granted: none if its link broke.
 func (g *Gate) decodeGrant(f fleetwire.Frame, ok bool) int {
 	if !ok {
