--- a/cmd/chestnutsoak/soak/world.go
+++ b/cmd/chestnutsoak/soak/world.go
@@ -85,6 +85,11 @@
 }
 
 func newWorld(ctx context.Context, o Options) (*world, error) {
+	if o.Logs != "" {
+		if err := os.MkdirAll(o.Logs, 0o700); err != nil {
+			return nil, eris.Wrap(err, "folder for the VMs' logs")
+		}
+	}
 	dir, err := os.MkdirTemp("", "chestnutsoak")
 	if err != nil {
 		return nil, eris.Wrap(err, "folder for settings")
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -30,9 +30,10 @@
 const smallFleet = 16
 
 // maxLeads bounds the proofs of lead in a pong, about 40 bytes each. With 60
-// pongs a second inside a data centre that is 19 KB/s; deployments with more
+// pongs a second inside a data centre that is 14 KB/s, which leaves a third of
+// what a VM may spend for control to everything else; deployments with more
 // groups get them by turns.
-const maxLeads = 8
+const maxLeads = 6
 
 // Options are the parts that a Dispatcher connects.
 type Options struct {
