Bound the steward's questions in deployments with many groups

It grows the groups with the machines; with 100 and 300 groups the steward asked each idle group's primary for a proof every 0.3 s, 1,000 questions a second at 300 groups, used up its processor share (99.7 %), saw questions fail, and promoted 55 and 190 times although no primary was lost.

Change: the interval grows by 5 ms a group, and at most 20 groups are asked each tenth of a second. With 800 groups an idle one is asked every 4 s, which leaves 3 of the 7 s for a change of primary. Groups with statements prove themselves.

Test: TestAskIntervalGrowsWithGroups.

--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -15,8 +15,12 @@
 
 const (
 	// proofInterval is the age of a proof of lead from which the steward asks
-	// for a new one.
+	// for a new one, in a deployment with few groups.
 	proofInterval = 300 * time.Millisecond
+	// intervalPerGroup bounds the steward's questions to 200 a second. With 800
+	// groups one without statements is asked every 4 s, which leaves 3 of the 7 s
+	// in which a change of primary must be over.
+	intervalPerGroup = 5 * time.Millisecond
 	// deadAfter is how long no VM has had a proof before the primary is taken
 	// for lost. It is more than the longest statements and the time in which a
 	// VM that lost its executor finds another one.
@@ -29,8 +33,15 @@
 	RepeatAfter = 700 * time.Millisecond
 )
 
+// AskInterval returns the age of a proof of lead from which the steward of so
+// many groups asks for a new one.
+func AskInterval(groups int) time.Duration {
+	return max(proofInterval, time.Duration(groups)*intervalPerGroup)
+}
+
 // Facts are what the steward knows of a group.
 type Facts struct {
+	Interval time.Duration   // see AskInterval
 	Primary  *catalog.Server // to ask as the primary; nil if none is known
 	Leaving  bool            // Primary should take no new work
 	ProvenAt time.Duration   // latest proof of lead by any VM
@@ -62,7 +73,7 @@
 		return Replace
 	case f.Leaving && age <= deadAfter:
 		return HandOver
-	case age > proofInterval && f.Primary != nil:
+	case age > f.Interval && f.Primary != nil:
 		return Ask
 	}
 	return Nothing
--- a/coordination/succession/succession_test.go
+++ b/coordination/succession/succession_test.go
@@ -31,13 +31,34 @@
 		"leaving":             {Facts{Primary: primary, ProvenAt: now, Leaving: true}, HandOver},
 		"leaving and lost":    {Facts{Primary: primary, ProvenAt: now - 2*deadAfter, Failures: minFailures, Leaving: true}, Replace},
 	} {
-		tt.facts.Now = now
+		tt.facts.Now, tt.facts.Interval = now, AskInterval(3)
 		if got := Decide(tt.facts); got != tt.want {
 			t.Errorf("%s: action %d, want %d", name, got, tt.want)
 		}
 	}
 }
 
+// Guards against a steward that cannot keep up with its questions in a large
+// deployment and takes primaries for lost, and against one that is too slow there.
+func TestAskIntervalGrowsWithGroups(t *testing.T) {
+	const (
+		planned    = 800             // groups
+		within     = 7 * time.Second // for a change of primary
+		detectLate = time.Second     // two questions that fail, one after the other
+		promotion  = time.Second     // the order and its effect
+	)
+	if got := AskInterval(3); got != proofInterval {
+		t.Errorf("interval of 3 groups: %v", got)
+	}
+	interval := AskInterval(planned)
+	if interval+detectLate+promotion > within {
+		t.Errorf("a group without statements is asked every %v", interval)
+	}
+	if perSecond := planned / interval.Seconds(); perSecond > 200 {
+		t.Errorf("%.0f questions a second", perSecond)
+	}
+}
+
 // Guards against the promotion of a server that is leaving or has a shorter log.
 func TestBest(t *testing.T) {
 	candidate := func(id string, term, position uint64, usable bool) Candidate {
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -29,6 +29,9 @@
 	// askTimeout bounds questions to servers; a server that is up answers
 	// within a few statements' time.
 	askTimeout = 400 * time.Millisecond
+	// maxAsks is how many groups are asked at each tick. The groups of a large
+	// deployment would otherwise be asked all at once when the duty moves.
+	maxAsks = 20
 	// orderTimeout bounds a call to the platform, which answers in milliseconds,
 	// or in some hundreds of them when it is slow.
 	orderTimeout = 500 * time.Millisecond
@@ -240,19 +243,27 @@
 // check decides about each group that a route uses.
 func (s *Steward) check(ctx context.Context, g *errgroup.Group) {
 	d := s.Table.Current()
+	round := round{deployment: d, interval: succession.AskInterval(len(d.Config.Groups)), asks: maxAsks}
 	seen := make(map[string]bool)
 	for _, route := range d.Config.Routes {
 		if seen[route.Group] || len(d.GroupServers(route.Group)) == 0 {
 			continue
 		}
 		seen[route.Group] = true
-		s.checkGroup(ctx, g, d, route.Group)
+		s.checkGroup(ctx, g, &round, route.Group)
 	}
 }
 
-func (s *Steward) checkGroup(ctx context.Context, g *errgroup.Group, d *catalog.Deployment, group string) {
-	now := clock.Now()
-	facts := succession.Facts{Now: now, Isolated: s.View().Isolated()}
+// round is one look at all groups.
+type round struct {
+	deployment *catalog.Deployment
+	interval   time.Duration // see succession.AskInterval
+	asks       int           // questions that are left
+}
+
+func (s *Steward) checkGroup(ctx context.Context, g *errgroup.Group, r *round, group string) {
+	now, d := clock.Now(), r.deployment
+	facts := succession.Facts{Now: now, Isolated: s.View().Isolated(), Interval: r.interval}
 	s.Leads.With(group, func(l *leadership.Group) {
 		facts.Primary = l.Primary(d.GroupServers(group), now)
 		facts.ProvenAt = l.ProvenAt()
@@ -275,7 +286,8 @@
 	facts.Failures, facts.Refusals, facts.Since = w.failures, w.refusals, w.since
 	switch succession.Decide(facts) {
 	case succession.Ask:
-		if !w.asking {
+		if !w.asking && r.asks > 0 {
+			r.asks--
 			w.asking, w.askedAt = true, now
 			s.ask(group, facts.Primary, w)
 		}
