Tell other VMs changes in place of whole documents; make views when they are read

When a fleet starts, each of its events made the view of all VMs anew and copied all descriptions to look for newer documents, so the work of a VM grew with the square of the fleet.

Change: a VM tells another one the entries that changed after the revision which the other one knows, and the names of those that are gone. Views, and the interval between pings, are made anew when they are read after a change. A description is compared with this VM's own revisions before others are looked at.

Test: TestUpdatesCarryChangesOnly.

--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -75,10 +75,44 @@
 	Members(addresses []string)
 }
 
-// document is what is known of one kind. Its fields are exported for JSON.
+// document is what is known of one kind.
 type document struct {
-	Revision uint64           `json:"revision"` // of the store when it last changed
-	Entries  map[string]Entry `json:"entries"`
+	Revision uint64 // of the store when it last changed
+	Entries  map[string]Entry
+	// Removed has the revisions from which entries are gone, and Since the one
+	// from which on it has all of them.
+	Removed map[string]uint64
+	Since   uint64
+}
+
+// maxRemoved bounds the removed entries that a document remembers.
+const maxRemoved = 256
+
+// remove takes an entry out of the document as of a revision of the store.
+func (doc *document) remove(name string, revision uint64) {
+	if _, known := doc.Entries[name]; !known {
+		return
+	}
+	delete(doc.Entries, name)
+	doc.Removed[name] = revision
+}
+
+// put sets an entry.
+func (doc *document) put(e Entry) {
+	doc.Entries[e.Name] = e
+	delete(doc.Removed, e.Name)
+}
+
+// next returns a copy of the document to change, as of a revision of the store.
+func (doc *document) next(revision uint64) document {
+	next := document{Revision: revision, Since: doc.Since, Entries: maps.Clone(doc.Entries), Removed: maps.Clone(doc.Removed)}
+	if next.Entries == nil {
+		next.Entries, next.Since = make(map[string]Entry), revision
+	}
+	if next.Removed == nil || len(next.Removed) > maxRemoved {
+		next.Removed, next.Since = make(map[string]uint64), revision
+	}
+	return next
 }
 
 // Directory follows the store. Create it with New.
@@ -247,19 +281,23 @@
 	}
 	d.mu.Lock()
 	old := d.docs[kind]
-	next := document{Revision: batch.AsOf, Entries: make(map[string]Entry)}
-	if !whole {
-		maps.Copy(next.Entries, old.Entries)
-	}
+	next := old.next(batch.AsOf)
+	listed := make(map[string]bool, len(batch.Entries))
 	for _, e := range batch.Entries {
+		listed[e.Name] = true
 		if e.Invalid != "" {
 			d.logger.WithFields(log.Fields{"kind": string(kind), "name": e.Name, "revision": e.Revision, "why": e.Invalid}).
 				Warn("directory: an object cannot be used.")
 		}
 		if e.Deleted {
-			delete(next.Entries, e.Name)
+			next.remove(e.Name, batch.AsOf)
 		} else {
-			next.Entries[e.Name] = e
+			next.put(e)
+		}
+	}
+	for name := range old.Entries {
+		if whole && !listed[name] {
+			next.remove(name, batch.AsOf)
 		}
 	}
 	d.replace(kind, next)
--- a/transport/directory/directory_test.go
+++ b/transport/directory/directory_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -10,6 +12,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
@@ -68,3 +71,49 @@
 		}
 	})
 }
+
+// Guards against VMs that tell each other whole documents at each change, and
+// against changes that are lost on the way from one to the other.
+func TestUpdatesCarryChangesOnly(t *testing.T) {
+	server := func(id string, revision uint64) Entry {
+		return Entry{Name: id, Revision: revision, Server: &catalog.Server{ID: id, Group: "g", Revision: revision}}
+	}
+	const servers = 500
+	synctest.Test(t, func(t *testing.T) {
+		newDirectory := func() *Directory {
+			return New(&forgetful{}, aloneFleet{}, catalog.NewTable(), leadership.NewTable(), Member{Name: "vm"}, &log.Logger{Handler: discard.Default}, tally.NoopScope)
+		}
+		a, b := newDirectory(), newDirectory()
+		// tell passes what a knows on to b and returns its size, in bytes.
+		tell := func() int {
+			known := map[Kind]uint64{Servers: b.revision(Servers)}
+			question, err := json.Marshal(known)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body := a.Encode(question)
+			b.receive("a", body, known)
+			if diff := cmp.Diff(a.docs[Servers].Entries, b.docs[Servers].Entries); diff != "" {
+				t.Fatalf("b differs from a: %s", diff)
+			}
+			return len(body)
+		}
+		all := Batch{AsOf: servers}
+		for i := range uint64(servers) {
+			all.Entries = append(all.Entries, server(fmt.Sprint("s", i), i+1))
+		}
+		a.apply(Servers, all, true)
+		whole := tell()
+		a.apply(Servers, Batch{AsOf: 601, Entries: []Entry{server("s7", 601)}}, false)
+		a.apply(Servers, Batch{AsOf: 602, Entries: []Entry{{Name: "s8", Revision: 9, Deleted: true}}}, false)
+		if changes := tell(); changes > whole/20 {
+			t.Errorf("two changes of %d entries take %d bytes, all of them %d", servers, changes, whole)
+		}
+		// A list that lacks entries removes them, too.
+		a.apply(Servers, Batch{AsOf: 700, Entries: []Entry{server("s1", 2), server("s2", 3)}}, true)
+		tell()
+		// More removals than are remembered.
+		a.apply(Servers, Batch{AsOf: 800, Entries: []Entry{server("s3", 800)}}, true)
+		tell()
+	})
+}
--- a/transport/directory/peers.go
+++ b/transport/directory/peers.go
@@ -15,24 +15,49 @@
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
 
-// Encode returns the documents that are newer than the asking VM's, of which
-// the question has the revisions.
+// update is what a VM tells another one about a kind: the entries that changed
+// after the revision that the other one knows, or all of them.
+type update struct {
+	Revision uint64   `json:"revision"` // of the store when the kind last changed
+	Whole    bool     `json:"whole,omitempty"`
+	Entries  []Entry  `json:"entries,omitempty"`
+	Removed  []string `json:"removed,omitempty"`
+}
+
+// since returns what has changed after the revision.
+func (doc *document) since(known uint64) update {
+	u := update{Revision: doc.Revision, Whole: known < doc.Since}
+	for _, e := range doc.Entries {
+		if u.Whole || e.Revision > known {
+			u.Entries = append(u.Entries, e)
+		}
+	}
+	for name, revision := range doc.Removed {
+		if !u.Whole && revision > known {
+			u.Removed = append(u.Removed, name)
+		}
+	}
+	return u
+}
+
+// Encode returns what has changed in the documents after the revisions that the
+// asking VM knows, as it says in the question.
 func (d *Directory) Encode(question []byte) []byte {
 	var known map[Kind]uint64
 	if err := json.Unmarshal(question, &known); err != nil {
 		d.logger.WithError(err).Error("directory: another VM's question cannot be decoded.")
 	}
-	newer := make(map[Kind]document)
+	newer := make(map[Kind]update)
 	d.mu.Lock()
 	for kind, doc := range d.docs {
 		if doc.Revision > known[kind] {
-			newer[kind] = doc
+			newer[kind] = doc.since(known[kind])
 		}
 	}
 	d.mu.Unlock()
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
-	// Writing to memory does not fail, and documents are maps of plain values.
+	// Writing to memory does not fail, and updates are plain values.
 	if err := errors.Join(json.NewEncoder(z).Encode(newer), z.Close()); err != nil {
 		panic("directory: documents cannot be encoded: " + err.Error())
 	}
@@ -48,13 +73,26 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			d.CatchUp()
+			d.catchUp()
 		}
 	}
 }
 
-// CatchUp asks a VM that knows a newer document for it, one at a time.
-func (d *Directory) CatchUp() {
+// Heard catches up if another VM knows a newer document, as it says.
+func (d *Directory) Heard(revisions map[string]uint64) {
+	newer := false
+	d.mu.Lock()
+	for kind, revision := range revisions {
+		newer = newer || revision > d.docs[Kind(kind)].Revision
+	}
+	d.mu.Unlock()
+	if newer {
+		d.catchUp()
+	}
+}
+
+// catchUp asks a VM that knows a newer document for it, one at a time.
+func (d *Directory) catchUp() {
 	peers := d.fleet.Peers()
 	view := d.fleet.View()
 	d.mu.Lock()
@@ -76,7 +114,7 @@
 	}
 	d.fleet.Call(vm, fleetwire.KindSnapshot, question, func(f fleetwire.Frame, ok bool) {
 		if ok {
-			d.receive(vm, f.Body)
+			d.receive(vm, f.Body, known)
 		}
 		d.mu.Lock()
 		d.askedUntil = 0
@@ -117,29 +155,46 @@
 	return ""
 }
 
-// receive takes another VM's documents.
-func (d *Directory) receive(vm string, body []byte) {
-	var docs map[Kind]document
+// receive takes what another VM answered to the question with the known
+// revisions.
+func (d *Directory) receive(vm string, body []byte, known map[Kind]uint64) {
+	var updates map[Kind]update
 	z, err := gzip.NewReader(bytes.NewReader(body))
 	if err == nil {
-		err = json.NewDecoder(z).Decode(&docs)
+		err = json.NewDecoder(z).Decode(&updates)
 	}
 	if err != nil {
 		d.logger.WithError(err).WithField("vm", vm).Error("directory: another VM's documents cannot be decoded.")
 		return
 	}
-	for kind, doc := range docs {
-		for _, e := range doc.Entries {
+	for kind, u := range updates {
+		for _, e := range u.Entries {
 			if e.Config != nil {
 				e.Config.Index()
 			}
 		}
 		d.mu.Lock()
-		if doc.Revision <= d.docs[kind].Revision {
+		old := d.docs[kind]
+		if u.Revision <= old.Revision || !u.Whole && old.Revision < known[kind] {
 			d.mu.Unlock()
 			continue
 		}
-		d.logger.WithFields(log.Fields{"kind": string(kind), "vm": vm, "revision": doc.Revision}).Info("directory: learned from another VM.")
-		d.replace(kind, doc)
+		d.logger.WithFields(log.Fields{"kind": string(kind), "vm": vm, "revision": u.Revision}).Info("directory: learned from another VM.")
+		d.replace(kind, old.updated(u))
+	}
+}
+
+// updated returns the document with another VM's update.
+func (doc *document) updated(u update) document {
+	if u.Whole {
+		doc = &document{}
+	}
+	next := doc.next(u.Revision)
+	for _, e := range u.Entries {
+		next.put(e)
+	}
+	for _, name := range u.Removed {
+		next.remove(name, u.Revision)
 	}
+	return next
 }
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -75,7 +75,7 @@
 // Directory is the part of a VM's directory that other VMs use.
 type Directory interface {
 	Encode(question []byte) []byte
-	CatchUp()
+	Heard(revisions map[string]uint64)
 }
 
 // Use sets the directory. Call it before the links run.
@@ -141,7 +141,7 @@
 func (d *Dispatcher) Document(question []byte) []byte { return d.directory.Encode(question) }
 
 // StatusReceived implements fleetlink.Handler.
-func (d *Dispatcher) StatusReceived() { d.directory.CatchUp() }
+func (d *Dispatcher) StatusReceived(s *fleetwire.Status) { d.directory.Heard(s.Revisions) }
 
 // Ping implements fleetlink.Handler: it names the halves that this VM counts.
 // From then on it spends no other VM's share of any other half.
--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -89,7 +89,7 @@
 	}
 	l.Meet(s.Address)
 	l.learn(s, k)
-	l.handler.StatusReceived()
+	l.handler.StatusReceived(&s)
 	return s.Name
 }
 
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -53,8 +53,8 @@
 	Pong(from, origin string, question []byte) fleetwire.Pong
 	// PongReceived takes the answer to a ping that was sent at sentAt.
 	PongReceived(from string, p fleetwire.Pong, sentAt time.Duration)
-	// StatusReceived says that another VM described itself anew.
-	StatusReceived()
+	// StatusReceived takes what another VM said of itself.
+	StatusReceived(s *fleetwire.Status)
 	// Document returns what this VM knows from the store and the asking VM, as
 	// it says in the question, does not.
 	Document(question []byte) []byte
@@ -73,8 +73,9 @@
 	mu      lockrank.Mutex // guards the fields below
 	self    fleetwire.Status
 	peers   map[string]*peer // by address
-	view    *placement.View
-	members map[string]bool // addresses in the store's list
+	view    *placement.View  // nil if it is out of date, see current
+	longest time.Duration    // between pings, as of the view
+	members map[string]bool  // addresses in the store's list
 
 	suspected  map[string]time.Duration // data centre to when a VM of it went silent
 	said       []byte                   // by the latest pings
@@ -103,7 +104,6 @@
 		mu: lockrank.New(lockrank.Members), peers: make(map[string]*peer), members: make(map[string]bool),
 		suspected: make(map[string]time.Duration),
 	}
-	l.rebuild()
 	return l
 }
 
@@ -129,6 +129,15 @@
 func (l *Links) View() *placement.View {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.current()
+}
+
+// current returns the view, which is made anew after changes only: in a large
+// fleet many come together when it starts. The caller holds mu.
+func (l *Links) current() *placement.View {
+	if l.view == nil {
+		l.rebuild()
+	}
 	return l.view
 }
 
@@ -167,7 +176,7 @@
 			open = append(open, p.link)
 		}
 	}
-	l.rebuild()
+	l.view = nil
 	l.mu.Unlock()
 	for _, k := range open {
 		k.send(fleetwire.Frame{Kind: fleetwire.KindStatus, Body: body})
@@ -188,7 +197,7 @@
 			delete(l.peers, a)
 		}
 	}
-	l.rebuild()
+	l.view = nil
 	l.mu.Unlock()
 	for _, a := range addresses {
 		l.Meet(a)
@@ -234,7 +243,7 @@
 	return nil
 }
 
-// rebuild makes the view anew. The caller holds mu.
+// rebuild makes the view and what depends on it anew. The caller holds mu.
 func (l *Links) rebuild() {
 	v := &placement.View{Self: l.self.Name, Members: 1, Listed: len(l.members) > 0}
 	v.VMs = append(v.VMs, placementVM(&l.self, true))
@@ -247,6 +256,8 @@
 		}
 	}
 	l.view = v
+	near, far := l.intervals()
+	l.longest = max(near, far)
 }
 
 func placementVM(s *fleetwire.Status, alive bool) placement.VM {
@@ -302,7 +313,7 @@
 	if !p.known || k != nil || p.status.Incarnation <= s.Incarnation {
 		p.status, p.known = s, true
 	}
-	l.rebuild()
+	l.view = nil
 }
 
 // heard records an answer of the peer on its link. It returns the VM's name, or
@@ -317,7 +328,7 @@
 	if !p.alive && p.known {
 		p.alive = true
 		l.logger.WithField("vm", p.status.Name).Info("fleet: VM is heard.")
-		l.rebuild()
+		l.view = nil
 	}
 	return p.status.Name
 }
@@ -330,7 +341,7 @@
 		p.link = nil
 		changed = p.alive
 		p.alive = false
-		l.rebuild()
+		l.view = nil
 	}
 	name := p.status.Name
 	l.mu.Unlock()
--- a/transport/fleetlink/fleetlink_test.go
+++ b/transport/fleetlink/fleetlink_test.go
@@ -31,7 +31,7 @@
 func (idle) Ping() []byte                                            { return nil }
 func (idle) Pong(string, string, []byte) fleetwire.Pong              { return fleetwire.Pong{} }
 func (idle) PongReceived(string, fleetwire.Pong, time.Duration)      {}
-func (idle) StatusReceived()                                         {}
+func (idle) StatusReceived(*fleetwire.Status)                        {}
 func (idle) Document([]byte) []byte                                  { return nil }
 
 // world is where the VMs of a test run.
--- a/transport/fleetlink/ping.go
+++ b/transport/fleetlink/ping.go
@@ -129,8 +129,8 @@
 func (l *Links) PingInterval() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	near, far := l.intervals()
-	return max(near, far)
+	l.current()
+	return l.longest
 }
 
 // ping asks the peer for a pong.
