Wait for registrations before a first primary is missed; tell changes together

At 300 machines 76 primaries were promoted before traffic began: servers register one after the other (42 a second), and the steward took a group whose replicas were known before its primary for one without a primary. Each registration was told by two VMs to all others at once, and fetched by all.

Change: a group whose primary was never known is not given one until no new server has registered for 2.5 s. A VM tells others of its changes at most once in a millisecond for each of them; changes in between are told together.

Tests: TestDecide (not registered yet) and TestDescriptionsAreToldTogether.

--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -27,6 +27,10 @@
 	deadAfter = time.Second
 	// goneAfter is the same for a primary at whose address nothing listens.
 	goneAfter = 500 * time.Millisecond
+	// registeredWithin is how long after the latest server was registered others
+	// may still be missing: in a large deployment that starts they come one after
+	// the other, and a group's replicas may be known before its primary.
+	registeredWithin = 2500 * time.Millisecond
 	// minFailures is how many questions must have failed in that time.
 	minFailures = 2
 	// RepeatAfter is how long an order may stay without effect.
@@ -49,7 +53,9 @@
 	Refusals int             // of these, those at whose time nothing listened at the primary's address
 	Since    time.Duration   // when the steward began to watch the group
 	Isolated bool            // the steward hears no majority of the VMs
-	Now      time.Duration
+	// RegisteredAt is when a server that was not known registered last.
+	RegisteredAt time.Duration
+	Now          time.Duration
 }
 
 // Action is what the steward does about a group.
@@ -66,7 +72,8 @@
 // Decide returns what to do about a group now.
 func Decide(f Facts) Action {
 	age := f.Now - max(f.ProvenAt, f.Since)
-	lost := age > deadAfter && (f.Failures >= minFailures || f.Primary == nil)
+	missing := f.Primary == nil && (f.ProvenAt != 0 || f.Now-f.RegisteredAt > registeredWithin)
+	lost := age > deadAfter && (f.Failures >= minFailures || missing)
 	gone := age > goneAfter && f.Refusals >= minFailures
 	switch {
 	case (lost || gone) && !f.Isolated:
--- a/coordination/succession/succession_test.go
+++ b/coordination/succession/succession_test.go
@@ -17,19 +17,22 @@
 		facts Facts
 		want  Action
 	}{
-		"proven":              {Facts{Primary: primary, ProvenAt: now - proofInterval/2}, Nothing},
-		"proof is old":        {Facts{Primary: primary, ProvenAt: now - proofInterval*2}, Ask},
-		"one question failed": {Facts{Primary: primary, ProvenAt: now - 2*deadAfter, Failures: 1}, Ask},
-		"lost":                {Facts{Primary: primary, ProvenAt: now - 2*deadAfter, Failures: minFailures}, Replace},
-		"gone":                {Facts{Primary: primary, ProvenAt: now - goneAfter - 1, Failures: minFailures, Refusals: minFailures}, Replace},
-		"gone a moment ago":   {Facts{Primary: primary, ProvenAt: now - goneAfter, Failures: minFailures, Refusals: minFailures}, Ask},
-		"refused once":        {Facts{Primary: primary, ProvenAt: now - deadAfter, Failures: minFailures, Refusals: 1}, Ask},
-		"gone and isolated":   {Facts{Primary: primary, ProvenAt: now - 2*deadAfter, Failures: minFailures, Refusals: minFailures, Isolated: true}, Ask},
-		"lost and isolated":   {Facts{Primary: primary, ProvenAt: now - 2*deadAfter, Failures: minFailures, Isolated: true}, Ask},
-		"none is known":       {Facts{ProvenAt: now - 2*deadAfter}, Replace},
-		"watched since now":   {Facts{ProvenAt: now - 2*deadAfter, Since: now}, Nothing},
-		"leaving":             {Facts{Primary: primary, ProvenAt: now, Leaving: true}, HandOver},
-		"leaving and lost":    {Facts{Primary: primary, ProvenAt: now - 2*deadAfter, Failures: minFailures, Leaving: true}, Replace},
+		"proven":                     {Facts{Primary: primary, ProvenAt: now - proofInterval/2}, Nothing},
+		"proof is old":               {Facts{Primary: primary, ProvenAt: now - proofInterval*2}, Ask},
+		"one question failed":        {Facts{Primary: primary, ProvenAt: now - 2*deadAfter, Failures: 1}, Ask},
+		"lost":                       {Facts{Primary: primary, ProvenAt: now - 2*deadAfter, Failures: minFailures}, Replace},
+		"gone":                       {Facts{Primary: primary, ProvenAt: now - goneAfter - 1, Failures: minFailures, Refusals: minFailures}, Replace},
+		"gone a moment ago":          {Facts{Primary: primary, ProvenAt: now - goneAfter, Failures: minFailures, Refusals: minFailures}, Ask},
+		"refused once":               {Facts{Primary: primary, ProvenAt: now - deadAfter, Failures: minFailures, Refusals: 1}, Ask},
+		"gone and isolated":          {Facts{Primary: primary, ProvenAt: now - 2*deadAfter, Failures: minFailures, Refusals: minFailures, Isolated: true}, Ask},
+		"lost and isolated":          {Facts{Primary: primary, ProvenAt: now - 2*deadAfter, Failures: minFailures, Isolated: true}, Ask},
+		"none is known":              {Facts{ProvenAt: now - 2*deadAfter}, Replace},
+		"none was ever known":        {Facts{RegisteredAt: now - registeredWithin - 1}, Replace},
+		"not registered yet":         {Facts{RegisteredAt: now - registeredWithin}, Nothing},
+		"lost while others register": {Facts{ProvenAt: now - 2*deadAfter, RegisteredAt: now}, Replace},
+		"watched since now":          {Facts{ProvenAt: now - 2*deadAfter, Since: now}, Nothing},
+		"leaving":                    {Facts{Primary: primary, ProvenAt: now, Leaving: true}, HandOver},
+		"leaving and lost":           {Facts{Primary: primary, ProvenAt: now - 2*deadAfter, Failures: minFailures, Leaving: true}, Replace},
 	} {
 		tt.facts.Now, tt.facts.Interval = now, AskInterval(3)
 		if got := Decide(tt.facts); got != tt.want {
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -145,6 +145,8 @@
 	// UnfitSince has the servers that take no new work, draining or in a data
 	// centre that is out, with the time at which this VM learned of it.
 	UnfitSince map[string]time.Duration
+	// RegisteredAt is when this VM last learned of a server that it did not know.
+	RegisteredAt time.Duration
 }
 
 // handoverTime is how long a primary that should take no new work is still sent
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -295,7 +295,12 @@
 		out[name] = true
 	}
 	d.table.Update(func(old catalog.Deployment) catalog.Deployment {
-		next := catalog.Deployment{Config: old.Config, Out: out, Servers: d.servers(old.Servers, now)}
+		next := catalog.Deployment{Config: old.Config, Out: out, Servers: d.servers(old.Servers, now), RegisteredAt: old.RegisteredAt}
+		for id := range next.Servers {
+			if old.Servers[id] == nil {
+				next.RegisteredAt = now
+			}
+		}
 		for _, e := range d.docs[Configuration].Entries {
 			if e.Config != nil && (next.Config == nil || e.Config.Version > next.Config.Version) {
 				next.Config = e.Config
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -28,6 +28,9 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	redialDelay = 250 * time.Millisecond
+	// tellSpacing is the time between two descriptions of a VM to all others, for
+	// each of them: a thousand a second at most.
+	tellSpacing = time.Millisecond
 	// outboxHigh is how many bytes may wait for a VM that does not read.
 	outboxHigh = 1 << 20
 	queueLimit = 256
@@ -77,6 +80,9 @@
 	longest time.Duration    // between pings, as of the view
 	members map[string]bool  // addresses in the store's list
 
+	untold Scope         // to whom the latest changes of self are not told yet
+	toldAt time.Duration // when self was told last
+
 	suspected  map[string]time.Duration // data centre to when a VM of it went silent
 	said       []byte                   // by the latest pings
 	eagerUntil time.Duration            // all VMs are pinged as in a small fleet until then
@@ -102,7 +108,7 @@
 	l := &Links{
 		ctx: ctx, net: n, pool: p, logger: logger, self: self,
 		mu: lockrank.New(lockrank.Members), peers: make(map[string]*peer), members: make(map[string]bool),
-		suspected: make(map[string]time.Duration),
+		suspected: make(map[string]time.Duration), untold: None,
 	}
 	return l
 }
@@ -165,22 +171,43 @@
 	None
 )
 
-// Describe changes what this VM says of itself and tells other VMs.
+// Describe changes what this VM says of itself and tells other VMs: at once, or
+// together with the changes of the next moment if it has told them just before.
 func (l *Links) Describe(scope Scope, change func(*fleetwire.Status)) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	change(&l.self)
-	body := l.self.Encode()
-	var open []*link
+	l.view = nil
+	if scope == None {
+		return
+	}
+	waiting := l.untold < None
+	l.untold = min(l.untold, scope)
+	if waiting {
+		return
+	}
+	wait := l.toldAt + time.Duration(len(l.peers))*tellSpacing - clock.Now()
+	if wait <= 0 {
+		l.tell()
+		return
+	}
+	time.AfterFunc(wait, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.tell()
+	})
+}
+
+// tell sends the description to those that it was not told to. The caller holds
+// mu.
+func (l *Links) tell() {
+	f := fleetwire.Frame{Kind: fleetwire.KindStatus, Body: l.self.Encode()}
 	for _, p := range l.peers {
-		if p.link != nil && (scope == All || scope == Near && p.status.DataCentre == l.self.DataCentre) {
-			open = append(open, p.link)
+		if p.link != nil && (l.untold == All || p.status.DataCentre == l.self.DataCentre) {
+			p.link.send(f)
 		}
 	}
-	l.view = nil
-	l.mu.Unlock()
-	for _, k := range open {
-		k.send(fleetwire.Frame{Kind: fleetwire.KindStatus, Body: body})
-	}
+	l.untold, l.toldAt = None, clock.Now()
 }
 
 // Members sets the VMs in the store's list, by address. VMs that left the list
--- a/transport/fleetlink/fleetlink_test.go
+++ b/transport/fleetlink/fleetlink_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +49,13 @@
 // start starts the links of a VM, which is in a data centre of its own, and
 // returns them and what ends the VM.
 func (w *world) start(vm int, change func(*fleetwire.Status)) (*fleetlink.Links, func()) {
+	return w.run(vm, idle{}, change)
+}
+
+// startHandling starts the links of a VM with a handler.
+func (w *world) startHandling(vm int, h fleetlink.Handler) { w.run(vm, h, nil) }
+
+func (w *world) run(vm int, h fleetlink.Handler, change func(*fleetwire.Status)) (*fleetlink.Links, func()) {
 	ctx, cancel := context.WithCancel(w.ctx)
 	name, dc := fmt.Sprintf("vm-%d", vm), fmt.Sprintf("dc-%d", vm)
 	status := fleetwire.Status{Name: name, Address: address(vm), DataCentre: dc, Incarnation: 1}
@@ -55,7 +63,7 @@
 		change(&status)
 	}
 	l := fleetlink.New(ctx, w.net.Host(name, dc), w.pool, status, &log.Logger{Handler: discard.Default})
-	l.Handle(idle{})
+	l.Handle(h)
 	ended := make(chan struct{})
 	w.running.Go(func() {
 		defer close(ended)
@@ -235,3 +243,37 @@
 		}
 	})
 }
+
+// Guards against a VM that describes itself to a large fleet at each of many
+// changes, and against a last change that is not told.
+func TestDescriptionsAreToldTogether(t *testing.T) {
+	inWorld(t, 300, func(w *world) {
+		first, _ := w.start(1, nil)
+		h := &listener{}
+		w.startHandling(2, h)
+		time.Sleep(2 * time.Second)
+		before := h.heard.Load()
+		for i := range 100 {
+			first.Describe(fleetlink.All, func(s *fleetwire.Status) { s.Revisions = map[string]uint64{"kind": uint64(i + 1)} })
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(400 * time.Millisecond)
+		if told := h.heard.Load() - before; told > 6 {
+			t.Errorf("100 changes in a second are told %d times", told)
+		}
+		if latest := h.revision.Load(); latest != 100 {
+			t.Errorf("the latest revision told is %d", latest)
+		}
+	})
+}
+
+// listener counts descriptions and keeps the latest revision of "kind".
+type listener struct {
+	idle
+	heard, revision atomic.Uint64
+}
+
+func (l *listener) StatusReceived(s *fleetwire.Status) {
+	l.heard.Add(1)
+	l.revision.Store(s.Revisions["kind"])
+}
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -263,7 +263,7 @@
 
 func (s *Steward) checkGroup(ctx context.Context, g *errgroup.Group, r *round, group string) {
 	now, d := clock.Now(), r.deployment
-	facts := succession.Facts{Now: now, Isolated: s.View().Isolated(), Interval: r.interval}
+	facts := succession.Facts{Now: now, Isolated: s.View().Isolated(), Interval: r.interval, RegisteredAt: d.RegisteredAt}
 	s.Leads.With(group, func(l *leadership.Group) {
 		facts.Primary = l.Primary(d.GroupServers(group), now)
 		facts.ProvenAt = l.ProvenAt()
