--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -81,6 +81,7 @@
 // Group holds what this VM knows about the leadership of a group.
 type Group struct {
 	primary     string
+	designated  string // only server that may be the primary; "" if any may be
 	term        uint64
 	confirmedAt time.Duration
 	samples     []Sample // in ascending order, all of the current term
@@ -122,10 +123,10 @@
 }
 
 // RecordConfirmation records that the server was the primary at sentAt or later,
-// with a log that ended at p. Confirmations of earlier terms than the latest are
-// ignored.
+// with a log that ended at p. Confirmations of earlier terms than the latest, and of
+// other servers than the designated one, are ignored.
 func (g *Group) RecordConfirmation(id string, p state.Point, sentAt time.Duration) {
-	if p.Term < g.term || p.Term == 0 {
+	if p.Term < g.term || p.Term == 0 || g.designated != "" && id != g.designated {
 		return
 	}
 	if p.Term > g.term {
@@ -198,6 +199,19 @@
 	return minPoint
 }
 
+// Designate records that only the given server may be the primary, because VMs have
+// stopped using the others. It may not have taken over yet.
+func (g *Group) Designate(id string) { g.designated = id }
+
+// AwaitsDesignated returns the designated server if it has not confirmed its
+// leadership yet, or "".
+func (g *Group) AwaitsDesignated() string {
+	if g.designated == g.primary {
+		return ""
+	}
+	return g.designated
+}
+
 // RecordNotPrimary records that the server refused, as a replica, a statement
 // that only a primary runs.
 func (g *Group) RecordNotPrimary(s *catalog.Server) {
@@ -223,8 +237,11 @@
 // eligible. Suspected servers rank below all others; otherwise a confirmed
 // primary ranks above one that is only registered.
 func (g *Group) primaryRank(s *catalog.Server, now time.Duration) int {
+	if g.designated != "" && s.ID != g.designated {
+		return -1
+	}
 	v := g.server(s.ID)
-	confirmed := s.ID == g.primary
+	confirmed := s.ID == g.primary || s.ID == g.designated
 	if !confirmed && !s.Primary || v.denied && s.Revision <= v.deniedRevision {
 		return -1
 	}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -31,6 +31,7 @@
 	Alive       bool            // heard from recently; always true for this VM
 	Leaving     bool            // shutting down
 	StoreCutOff bool            // cannot reach the store
+	NoLease     bool            // must not use primaries, see package fencing
 	Unreachable map[string]bool // backend servers that it cannot reach
 }
 
@@ -80,14 +81,17 @@
 // server. It reports false if no VM that is alive can reach the server.
 func (v *View) ConnectionOwner(customer string, s *catalog.Server) (string, bool) {
 	key := customer + "|" + s.ID
-	local := v.bestVM(key, func(vm *VM) bool {
-		return vm.DataCentre == s.DataCentre && !vm.Leaving && !vm.Unreachable[s.ID]
-	})
-	if local != "" {
-		return local, true
+	reaches := func(vm *VM) bool { return !vm.Leaving && !vm.Unreachable[s.ID] }
+	for _, eligible := range []func(*VM) bool{
+		func(vm *VM) bool { return reaches(vm) && !vm.NoLease && vm.DataCentre == s.DataCentre },
+		func(vm *VM) bool { return reaches(vm) && !vm.NoLease },
+		reaches,
+	} {
+		if vm := v.bestVM(key, eligible); vm != "" {
+			return vm, true
+		}
 	}
-	remote := v.bestVM(key, func(vm *VM) bool { return !vm.Leaving && !vm.Unreachable[s.ID] })
-	return remote, remote != ""
+	return "", false
 }
 
 // QuotaCoordinators returns the VMs that account for the partitions of a
--- a/node.go
+++ b/node.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/fencing"
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/coordination/quota"
@@ -21,6 +22,7 @@
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 	"github.com/chestnutdyke/chestnutdyke/transport/directory"
 	"github.com/chestnutdyke/chestnutdyke/transport/dispatch"
+	"github.com/chestnutdyke/chestnutdyke/transport/fencer"
 	"github.com/chestnutdyke/chestnutdyke/transport/fleetlink"
 	"github.com/chestnutdyke/chestnutdyke/transport/network"
 	"github.com/chestnutdyke/chestnutdyke/transport/pool"
@@ -50,6 +52,10 @@
 	Source        directory.Source
 	Duties        promotion.Duties
 	Platform      promotion.Platform
+	// PlatformEnforcesFencing says that a replaced primary stops at once and that
+	// the platform refuses orders with outdated fencing tokens. Otherwise the VMs
+	// stop using a primary before another server is promoted; see package fencing.
+	PlatformEnforcesFencing bool
 
 	Logger  log.Interface
 	Scope   tally.Scope
@@ -96,6 +102,7 @@
 	frontend            *sqlfront.Server
 	directory           *directory.Directory
 	failoverCoordinator *promotion.Coordinator
+	fencer              *fencer.Fencer // nil if the platform enforces fencing
 	started             time.Duration
 
 	warmedUp       atomic.Bool // warmUpTime has passed since the start
@@ -110,6 +117,7 @@
 	n.quota = quota.NewTable(n.started)
 	n.links = fleetlink.New(ctx, o.Network, n.pool, fleetwire.Status{
 		Name: o.Name, Address: o.LinkAddress, DataCentre: o.DataCentre, Weight: o.Weight, Incarnation: time.Now().UnixNano(),
+		Fencing: !o.PlatformEnforcesFencing, NoLease: !o.PlatformEnforcesFencing,
 	}, o.Logger)
 	n.executor = sqlback.New(sqlback.Options{
 		Network: o.Network, Dialect: o.ServerDialect, Pool: n.pool, Table: n.catalog, Logger: o.Logger, Scope: o.Scope, Tracer: o.Tracer,
@@ -120,11 +128,19 @@
 		ReportUnreachable: func(unreachable []string) {
 			n.links.UpdateStatus(fleetlink.All, func(s *fleetwire.Status) { s.Unreachable = unreachable })
 		},
+		CheckPrimary: n.checkPrimary,
 	})
+	if !o.PlatformEnforcesFencing {
+		n.fencer = fencer.New(fencer.Options{Links: n.links, Executor: n.executor, Leadership: n.leaders, Logger: o.Logger})
+	}
 	n.admission = admission.New(n.catalog, n.quota, n.links, o.Logger, o.Scope)
-	n.dispatcher = dispatch.New(dispatch.Options{
+	dispatchOptions := dispatch.Options{
 		Self: o.Name, Links: n.links, Executor: n.executor, Admission: n.admission, Quota: n.quota, Leadership: n.leaders, Table: n.catalog, Logger: o.Logger,
-	})
+	}
+	if n.fencer != nil {
+		dispatchOptions.Fencer = n.fencer
+	}
+	n.dispatcher = dispatch.New(dispatchOptions)
 	n.frontend = sqlfront.New(sqlfront.Options{
 		Network: o.Network, Address: o.ClientAddress, DataCentre: o.DataCentre, Dialect: o.ClientDialect, Pool: n.pool, Table: n.catalog,
 		Leadership: n.leaders, View: n.links.View, Runner: n.dispatcher, Admitter: n.admission, Logger: o.Logger, Scope: o.Scope, Tracer: o.Tracer,
@@ -132,13 +148,25 @@
 	member := directory.Member{Name: o.Name, Address: o.LinkAddress}
 	n.directory = directory.New(o.Source, n.links, n.catalog, n.leaders, member, o.Logger, o.Scope)
 	n.dispatcher.SetDirectory(n.directory)
-	n.failoverCoordinator = promotion.New(promotion.Options{
+	promotionOptions := promotion.Options{
 		Name: o.Name, Platform: o.Platform, Duties: o.Duties, Runner: n.dispatcher, Reports: o.ServerDialect, Table: n.catalog, Leadership: n.leaders,
 		View: n.links.View, Logger: o.Logger, Scope: o.Scope,
-	})
+	}
+	if n.fencer != nil {
+		promotionOptions.Fencer = n.fencer
+	}
+	n.failoverCoordinator = promotion.New(promotionOptions)
 	return n
 }
 
+// checkPrimary reports whether this VM may use the server as the primary of the group.
+func (n *Node) checkPrimary(group, server string) fencing.Verdict {
+	if n.fencer == nil {
+		return fencing.Allowed // a replaced primary refuses the statement itself
+	}
+	return n.fencer.Check(group, server)
+}
+
 // Run serves until the context passed to NewNode is done. It returns an error if
 // the VM cannot listen on one of its addresses.
 func (n *Node) Run() error {
@@ -148,6 +176,9 @@
 	g.Go(func() error { return n.pool.Run(ctx) })
 	g.Go(func() error { return n.links.Run(ctx) })
 	g.Go(func() error { return n.executor.Run(ctx) })
+	if n.fencer != nil {
+		g.Go(func() error { return n.fencer.Run(ctx) })
+	}
 	g.Go(func() error { return n.directory.Run(ctx) })
 	g.Go(func() error { return n.failoverCoordinator.Run(ctx) })
 	g.Go(func() error { return n.frontend.Run(ctx) })
--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -38,6 +38,10 @@
 	KindTokenGrant                    // number of tokens granted, the response to KindTokenRequest
 	KindSnapshot                      // the latest revision that the sender knows of each kind of the store's objects, in JSON; asks for newer ones
 	KindSnapshotReply                 // the newer objects in JSON, the response to KindSnapshot
+	KindFence                         // a Fence: designations to accept; only sent to VMs whose Status has Fencing
+	KindFenced                        // the sender's fencing.State, the response to KindFence
+	KindRenewal                       // digest of the sender's fencing.State; asks the receiver to renew its lease; only sent to VMs whose Status has Fencing
+	KindRenewed                       // a Renewed, the response to KindRenewal
 )
 
 // Frame is one message. ID matches a response to its request; it is zero in messages
--- a/protocol/fleetwire/fleetwire_test.go
+++ b/protocol/fleetwire/fleetwire_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/fencing"
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
@@ -40,6 +41,22 @@
 	}
 }
 
+// Guards against designations that are lost or swapped by encoding and decoding.
+func TestFencingRoundTrip(t *testing.T) {
+	state := fencing.State{Claim: 1001, Designations: []fencing.Designation{{Group: "g", Server: "s", Token: 1002}, {Group: "h", Server: "r", Token: 7}}}
+	fence := Fence{State: state, Drain: 300 * time.Millisecond}
+	if got, err := DecodeFence(fence.Append(nil)); err != nil || !cmp.Equal(fence, got) {
+		t.Errorf("fence: %v\n%s", err, cmp.Diff(fence, got))
+	}
+	renewed := Renewed{Settled: true, State: state}
+	if got, err := DecodeRenewed(renewed.Append(nil)); err != nil || !cmp.Equal(renewed, got) {
+		t.Errorf("renewal: %v\n%s", err, cmp.Diff(renewed, got))
+	}
+	if got, err := DecodeFencingState(AppendFencingState(nil, &state)); err != nil || !cmp.Equal(state, got) {
+		t.Errorf("state: %v\n%s", err, cmp.Diff(state, got))
+	}
+}
+
 // Guards against ages that are rounded down: a confirmation would look fresher
 // than it is.
 func TestAgeIsRoundedUp(t *testing.T) {
@@ -68,6 +85,7 @@
 func FuzzDecode(f *testing.F) {
 	f.Add(AppendStatement(nil, &statement.RemoteStatement{Customer: "c", Values: []statement.Value{{Name: "n"}}}))
 	f.Add(AppendResult(nil, &statement.Result{Answer: statement.Answer{Rows: []string{"a"}}}))
+	f.Add((&Fence{State: fencing.State{Claim: 1, Designations: []fencing.Designation{{Group: "g", Server: "s", Token: 2}}}}).Append(nil))
 	f.Add((&Pong{Lent: []catalog.LimitPartition{{Customer: "c"}}}).Append(nil))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if stmt, err := DecodeStatement(b); err == nil && stmt == nil {
@@ -79,6 +97,9 @@
 			t.Errorf("decoded the partition %d, which does not exist", p.Index)
 		}
 		DecodePartitions(b)
+		DecodeFence(b)
+		DecodeRenewed(b)
+		DecodeFencingState(b)
 		DecodeStatus(b)
 		ReadFrame(bufio.NewReader(bytes.NewReader(b)))
 	})
--- a/protocol/fleetwire/status.go
+++ b/protocol/fleetwire/status.go
@@ -18,6 +18,8 @@
 	StoreCutOff bool              `json:"store_cut_off,omitempty"` // the VM cannot reach the store
 	Unreachable []string          `json:"unreachable,omitempty"`   // IDs of backend servers that the VM cannot reach
 	Revisions   map[string]uint64 `json:"revisions,omitempty"`     // latest known revision of the store's objects, by kind
+	Fencing     bool              `json:"fencing,omitempty"`       // the VM handles KindFence and KindRenewal
+	NoLease     bool              `json:"no_lease,omitempty"`      // the VM must not use primaries, see package fencing
 }
 
 // Encode returns the status in JSON.
--- a/standin/managed/check.go
+++ b/standin/managed/check.go
@@ -95,6 +95,15 @@
 			c.addViolation("write %s was committed although its client was told that it was not", w.id)
 		}
 	}
+	for item, acks := range c.acked {
+		for _, a := range acks {
+			for _, g := range groups {
+				if g.committedAfterReplacement(a.id) {
+					c.addViolation("write %d of %s was committed by a replaced primary and acknowledged", a.value, item)
+				}
+			}
+		}
+	}
 	for _, g := range groups {
 		for _, id := range g.repeatedIDs() {
 			c.addViolation("write %s was committed more than once", id)
@@ -120,6 +129,14 @@
 	return false
 }
 
+// committedAfterReplacement reports whether a replaced primary committed the write of
+// the statement.
+func (g *Group) committedAfterReplacement(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.supersededCommits[id]
+}
+
 // repeatedIDs returns the ids of the statements that are in the log more than once.
 func (g *Group) repeatedIDs() []string {
 	g.mu.Lock()
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -40,6 +41,7 @@
 	Work         time.Duration // time that a statement takes
 	Handshake    time.Duration // time that opening a connection takes
 	Codec        Codec
+	Unfenced     bool // a replaced primary goes on, see Options.Unfenced
 
 	mu   sync.Mutex // guards the fields below and those of the servers
 	term uint64
@@ -50,6 +52,9 @@
 	// droppedCommits counts the commits that the new primary of a promotion had not
 	// received.
 	droppedCommits int
+	// supersededCommits holds the ids of the statements that replaced primaries
+	// committed.
+	supersededCommits map[string]bool
 }
 
 // Server models a backend server of a group.
@@ -70,6 +75,48 @@
 	// the connection instead of answering.
 	answersToDrop int
 	executions    map[string]int // by statement id
+	// superseded is the log of a replaced primary that goes on, or nil.
+	superseded *supersededLog
+	// reaches reports whether the server can connect to another one.
+	reaches func(address string) bool
+}
+
+// supersededLog is the log of a primary that goes on after its replacement.
+type supersededLog struct {
+	term uint64
+	log  []logEntry
+}
+
+// currentLog returns the log that the server reads from, as far as it has received it.
+// The caller holds the group's mu.
+func (s *Server) currentLog() []logEntry {
+	if s.superseded != nil {
+		return s.superseded.log
+	}
+	return s.group.log[:s.logLength()]
+}
+
+// currentTerm returns the term that the server knows. The caller holds the group's mu.
+func (s *Server) currentTerm() uint64 {
+	if s.superseded != nil {
+		return s.superseded.term
+	}
+	return s.group.term
+}
+
+// appendLog commits an entry. The caller holds the group's mu.
+func (s *Server) appendLog(e logEntry) {
+	if s.superseded == nil {
+		s.group.log = append(s.group.log, e)
+		return
+	}
+	s.superseded.log = append(s.superseded.log, e)
+	s.group.supersededCommits[e.id] = true
+}
+
+// becomeReplica ends the role of a replaced primary. The caller holds the group's mu.
+func (s *Server) becomeReplica() {
+	s.primary, s.superseded = false, nil
 }
 
 // logLength returns the length of the log prefix that the server has. The caller
@@ -95,6 +142,9 @@
 // that ended the point's term did not drop it. The caller holds the group's mu.
 func (s *Server) contains(p state.Point) bool {
 	g := s.group
+	if s.superseded != nil {
+		return p.Term <= s.superseded.term && p.Position <= uint64(len(s.superseded.log))
+	}
 	if p.Term > g.term || uint64(s.logLength()) < p.Position {
 		return false
 	}
@@ -103,7 +153,7 @@
 
 // point returns the end of the server's log. The caller holds the group's mu.
 func (s *Server) point() state.Point {
-	return state.Point{Term: s.group.term, Position: uint64(s.logLength())}
+	return state.Point{Term: s.currentTerm(), Position: uint64(len(s.currentLog()))}
 }
 
 // NewGroup returns a group without servers, in term 1 and with an empty log.
@@ -111,6 +161,7 @@
 	return &Group{
 		Name: name, Lag: lag, PromoteDelay: 300 * time.Millisecond, MaxConns: maxConns, Work: 5 * time.Millisecond,
 		Handshake: 10 * time.Millisecond, Codec: codec, term: 1, termStarts: map[uint64]uint64{1: 0}, servers: make(map[string]*Server),
+		supersededCommits: make(map[string]bool),
 	}
 }
 
@@ -136,35 +187,62 @@
 	return g.term
 }
 
-// isPrimary reports whether the named server is the primary.
-func (g *Group) isPrimary(id string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	s := g.servers[id]
-	return s != nil && s.primary
-}
-
 // promote makes the named server the primary. Commits that it has not received are
 // dropped from the log.
 func (g *Group) promote(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.servers[id]
-	if s == nil || s.down || s.primary {
+	if s == nil || s.down || s.primary && s.superseded == nil {
 		return
 	}
+	s.superseded = nil
 	kept := s.logLength()
+	for _, other := range g.servers {
+		if g.Unfenced && other.primary && other.superseded == nil {
+			other.superseded = &supersededLog{term: g.term, log: slices.Clone(g.log)}
+			go other.endWhenReplaced(s)
+		}
+	}
 	g.droppedCommits += len(g.log) - kept
 	g.log = g.log[:kept]
 	g.term++
 	g.termStarts[g.term] = uint64(kept)
 	for _, other := range g.servers {
-		other.primary = false
+		if other.superseded == nil {
+			other.primary = false
+		}
 		other.received = min(other.received, kept)
 	}
 	s.primary, s.paused = true, false
 }
 
+// endWhenReplaced makes a replaced primary a replica once it can reach its successor for
+// a second.
+func (s *Server) endWhenReplaced(successor *Server) {
+	const (
+		interval = 50 * time.Millisecond
+		needed   = time.Second
+	)
+	reachedFor := time.Duration(0)
+	for reachedFor < needed {
+		time.Sleep(interval)
+		reachedFor += interval
+		if !s.reaches(successor.Address) {
+			reachedFor = 0
+		}
+		s.group.mu.Lock()
+		ended := s.superseded == nil || s.down
+		s.group.mu.Unlock()
+		if ended {
+			return
+		}
+	}
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.becomeReplica()
+}
+
 // serve accepts connections until ctx is done, and handles each in a goroutine.
 func (s *Server) serve(ctx context.Context, l net.Listener) {
 	stop := context.AfterFunc(ctx, func() { l.Close() })
@@ -264,7 +342,7 @@
 // mayWrite reports whether the session's server is the primary, and still that of
 // the term in which an open read-write transaction began.
 func (sess *session) mayWrite() bool {
-	return sess.server.primary && (!sess.inTx || sess.readOnly || sess.term == sess.server.group.term)
+	return sess.server.primary && (!sess.inTx || sess.readOnly || sess.term == sess.server.currentTerm())
 }
 
 // apply executes a command. Like run, it reports whether the answer is to be
@@ -282,7 +360,7 @@
 		if !s.primary {
 			return statement.Refusal(statement.ReadOnly, s.ID), false
 		}
-		sess.inTx, sess.readOnly, sess.term = true, false, g.term
+		sess.inTx, sess.readOnly, sess.term = true, false, s.currentTerm()
 	case statement.BeginReadOnly:
 		sess.inTx, sess.readOnly = true, true
 	case statement.Rollback:
@@ -302,7 +380,9 @@
 	case statement.Discard:
 		clear(sess.prepared)
 	case statement.StepDown:
-		s.primary = false
+		if c.Term > s.currentTerm() {
+			s.becomeReplica()
+		}
 		return statement.Answer{Rows: []string{g.Codec.EncodeReport(false, s.point(), len(s.conns))}}, false
 	case statement.Status:
 		return statement.Answer{Rows: []string{g.Codec.EncodeReport(s.primary, s.point(), len(s.conns))}}, false
@@ -315,7 +395,7 @@
 }
 
 func (sess *session) readOrWrite(c *statement.Command, write bool) (statement.Answer, bool) {
-	s, g := sess.server, sess.server.group
+	s := sess.server
 	if (write || sess.inTx && !sess.readOnly) && !sess.mayWrite() {
 		return statement.Refusal(statement.ReadOnly, s.ID), false
 	}
@@ -323,7 +403,7 @@
 	item, data, _ := strings.Cut(c.Payload, " ")
 	if !write {
 		a := statement.Answer{Signature: s.ID}
-		for _, entry := range g.log[:s.logLength()] {
+		for _, entry := range s.currentLog() {
 			if entry.item == item {
 				a.Rows = []string{entry.data}
 			}
@@ -335,7 +415,7 @@
 		sess.writes = append(sess.writes, entry)
 		return statement.Answer{Signature: s.ID}, false
 	}
-	g.log = append(g.log, entry)
+	s.appendLog(entry)
 	return statement.Answer{Signature: s.ID}, sess.dropsAnswer()
 }
 
@@ -356,7 +436,7 @@
 	}
 	for _, entry := range sess.writes {
 		entry.at = time.Now()
-		sess.server.group.log = append(sess.server.group.log, entry)
+		sess.server.appendLog(entry)
 	}
 	sess.endTransaction()
 	return statement.Answer{Signature: sess.server.ID}, sess.dropsAnswer()
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -50,8 +50,12 @@
 	Rate      float64       // limit of each customer in operations a second, also its burst
 	Lag       time.Duration // replication lag of replicas
 	MaxConns  int           // that each backend server accepts
-	Logger    log.Interface // nil discards log entries
-	Tracer    trace.Tracer  // nil discards spans
+	// Unfenced makes the platform execute orders regardless of their fencing tokens,
+	// and a replaced primary go on until it is told to step down or can reach its
+	// successor for a second.
+	Unfenced bool
+	Logger   log.Interface // nil discards log entries
+	Tracer   trace.Tracer  // nil discards spans
 }
 
 // Deployment is a fleet of VMs with its simulated platform, in virtual time.
@@ -137,6 +141,7 @@
 
 func (d *Deployment) startGroup(name string, index int) {
 	g := NewGroup(name, d.MaxConns, d.Lag, Backend{})
+	g.Unfenced = d.Unfenced
 	d.Groups[name] = g
 	d.Store.AddGroup(g)
 	for z := range d.Zones {
@@ -154,6 +159,16 @@
 	}
 	s := g.Add(d.ctx, id, zone, l, primary)
 	s.Address = address
+	s.reaches = func(address string) bool {
+		ctx, cancel := context.WithTimeout(d.ctx, 20*time.Millisecond)
+		defer cancel()
+		conn, err := host.Dial(ctx, address)
+		if err != nil {
+			return false
+		}
+		conn.Close()
+		return true
+	}
 	go Report(d.ctx, d.Store, s)
 	return s
 }
@@ -205,7 +220,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range g.servers {
-		if s.primary && !s.down {
+		if s.primary && !s.down && s.superseded == nil {
 			return s
 		}
 	}
@@ -344,8 +359,9 @@
 	vm.Node = chestnutdyke.NewNode(ctx, chestnutdyke.NodeOptions{
 		Name: name, DataCentre: zone, Weight: 1, Workers: 2, Grace: 6 * time.Second,
 		ClientAddress: fmt.Sprintf("%s:%d", name, clientPort), LinkAddress: fmt.Sprintf("%s:%d", name, linkPort),
-		ReadyAddress: fmt.Sprintf("%s:%d", name, readyPort),
-		Network:      host, ClientDialect: Clients{}, ServerDialect: Servers{}, Source: c, Duties: c, Platform: c,
+		ReadyAddress:            fmt.Sprintf("%s:%d", name, readyPort),
+		PlatformEnforcesFencing: !d.Unfenced,
+		Network:                 host, ClientDialect: Clients{}, ServerDialect: Servers{}, Source: c, Duties: c, Platform: c,
 		Logger: d.Logger.WithField("vm", name), Scope: tally.NoopScope, Tracer: d.Tracer,
 	})
 	d.mu.Lock()
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -33,6 +33,7 @@
 	outages       map[string]Outage // by name of the VM that is affected; "" affects all
 	answersToDrop int               // number of coming orders that are not answered and run after orderDelay
 	orderDelay    time.Duration
+	refuseOrders  bool // orders do not reach the platform
 	orders        []Order
 	calls         int // of all VMs; a watch counts again whenever it is woken
 }
@@ -52,6 +53,7 @@
 	Group, Server, Holder string // Holder is the VM that sent the order
 	Token                 uint64 // fencing token
 	Refused               bool   // the token was lower than an earlier one
+	Outdated              bool   // the group is unfenced, and the order was sent after one with a higher token
 }
 
 func newStore() *Store {
@@ -111,6 +113,14 @@
 	s.answersToDrop, s.orderDelay = n, delay
 }
 
+// RefuseOrders makes orders fail before they reach the platform, until it is called with
+// false.
+func (s *Store) RefuseOrders(refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuseOrders = refuse
+}
+
 // Calls returns the number of calls that VMs made. Orders to promote do not count.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -295,6 +305,16 @@
 // Promote implements promotion.Platform.
 func (c client) Promote(ctx context.Context, group, server, holder string, token uint64) error {
 	c.mu.Lock()
+	if c.refuseOrders {
+		c.mu.Unlock()
+		return promotion.ErrNotSent
+	}
+	g := c.groups[group]
+	o := Order{Group: group, Server: server, Holder: holder, Token: token}
+	if g != nil && g.Unfenced {
+		o.Outdated = token < c.fencingTokens[group]
+		c.fencingTokens[group] = max(c.fencingTokens[group], token)
+	}
 	dropAnswer := c.answersToDrop > 0
 	delay := storeLatency
 	if dropAnswer {
@@ -303,12 +323,12 @@
 	}
 	c.mu.Unlock()
 	if dropAnswer {
-		time.AfterFunc(delay, func() { c.execute(group, server, holder, token) })
+		time.AfterFunc(delay, func() { c.execute(g, o) })
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	time.Sleep(delay)
-	if !c.execute(group, server, holder, token) {
+	if !c.execute(g, o) {
 		return promotion.ErrRefused
 	}
 	return nil
@@ -316,19 +336,17 @@
 
 // execute runs an order to promote and reports whether the platform accepts it. An
 // accepted order promotes the server after the group's PromoteDelay.
-func (c client) execute(group, server, holder string, token uint64) bool {
+func (c client) execute(g *Group, o Order) bool {
 	c.mu.Lock()
-	refused := token < c.fencingTokens[group]
-	c.fencingTokens[group] = max(c.fencingTokens[group], token)
-	c.orders = append(c.orders, Order{group, server, holder, token, refused})
-	g := c.groups[group]
+	o.Refused = g == nil || !g.Unfenced && o.Token < c.fencingTokens[o.Group]
+	c.fencingTokens[o.Group] = max(c.fencingTokens[o.Group], o.Token)
+	c.orders = append(c.orders, o)
 	c.mu.Unlock()
-	if refused || g == nil {
+	if o.Refused {
 		return false
 	}
-	if g.isPrimary(server) {
-		return true // an order for the current primary changes nothing
-	}
-	time.AfterFunc(g.PromoteDelay, func() { g.promote(server) })
+	// Whether the server already is the primary is decided when the order takes
+	// effect.
+	time.AfterFunc(g.PromoteDelay, func() { g.promote(o.Server) })
 	return true
 }
--- a/state/lockrank/lockrank.go
+++ b/state/lockrank/lockrank.go
@@ -27,6 +27,7 @@
 	Shares   Rank = 60 // rate, burst and connection shares
 	Groups   Rank = 70 // views of database groups and their position waiters
 	Backends Rank = 80 // backend connections and their wait queues
+	Fencing  Rank = 85 // designated primaries and the lease to use them
 	Counters Rank = 90 // counters read by status and metrics
 )
 
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -47,9 +47,16 @@
 	Quota      *quota.Table
 	Leadership *leadership.Table
 	Table      *catalog.Table
+	Fencer     Fencer // nil if the platform enforces fencing
 	Logger     log.Interface
 }
 
+// Fencer responds to the failover coordinator and to lease renewals of other VMs.
+type Fencer interface {
+	HandleFence(body []byte, reply func([]byte)) error
+	HandleRenewal(body []byte) ([]byte, error)
+}
+
 // Dispatcher implements fleetlink.Handler and sqlfront.Runner.
 type Dispatcher struct {
 	Options
@@ -144,6 +151,22 @@
 // UpdatesSince implements fleetlink.Handler.
 func (d *Dispatcher) UpdatesSince(known []byte) []byte { return d.directory.EncodeUpdates(known) }
 
+// HandleFencing implements fleetlink.Handler. It ignores the calls if the platform
+// enforces fencing.
+func (d *Dispatcher) HandleFencing(kind fleetwire.Kind, _ string, body []byte, reply func(fleetwire.Kind, []byte)) error {
+	switch {
+	case d.Fencer == nil:
+		return nil
+	case kind == fleetwire.KindFence:
+		return d.Fencer.HandleFence(body, func(b []byte) { reply(fleetwire.KindFenced, b) })
+	}
+	b, err := d.Fencer.HandleRenewal(body)
+	if err == nil {
+		reply(fleetwire.KindRenewed, b)
+	}
+	return err
+}
+
 // HandleStatus implements fleetlink.Handler.
 func (d *Dispatcher) HandleStatus(s *fleetwire.Status) { d.directory.HandleRevisions(s.Revisions) }
 
--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -168,6 +168,8 @@
 		}
 	case fleetwire.KindSnapshot:
 		reply(fleetwire.KindSnapshotReply, l.handler.UpdatesSince(f.Body))
+	case fleetwire.KindFence, fleetwire.KindRenewal:
+		err = l.handler.HandleFencing(f.Kind, from, f.Body, reply)
 	}
 	if err != nil {
 		l.logger.WithError(err).WithField("vm", from).Error("fleet: a call cannot be decoded.")
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -65,6 +65,9 @@
 	// UpdatesSince returns the encoded updates from the store after the encoded
 	// revisions that the requesting VM knows.
 	UpdatesSince(known []byte) []byte
+	// HandleFencing handles a call of the kind KindFence or KindRenewal, and calls
+	// reply at most once. An error closes the link.
+	HandleFencing(kind fleetwire.Kind, from string, body []byte, reply func(fleetwire.Kind, []byte)) error
 }
 
 // Links manages the links of a VM.
@@ -295,7 +298,7 @@
 func placementVM(s *fleetwire.Status, alive bool) placement.VM {
 	vm := placement.VM{
 		Name: s.Name, DataCentre: s.DataCentre, Weight: s.Weight, Alive: alive, Incarnation: s.Incarnation,
-		Leaving: s.Leaving, StoreCutOff: s.StoreCutOff,
+		Leaving: s.Leaving, StoreCutOff: s.StoreCutOff, NoLease: s.NoLease,
 	}
 	if len(s.Unreachable) > 0 {
 		vm.Unreachable = make(map[string]bool, len(s.Unreachable))
--- a/transport/fleetlink/fleetlink_test.go
+++ b/transport/fleetlink/fleetlink_test.go
@@ -34,6 +34,9 @@
 func (idleHandler) HandlePong(string, fleetwire.Pong, time.Duration)                   {}
 func (idleHandler) HandleStatus(*fleetwire.Status)                                     {}
 func (idleHandler) UpdatesSince([]byte) []byte                                         { return nil }
+func (idleHandler) HandleFencing(fleetwire.Kind, string, []byte, func(fleetwire.Kind, []byte)) error {
+	return nil
+}
 
 // testFleet is the environment in which the VMs of a test run.
 type testFleet struct {
--- a/transport/fleetlink/link.go
+++ b/transport/fleetlink/link.go
@@ -22,7 +22,7 @@
 	lastID uint64
 	calls  map[uint64]pendingCall
 	broken bool
-	// waitingCalls is the number of calls other than pings without a response, and
+	// waitingCalls is the number of calls other than heartbeats without a response, and
 	// waitingFrom the time since which it has been above zero.
 	waitingCalls int
 	waitingFrom  time.Duration
@@ -30,8 +30,8 @@
 
 // pendingCall is a call without a response yet.
 type pendingCall struct {
-	ping bool
-	done func(fleetwire.Frame, bool)
+	heartbeat bool // a ping or a lease renewal
+	done      func(fleetwire.Frame, bool)
 }
 
 func newLink(conn net.Conn) *link {
@@ -48,9 +48,9 @@
 	}
 	k.lastID++
 	f.ID = k.lastID
-	ping := f.Kind == fleetwire.KindPing
-	k.calls[f.ID] = pendingCall{ping, done}
-	if !ping {
+	heartbeat := f.Kind == fleetwire.KindPing || f.Kind == fleetwire.KindRenewal
+	k.calls[f.ID] = pendingCall{heartbeat, done}
+	if !heartbeat {
 		if k.waitingCalls == 0 {
 			k.waitingFrom = clock.Now()
 		}
@@ -66,7 +66,7 @@
 	k.mu.Lock()
 	c, known := k.calls[f.ID]
 	delete(k.calls, f.ID)
-	if known && !c.ping {
+	if known && !c.heartbeat {
 		k.waitingCalls--
 	}
 	k.mu.Unlock()
@@ -75,7 +75,7 @@
 	}
 }
 
-// waitingSince returns the time since which calls other than pings have been
+// waitingSince returns the time since which calls other than heartbeats have been
 // waiting for responses, and whether any are waiting.
 func (k *link) waitingSince() (since time.Duration, waiting bool) {
 	k.mu.Lock()
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -177,17 +177,20 @@
 // promote orders a promotion, waits for it to take effect, and reports whether
 // the server has become the primary.
 func (c *Coordinator) promote(ctx context.Context, group string, candidate succession.Candidate, gs *groupState) bool {
-	if !c.giveOrder(ctx, group, candidate.Server, gs) {
-		return false
-	}
+	return c.giveOrder(ctx, group, candidate.Server, gs) && c.awaitLeadership(ctx, group, candidate.Server)
+}
+
+// awaitLeadership waits until the server confirms its leadership, for at most
+// succession.RepeatAfter, and reports whether it did.
+func (c *Coordinator) awaitLeadership(ctx context.Context, group string, server *catalog.Server) bool {
 	ordered := clock.Now()
 	deadline := time.Now().Add(succession.RepeatAfter)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		confirmed := make(chan bool, 1)
 		sentAt := clock.Now()
-		c.runOnServer(group, candidate.Server, statement.RemoteStatement{BeginsTx: true, Command: statement.Command{Verb: statement.Rollback}}, func(r statement.Result) {
+		c.runOnServer(group, server, statement.RemoteStatement{BeginsTx: true, Command: statement.Command{Verb: statement.Rollback}}, func(r statement.Result) {
 			if r.PrimaryConfirmed {
-				c.Leadership.With(group, func(l *leadership.Group) { l.RecordConfirmation(candidate.Server.ID, r.Answer.At, sentAt) })
+				c.Leadership.With(group, func(l *leadership.Group) { l.RecordConfirmation(server.ID, r.Answer.At, sentAt) })
 			}
 			confirmed <- r.PrimaryConfirmed
 		})
@@ -197,7 +200,7 @@
 		case isPrimary := <-confirmed:
 			if isPrimary {
 				c.steps[stepConfirm].RecordDuration(clock.Now() - ordered)
-				c.Logger.WithFields(log.Fields{"group": group, "server": candidate.Server.ID}).Info("promotion: the new primary has confirmed its leadership.")
+				c.Logger.WithFields(log.Fields{"group": group, "server": server.ID}).Info("promotion: the new primary has confirmed its leadership.")
 				return true
 			}
 		}
@@ -216,9 +219,28 @@
 // giveOrder gives one order to the platform and reports whether it was
 // executed.
 func (c *Coordinator) giveOrder(ctx context.Context, group string, server *catalog.Server, gs *groupState) bool {
+	err := c.sendOrder(ctx, group, server)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err == nil:
+		gs.orderUnconfirmed = false
+	case errors.Is(err, ErrRefused):
+		// Another VM may have claimed the duty, so this VM has to claim it
+		// again.
+		c.dropTokens()
+	case !errors.Is(err, ErrNotSent):
+		gs.orderUnconfirmed = true
+	}
+	return err == nil
+}
+
+// sendOrder sends one order to the platform. Its errors are those of Platform.Promote;
+// ErrNotSent also if this VM has no fencing token left.
+func (c *Coordinator) sendOrder(ctx context.Context, group string, server *catalog.Server) error {
 	token, ok := c.nextFencingToken()
 	if !ok {
-		return false
+		return ErrNotSent
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -226,26 +248,13 @@
 	begin := clock.Now()
 	err := c.Platform.Promote(ctx, group, server.ID, c.Name, token)
 	c.steps[stepOrder].RecordDuration(clock.Now() - begin)
-	refused := errors.Is(err, ErrRefused)
-	c.mu.Lock()
-	if err != nil && !refused {
-		gs.orderUnconfirmed = true
-	} else if err == nil {
-		gs.orderUnconfirmed = false
-	}
-	if refused {
-		// Another VM may have claimed the duty, so this VM has to claim it
-		// again.
-		c.nextToken, c.endToken = 0, 0
-	}
-	c.mu.Unlock()
 	entry := c.Logger.WithFields(log.Fields{"group": group, "server": server.ID, "token": token})
 	if err != nil {
 		entry.WithError(err).Warn("promotion: order not confirmed.")
-		return false
+		return err
 	}
 	entry.Info("promotion: order carried out.")
-	return true
+	return nil
 }
 
 func (c *Coordinator) finishPromotion(gs *groupState) {
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/fencing"
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
@@ -57,8 +58,9 @@
 // Platform executes promotions.
 type Platform interface {
 	// Promote makes the server the primary of the group. If it fails with
-	// ErrRefused, the platform refused the order. After any other error the
-	// order may have been executed, or may still be executed.
+	// ErrRefused, the platform refused the order; if it fails with ErrNotSent, the
+	// platform did not receive it. After any other error the order may have been
+	// executed, or may still be executed.
 	Promote(ctx context.Context, group, server, holder string, token uint64) error
 }
 
@@ -66,6 +68,23 @@
 // given or the server is not running.
 var ErrRefused = eris.New("the platform refused the order")
 
+// ErrNotSent states that the platform could not be reached.
+var ErrNotSent = eris.New("the platform could not be reached")
+
+// Fencer makes the other VMs stop using a former primary. Package fencing has the
+// rules.
+type Fencer interface {
+	// Designate makes the VMs use no other server as the primary of the group, and
+	// returns true once none does.
+	Designate(ctx context.Context, d fencing.Designation, drain time.Duration) bool
+	// AnnounceClaim returns true once no earlier coordinator can send an order.
+	AnnounceClaim(ctx context.Context, token uint64, orderTimeout time.Duration) bool
+	// Claim returns the first fencing token of the latest known coordinator.
+	Claim() uint64
+	// HasLease reports whether this VM has contact with a quorum of the VMs.
+	HasLease() bool
+}
+
 // Duty is the record in the store of the VM that orders promotions.
 type Duty struct {
 	Holder   string
@@ -95,6 +114,7 @@
 	Reports    sqlback.Dialect // decodes the servers' reports of role and position
 	Table      *catalog.Table
 	Leadership *leadership.Table
+	Fencer     Fencer // nil if the platform enforces fencing
 	View       func() *placement.View
 	Logger     log.Interface
 	Scope      tally.Scope
@@ -109,10 +129,12 @@
 	orderCount    tally.Counter
 	steps         map[step]tally.Histogram
 
-	mu        lockrank.Mutex // guards the fields below
-	nextToken uint64         // next unused fencing token of the reserved ones
-	endToken  uint64         // end of the reserved fencing tokens, exclusive
-	groups    map[string]*groupState
+	mu         lockrank.Mutex // guards the fields below
+	firstToken uint64         // first of the reserved fencing tokens
+	nextToken  uint64         // next unused fencing token of the reserved ones
+	endToken   uint64         // end of the reserved fencing tokens, exclusive
+	exclusive  bool           // no earlier coordinator can send an order
+	groups     map[string]*groupState
 }
 
 // step is a step of a change of primary.
@@ -120,6 +142,7 @@
 
 const (
 	stepDetect  step = "detect" // from the latest leadership confirmation to the decision
+	stepFence   step = "fence"  // until the VMs have stopped using the former primary
 	stepOrder   step = "order"  // an order, regardless of its outcome
 	stepConfirm step = "lead"   // from the order to the new primary's confirmation
 )
@@ -129,7 +152,7 @@
 
 func newSteps(scope tally.Scope) map[step]tally.Histogram {
 	steps := make(map[step]tally.Histogram)
-	for _, s := range []step{stepDetect, stepOrder, stepConfirm} {
+	for _, s := range []step{stepDetect, stepFence, stepOrder, stepConfirm} {
 		steps[s] = scope.Tagged(map[string]string{"step": string(s)}).Histogram("promotion_step", stepBuckets)
 	}
 	return steps
@@ -146,6 +169,7 @@
 	// orderUnconfirmed is set after an order whose outcome is unknown. It may
 	// still be executed, until a newer order has been.
 	orderUnconfirmed bool
+	switchoverAt     time.Duration // earliest time of the next switchover, after one that failed
 }
 
 // New returns a Coordinator that is not running yet.
@@ -167,7 +191,7 @@
 			return g.Wait()
 		case <-ticker.C:
 		}
-		if c.selected() && c.claimDuty(ctx) {
+		if c.selected() && c.claimDuty(ctx, g) {
 			c.checkGroups(ctx, g)
 		}
 	}
@@ -188,7 +212,7 @@
 		c.selectedSince = 0
 		c.mu.Lock()
 		c.groups = make(map[string]*groupState)
-		c.nextToken, c.endToken = 0, 0
+		c.dropTokens()
 		c.mu.Unlock()
 		return false
 	}
@@ -199,34 +223,52 @@
 	return now-c.selectedSince >= claimDelay
 }
 
-// holdsDuty reports whether this VM has reserved fencing tokens left.
+// dropTokens makes this VM claim the duty again before its next order. The caller holds
+// mu.
+func (c *Coordinator) dropTokens() {
+	c.nextToken, c.endToken, c.exclusive = 0, 0, false
+}
+
+// holdsDuty reports whether this VM has reserved fencing tokens left, and no other VM
+// has claimed the duty since, as far as is known.
 func (c *Coordinator) holdsDuty() bool {
+	superseded := uint64(0)
+	if c.Fencer != nil {
+		superseded = c.Fencer.Claim()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if superseded > c.firstToken {
+		c.dropTokens()
+	}
 	return c.nextToken < c.endToken
 }
 
 // claimDuty claims the duty unless this VM already holds it, and reports
 // whether this VM holds it.
-func (c *Coordinator) claimDuty(ctx context.Context) bool {
+func (c *Coordinator) claimDuty(ctx context.Context, g *errgroup.Group) bool {
 	if c.holdsDuty() {
 		return true
 	}
 	if c.Table.Current().Config == nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	duty, err := c.Duties.ReadDuty(ctx)
+	duty, err := c.Duties.ReadDuty(callCtx)
 	if err == nil {
 		duty.Holder = c.Name
 		first := max(duty.NextFree, 1)
 		duty.NextFree = first + tokensPerClaim
-		if err = c.Duties.WriteDuty(ctx, duty); err == nil {
+		if err = c.Duties.WriteDuty(callCtx, duty); err == nil {
 			c.mu.Lock()
-			c.nextToken, c.endToken = first, duty.NextFree
+			c.firstToken, c.nextToken, c.endToken = first, first, duty.NextFree
+			c.exclusive = c.Fencer == nil
 			c.mu.Unlock()
 			c.Logger.WithFields(log.Fields{"token": first}).Info("promotion: this VM is the failover coordinator.")
+			if c.Fencer != nil {
+				g.Go(func() error { c.becomeExclusive(ctx, first); return nil })
+			}
 			return true
 		}
 	}
@@ -237,6 +279,28 @@
 	return false
 }
 
+// becomeExclusive waits until no earlier coordinator can send an order. If no majority
+// of the VMs responds, this VM claims the duty again.
+func (c *Coordinator) becomeExclusive(ctx context.Context, token uint64) {
+	alone := c.Fencer.AnnounceClaim(ctx, token, orderTimeout)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.firstToken != token:
+	case alone:
+		c.exclusive = true
+	default:
+		c.dropTokens()
+	}
+}
+
+// isExclusive reports whether no earlier coordinator can send an order.
+func (c *Coordinator) isExclusive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.exclusive
+}
+
 // nextFencingToken returns a fencing token that has not been used before.
 func (c *Coordinator) nextFencingToken() (uint64, bool) {
 	c.mu.Lock()
@@ -272,9 +336,11 @@
 func (c *Coordinator) checkGroup(ctx context.Context, g *errgroup.Group, check *groupCheck, group string) {
 	now, d := clock.Now(), check.deployment
 	status := succession.GroupStatus{Now: now, Isolated: c.View().InMinority(), Interval: check.interval, RegisteredAt: d.RegisteredAt}
+	awaited := ""
 	c.Leadership.With(group, func(l *leadership.Group) {
 		status.Primary = l.Primary(d.GroupServers(group), now)
 		status.ConfirmedAt = l.ConfirmedAt()
+		awaited = l.AwaitsDesignated()
 	})
 	status.Leaving = status.Primary != nil && !d.Usable(status.Primary)
 	c.mu.Lock()
@@ -290,6 +356,10 @@
 	if gs.promoting {
 		return
 	}
+	if c.Fencer != nil && !c.Fencer.HasLease() {
+		// Queries fail for lack of a lease and say nothing about the primary.
+		gs.watchedSince = now
+	}
 	if status.ConfirmedAt >= gs.queriedAt {
 		gs.failures, gs.refusals = 0, 0
 	}
@@ -302,16 +372,36 @@
 			c.queryPrimary(group, status.Primary, gs)
 		}
 	case succession.Switchover:
+		if !c.exclusive || now < gs.switchoverAt {
+			return
+		}
 		gs.promoting = true
-		g.Go(func() error { c.switchOver(ctx, group, status.Primary, gs); return nil })
+		g.Go(func() error {
+			if c.Fencer != nil {
+				c.switchOverFenced(ctx, group, status.Primary, gs)
+			} else {
+				c.switchOver(ctx, group, status.Primary, gs)
+			}
+			return nil
+		})
 	case succession.Replace:
+		if !c.exclusive {
+			return
+		}
 		gs.promoting = true
 		c.steps[stepDetect].RecordDuration(now - status.ConfirmedAt)
 		c.Logger.WithFields(log.Fields{"group": group, "proof_age_ms": (now - status.ConfirmedAt).Milliseconds(), "failures": gs.failures, "refusals": gs.refusals}).
 			Warn("promotion: the primary is lost.")
-		g.Go(func() error { c.replacePrimary(ctx, group, status.Primary, gs); return nil })
+		g.Go(func() error {
+			if c.Fencer != nil {
+				c.replaceFenced(ctx, group, status.Primary, awaited, gs)
+			} else {
+				c.replacePrimary(ctx, group, status.Primary, gs)
+			}
+			return nil
+		})
 	default:
-		if gs.orderUnconfirmed && status.Primary != nil && status.ConfirmedAt >= gs.queriedAt {
+		if c.Fencer == nil && gs.orderUnconfirmed && status.Primary != nil && status.ConfirmedAt >= gs.queriedAt {
 			gs.promoting = true
 			g.Go(func() error { c.supersedeOrder(ctx, group, status.Primary, gs); return nil })
 		}
--- a/transport/sqlback/conn.go
+++ b/transport/sqlback/conn.go
@@ -39,8 +39,9 @@
 
 	// The transaction that is open (state connIdleInTx), or that the job opens or
 	// uses. Both fields are zero without a transaction.
-	tx     uint64
-	origin string // link over which the transaction was opened, or this VM; see Execute
+	tx         uint64
+	txReadOnly bool
+	origin     string // link over which the transaction was opened, or this VM; see Execute
 
 	job           *job
 	unanswered    []commandKind // commands sent without an answer yet, oldest first
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/fencing"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
@@ -71,6 +72,7 @@
 // serverPool holds one customer's connections to one server.
 type serverPool struct {
 	key      poolKey
+	group    string // of the server
 	conns    []*conn
 	waiting  []*job
 	failedAt time.Time // latest failed connection attempt; zero after a success
@@ -88,6 +90,7 @@
 	beginPoint  state.Point // log position that BEGIN returned
 	sent        bool        // the statement was sent, at least in part, and may have run
 	finished    bool
+	draining    bool // the server is no longer the designated primary, but its answer still counts
 	aborted     bool // AbortTx or AbortLink was called: end the transaction after the statement
 }
 
@@ -106,6 +109,7 @@
 	holdsConnections func(customer string, s *catalog.Server) bool
 	// reportUnreachable tells the other VMs which servers this VM cannot reach.
 	reportUnreachable func(unreachable []string)
+	checkPrimary      func(group, server string) fencing.Verdict
 
 	lastProbe time.Time // used by Run only
 
@@ -115,6 +119,7 @@
 	runningJobs  int      // jobs without a result
 	callbacks    []func() // run after the current event, without mu
 	lastTx       uint64
+	drains       []*primaryDrain
 	failingSince map[string]time.Time // server to its first failed connection attempt since a success
 	unreachable  map[string]bool
 }
@@ -130,15 +135,23 @@
 	Tracer            trace.Tracer
 	HoldsConnections  func(customer string, s *catalog.Server) bool // this VM holds the customer's connections to the server
 	ReportUnreachable func(unreachable []string)                    // called after each change, with all unreachable servers in order
+	// CheckPrimary reports whether this VM may use the server as the primary of the
+	// group; nil allows all servers. It must not take locks of a rank up to
+	// lockrank.Backends.
+	CheckPrimary func(group, server string) fencing.Verdict
 }
 
 // New returns an executor. Run must be called to maintain its connections.
 func New(o Options) *Executor {
+	if o.CheckPrimary == nil {
+		o.CheckPrimary = func(string, string) fencing.Verdict { return fencing.Allowed }
+	}
 	return &Executor{
 		net: o.Network, dialect: o.Dialect, queue: o.Pool.NewQueue(queueLimit), table: o.Table, logger: o.Logger,
 		connectionsOpened: o.Scope.Counter("server_connections_opened"), connectionWait: o.Scope.Histogram("connection_wait", connectionWaitBuckets),
 		tracer: o.Tracer, holdsConnections: o.HoldsConnections, reportUnreachable: o.ReportUnreachable,
-		mu: lockrank.New(lockrank.Backends), pools: make(map[poolKey]*serverPool), txs: make(map[uint64]*conn),
+		checkPrimary: o.CheckPrimary,
+		mu:           lockrank.New(lockrank.Backends), pools: make(map[poolKey]*serverPool), txs: make(map[uint64]*conn),
 		failingSince: make(map[string]time.Time), unreachable: make(map[string]bool),
 	}
 }
@@ -191,10 +204,10 @@
 	})
 }
 
-func (e *Executor) pool(key poolKey) *serverPool {
+func (e *Executor) pool(key poolKey, group string) *serverPool {
 	p := e.pools[key]
 	if p == nil {
-		p = &serverPool{key: key}
+		p = &serverPool{key: key, group: group}
 		e.pools[key] = p
 	}
 	return p
--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -70,7 +70,7 @@
 		e.finish(j, statement.Refusal(statement.Unreachable, "the server is not registered here"))
 		return
 	}
-	p := e.pool(poolKey{j.stmt.Customer, j.stmt.Server})
+	p := e.pool(poolKey{j.stmt.Customer, j.stmt.Server}, server.Group)
 	if c := p.findIdle(j.stmt.Values); c != nil {
 		e.assign(c, j)
 		return
@@ -94,6 +94,9 @@
 	c.job, j.conn = j, c
 	e.connectionWait.RecordDuration(time.Since(j.submittedAt))
 	c.state = connBusy
+	if e.refuseIfNotPrimary(c) {
+		return
+	}
 	for _, command := range c.setupCommands(j) {
 		e.send(c, commandSetup, command)
 	}
@@ -113,6 +116,9 @@
 // must not be sent with BEGIN: if the server refused BEGIN, the statement would
 // run outside a transaction.
 func (e *Executor) sendStatement(c *conn) {
+	if e.refuseIfNotPrimary(c) {
+		return
+	}
 	j := c.job
 	j.sent = true
 	command := j.stmt.Command
@@ -201,6 +207,10 @@
 // handleStatementAnswer ends the job, and keeps the connection for its
 // transaction if that stays open. The caller holds mu.
 func (e *Executor) handleStatementAnswer(c *conn, a statement.Answer) {
+	if a.Code == statement.OK && !e.answerCounts(c) {
+		e.closeConn(c, statement.Lost, "the server may have been replaced as the primary")
+		return
+	}
 	j := c.job
 	c.job = nil
 	w := j.stmt
@@ -223,7 +233,7 @@
 	}
 	if c.tx == 0 {
 		e.lastTx++
-		c.tx, c.origin = e.lastTx, j.origin
+		c.tx, c.txReadOnly, c.origin = e.lastTx, w.ReadOnlyTx, j.origin
 		e.txs[c.tx] = c
 	}
 	c.state, c.idleSince = connIdleInTx, time.Now()
@@ -262,7 +272,7 @@
 // refuseWaiting removes a job from the queue for connections and refuses it. The
 // caller holds mu.
 func (e *Executor) refuseWaiting(j *job, reason string) {
-	p := e.pool(poolKey{j.stmt.Customer, j.stmt.Server})
+	p := e.pool(poolKey{j.stmt.Customer, j.stmt.Server}, j.stmt.Group)
 	p.waiting = slices.DeleteFunc(p.waiting, func(other *job) bool { return other == j })
 	e.finish(j, statement.Refusal(statement.Busy, reason))
 }
@@ -276,6 +286,7 @@
 	}
 	j.finished = true
 	e.runningJobs--
+	e.finishDrains()
 	j.timer.Stop()
 	if r.Answer.Code != statement.OK {
 		j.span.SetStatus(codes.Error, r.Answer.Code.String())
