Decode the store's objects one by one, and survive malformed messages

Cause: a response of the store was decoded as a whole, so one odd object of another program (nested deeply, a number too large, very long) hid all instances for as long as it existed. A statement with the verb Unknown from another VM, and a link that closed while the pool stopped, ended the process.

Change: responses are split into objects, which are decoded one by one; an object that cannot be used is recorded under its name and names no instance. Run-time errors end only the session, link or connection whose message caused them; broken invariants still end the process.

--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -133,13 +133,13 @@
 }
 
 // DecodeStatement decodes the output of AppendStatement. It fails on unknown
-// verbs, which a newer VM may send.
+// verbs, which a newer VM may send, and on statement.Unknown, which no server runs.
 func DecodeStatement(b []byte) (*statement.RemoteStatement, error) {
 	d := decoder{b: b}
 	flags, verb := d.byte(), d.byte()
 	stmt := &statement.RemoteStatement{RequirePrimary: flags&flagRequirePrimary != 0, BeginsTx: flags&flagBeginsTx != 0, ReadOnlyTx: flags&flagReadOnlyTx != 0}
 	stmt.Command.Verb, stmt.Command.Writes = statement.Verb(verb), flags&flagWrites != 0
-	if !stmt.Command.Verb.Valid() {
+	if !stmt.Command.Verb.Valid() || stmt.Command.Verb == statement.Unknown {
 		return nil, eris.Errorf("statement with the unknown verb %d", verb)
 	}
 	for _, s := range []*string{&stmt.Customer, &stmt.Group, &stmt.Server, &stmt.Command.ID, &stmt.Command.Name, &stmt.Command.Payload} {
--- a/protocol/fleetwire/fleetwire_test.go
+++ b/protocol/fleetwire/fleetwire_test.go
@@ -76,14 +76,16 @@
 			t.Errorf("result with an unknown %s is decoded as %+v", name, r)
 		}
 	}
-	if stmt, err := DecodeStatement(AppendStatement(nil, &statement.RemoteStatement{Command: statement.Command{Verb: unknown}})); err == nil {
-		t.Errorf("a statement with an unknown verb is decoded as %+v", stmt)
+	for _, verb := range []statement.Verb{unknown, statement.Unknown} {
+		if stmt, err := DecodeStatement(AppendStatement(nil, &statement.RemoteStatement{Command: statement.Command{Verb: verb}})); err == nil {
+			t.Errorf("a statement with the unknown verb %d is decoded as %+v", verb, stmt)
+		}
 	}
 }
 
 // Guards against a crash on malformed messages.
 func FuzzDecode(f *testing.F) {
-	f.Add(AppendStatement(nil, &statement.RemoteStatement{Customer: "c", Values: []statement.Value{{Name: "n"}}}))
+	f.Add(AppendStatement(nil, &statement.RemoteStatement{Customer: "c", Command: statement.Command{Verb: statement.Read}, Values: []statement.Value{{Name: "n"}}}))
 	f.Add(AppendResult(nil, &statement.Result{Answer: statement.Answer{Rows: []string{"a"}}}))
 	f.Add((&Fence{State: fencing.State{Claim: 1, Designations: []fencing.Designation{{Group: "g", Server: "s", Token: 2}}}}).Append(nil))
 	f.Add((&Pong{Lent: []catalog.LimitPartition{{Customer: "c"}}}).Append(nil))
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -243,6 +243,10 @@
 
 // applyBatch applies a batch from the store: a complete list, or changes.
 func (d *Directory) applyBatch(kind Kind, batch Batch, full bool) {
+	if batch.Unnamed > 0 {
+		d.logger.WithFields(log.Fields{"kind": string(kind), "objects": batch.Unnamed, "revision": batch.AsOf}).
+			Warn("directory: objects without a readable name were skipped.")
+	}
 	if !full && len(batch.Entries) == 0 {
 		return
 	}
@@ -252,7 +256,10 @@
 	listed := make(map[string]bool, len(batch.Entries))
 	for _, e := range batch.Entries {
 		listed[e.Name] = true
-		if e.Invalid != "" {
+		if e.Revision == 0 {
+			e.Revision = batch.AsOf // its own cannot be read, and other VMs need one
+		}
+		if e.Invalid != "" && e.Revision != old.Entries[e.Name].Revision {
 			d.logger.WithFields(log.Fields{"kind": string(kind), "name": e.Name, "revision": e.Revision, "why": e.Invalid}).
 				Warn("directory: an object cannot be used.")
 		}
--- a/transport/directory/directory_test.go
+++ b/transport/directory/directory_test.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -118,3 +120,27 @@
 		transfer()
 	})
 }
+
+// Guards against crashes on malformed documents of other VMs.
+func FuzzDecodeUpdates(f *testing.F) {
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	if _, err := z.Write([]byte(`{"servers":{"revision":3,"entries":[{"Name":"a","Revision":2}],"removed":["b"]}}`)); err != nil {
+		f.Fatal(err)
+	}
+	if err := z.Close(); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b.Bytes())
+	f.Add([]byte("no gzip"))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		updates, err := decodeUpdates(body)
+		if err != nil {
+			return
+		}
+		for _, u := range updates {
+			var doc document
+			doc.withUpdate(u)
+		}
+	})
+}
--- a/transport/directory/peers.go
+++ b/transport/directory/peers.go
@@ -6,9 +6,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rotisserie/eris"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
@@ -132,14 +134,24 @@
 	return ""
 }
 
+// maxUpdatesSize limits the decompressed size of another VM's documents, in bytes.
+const maxUpdatesSize = 64 << 20
+
+// decodeUpdates decodes the output of EncodeUpdates.
+func decodeUpdates(body []byte) (map[Kind]update, error) {
+	z, err := gzip.NewReader(bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "documents of another VM")
+	}
+	var updates map[Kind]update
+	err = json.NewDecoder(io.LimitReader(z, maxUpdatesSize)).Decode(&updates)
+	return updates, eris.Wrap(err, "documents of another VM")
+}
+
 // applyUpdates applies another VM's response to a request that listed the known
 // revisions.
 func (d *Directory) applyUpdates(vm string, body []byte, known map[Kind]uint64) {
-	var updates map[Kind]update
-	z, err := gzip.NewReader(bytes.NewReader(body))
-	if err == nil {
-		err = json.NewDecoder(z).Decode(&updates)
-	}
+	updates, err := decodeUpdates(body)
 	if err != nil {
 		d.logger.WithError(err).WithField("vm", vm).Error("directory: another VM's documents cannot be decoded.")
 		return
--- a/transport/directory/source.go
+++ b/transport/directory/source.go
@@ -34,6 +34,7 @@
 type Batch struct {
 	Entries []Entry
 	AsOf    uint64 // revision of the store
+	Unnamed int    // objects whose name cannot be read; they are skipped
 }
 
 // Member is a VM in the store's list of members.
--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rotisserie/eris"
 
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
@@ -68,7 +69,7 @@
 	l.mu.Unlock()
 	k.send(fleetwire.Frame{Kind: fleetwire.KindStatus, Body: body})
 	l.sendPing(p, k, l.handler.PingBody())
-	err := l.readFrames(ctx, k, func(f fleetwire.Frame) {
+	err := l.readFrames(k, func(f fleetwire.Frame) {
 		if f.Kind == fleetwire.KindStatus {
 			l.handleStatus(f.Body, k)
 			return
@@ -95,11 +96,19 @@
 	return s.Name
 }
 
+// errStopping is the reason for which links close when this VM stops.
+var errStopping = eris.New("this VM is stopping")
+
 // readFrames calls f for the frames of a link, in order and on pool workers,
 // until the link is lost.
-func (l *Links) readFrames(ctx context.Context, k *link, f func(fleetwire.Frame)) error {
+func (l *Links) readFrames(k *link, f func(fleetwire.Frame)) error {
 	queue := l.pool.NewQueue(queueLimit)
 	defer queue.Close()
+	queue.HandlePanics(func(err error, stack []byte) {
+		l.logger.WithError(err).WithFields(log.Fields{"peer": k.conn.RemoteAddr().String(), "stack": string(stack)}).
+			Error("fleet: a message caused a run-time error, the link is closed.")
+		k.out.CloseNow()
+	})
 	r := bufio.NewReader(k.conn)
 	for {
 		frame, err := fleetwire.ReadFrame(r)
@@ -107,7 +116,8 @@
 			return err
 		}
 		if !queue.PostBlocking(func() { f(frame) }) {
-			return context.Cause(ctx)
+			// The pool may reject events before ctx is done.
+			return errStopping
 		}
 	}
 }
@@ -125,7 +135,7 @@
 	// old one is closed. Transactions therefore belong to a link, not to a VM.
 	number := strconv.FormatUint(l.acceptedLinks.Add(1), 10)
 	var from string
-	err := l.readFrames(ctx, k, func(f fleetwire.Frame) {
+	err := l.readFrames(k, func(f fleetwire.Frame) {
 		if f.Kind == fleetwire.KindStatus {
 			if name := l.handleStatus(f.Body, nil); name != "" {
 				from = name
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"runtime"
+	"runtime/debug"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -37,13 +39,31 @@
 	return p
 }
 
+// Protect calls f. If f fails with a run-time error, such as the use of a nil pointer,
+// Protect calls handle with the error and the stack, so that one malformed message
+// ends only what it belongs to. All other panics are broken invariants and end the
+// process.
+func Protect(f func(), handle func(err error, stack []byte)) {
+	defer func() {
+		switch v := recover().(type) {
+		case nil:
+		case runtime.Error:
+			handle(v, debug.Stack())
+		default:
+			panic(v)
+		}
+	}()
+	f()
+}
+
 // Queue is a bounded FIFO queue of events that run one at a time.
 type Queue struct {
 	pool           *Pool
 	spaceAvailable *sync.Cond // signalled when an event is removed, and when the queue or the pool closes
 	events         []func()
 	limit          int
-	scheduled      bool // the queue is in runnable, or a worker runs one of its events
+	handlePanic    func(err error, stack []byte) // see HandlePanics
+	scheduled      bool                          // the queue is in runnable, or a worker runs one of its events
 	closed         bool
 }
 
@@ -57,6 +77,11 @@
 	return q
 }
 
+// HandlePanics makes the queue call handle if one of its events fails with a run-time
+// error, as described at Protect. It must be called before the first event is posted.
+// Without it, a run-time error ends the process.
+func (q *Queue) HandlePanics(handle func(err error, stack []byte)) { q.handlePanic = handle }
+
 // Post appends an event. It returns false without blocking if the queue is full
 // or if the queue or the pool is closed; the event is then dropped.
 func (q *Queue) Post(event func()) bool {
@@ -150,7 +175,11 @@
 		if q == nil {
 			return
 		}
-		event()
+		if q.handlePanic != nil {
+			Protect(event, q.handlePanic)
+		} else {
+			event()
+		}
 		p.finish(q)
 	}
 }
--- a/transport/pool/pool_test.go
+++ b/transport/pool/pool_test.go
@@ -103,3 +103,38 @@
 		b.Fatal(err)
 	}
 }
+
+// Guards against a malformed message that ends the whole process, or that blocks the
+// worker which handled it.
+func TestRuntimeErrorEndsOneEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, stop := startPool(t, 1)
+		q := p.NewQueue(4)
+		var handled error
+		q.HandlePanics(func(err error, stack []byte) {
+			if len(stack) == 0 {
+				t.Error("no stack")
+			}
+			handled = err
+		})
+		ran := false
+		q.PostBlocking(func() { empty := []int{}; empty[len(empty)] = 1 })
+		q.PostBlocking(func() { var pointer *int; *pointer = 1 })
+		q.PostBlocking(func() { ran = true })
+		synctest.Wait()
+		stop()
+		if handled == nil || !ran {
+			t.Errorf("handled %v, next event ran: %v", handled, ran)
+		}
+	})
+}
+
+// Guards against a process that goes on after a broken invariant.
+func TestBrokenInvariantIsNotHandled(t *testing.T) {
+	defer func() {
+		if recover() != "invariant" {
+			t.Error("the panic did not end the caller")
+		}
+	}()
+	Protect(func() { panic("invariant") }, func(error, []byte) { t.Error("a broken invariant was handled") })
+}
--- a/transport/sqlback/conn.go
+++ b/transport/sqlback/conn.go
@@ -116,7 +116,7 @@
 			e.post(func() { e.connectionBroken(c, err) })
 			return
 		}
-		e.post(func() { e.handleAnswer(c, answer) })
+		e.post(func() { e.handleMessage(c, func() { e.handleAnswer(c, answer) }) })
 	}
 }
 
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -166,11 +166,26 @@
 		e.callbacks = nil
 		e.mu.Unlock()
 		for _, callback := range callbacks {
-			callback()
+			pool.Protect(callback, e.logPanic)
 		}
 	})
 }
 
+// logPanic logs a run-time error in a callback, which belongs to one statement.
+func (e *Executor) logPanic(err error, stack []byte) {
+	e.logger.WithError(err).WithField("stack", string(stack)).Error("backend: a result caused a run-time error.")
+}
+
+// handleMessage handles a message of a server on the connection. A run-time error closes
+// the connection.
+func (e *Executor) handleMessage(c *conn, handle func()) {
+	pool.Protect(handle, func(err error, stack []byte) {
+		e.logger.WithError(err).WithFields(log.Fields{"server": c.pool.key.server, "stack": string(stack)}).
+			Error("backend: a message caused a run-time error, the connection is closed.")
+		e.connectionBroken(c, err)
+	})
+}
+
 // Execute runs a statement and calls done once, on a pool worker. origin
 // identifies the link on which the statement arrived, or this VM.
 func (e *Executor) Execute(origin string, w *statement.RemoteStatement, done func(statement.Result)) {
--- a/transport/sqlfront/hop.go
+++ b/transport/sqlfront/hop.go
@@ -43,6 +43,7 @@
 	admissionLatency tally.Histogram // time to check an operation against the customer's limit
 	hopLatency       [numHopKinds]tally.Histogram
 	readsHedged      tally.Counter // reads sent to a second server
+	runtimeErrors    tally.Counter // sessions ended by a run-time error
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -54,6 +55,7 @@
 		m.statementLatency[kind] = scope.Tagged(map[string]string{"route": name}).Histogram("statement_latency", latencyBuckets)
 	}
 	m.readsHedged = scope.Counter("reads_hedged")
+	m.runtimeErrors = scope.Counter("session_runtime_errors")
 	m.admissionLatency = scope.Histogram("admission_latency", latencyBuckets)
 	for kind, name := range hopNames {
 		m.hopLatency[kind] = scope.Tagged(map[string]string{"hop": name}).Histogram("hop_latency", latencyBuckets)
--- a/transport/sqlfront/server.go
+++ b/transport/sqlfront/server.go
@@ -140,6 +140,7 @@
 		return
 	}
 	c := &session{server: s, stateMachine: stateMachine, conn: conn, out: out, queue: s.Pool.NewQueue(queueLimit)}
+	c.queue.HandlePanics(c.handlePanic)
 	defer c.queue.Close()
 	s.add(c)
 	defer s.remove(c)
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -68,6 +68,15 @@
 
 func (c *session) busy() bool { return c.current != nil || c.admitting }
 
+// handlePanic ends the session after an event failed with a run-time error. The broken
+// connection leaves the outcome of its requests open.
+func (c *session) handlePanic(err error, stack []byte) {
+	c.server.Logger.WithError(err).WithFields(log.Fields{"client": c.conn.RemoteAddr().String(), "stack": string(stack)}).
+		Error("session: a request caused a run-time error, the session is closed.")
+	c.server.runtimeErrors.Inc(1)
+	c.out.CloseNow()
+}
+
 // receive handles a request from the client, or queues it while another is being
 // processed.
 func (c *session) receive(r statement.Request) {
