--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -53,9 +53,10 @@
 	// Unfenced makes the platform execute orders regardless of their fencing tokens,
 	// and a replaced primary go on until it is told to step down or can reach its
 	// successor for a second.
-	Unfenced bool
-	Logger   log.Interface // nil discards log entries
-	Tracer   trace.Tracer  // nil discards spans
+	Unfenced  bool
+	OnRequest func(id string) // called for each client request that a VM has read; nil for none
+	Logger    log.Interface   // nil discards log entries
+	Tracer    trace.Tracer    // nil discards spans
 }
 
 // Deployment is a fleet of VMs with its simulated platform, in virtual time.
@@ -312,6 +313,17 @@
 	return len(s.conns)
 }
 
+// Executions returns the number of statements that the server has executed.
+func (s *Server) Executions() int {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	n := 0
+	for _, executions := range s.executions {
+		n += executions
+	}
+	return n
+}
+
 // publishInitialConfig writes the configuration that the options describe.
 func (d *Deployment) publishInitialConfig() {
 	d.Configure(func(c *catalog.Config) {
@@ -361,7 +373,7 @@
 		ClientAddress: fmt.Sprintf("%s:%d", name, clientPort), LinkAddress: fmt.Sprintf("%s:%d", name, linkPort),
 		ReadyAddress:            fmt.Sprintf("%s:%d", name, readyPort),
 		PlatformEnforcesFencing: !d.Unfenced,
-		Network:                 host, ClientDialect: Clients{}, ServerDialect: Servers{}, Source: c, Duties: c, Platform: c,
+		Network:                 host, ClientDialect: Clients{onRequest: d.OnRequest}, ServerDialect: Servers{}, Source: c, Duties: c, Platform: c,
 		Logger: d.Logger.WithField("vm", name), Scope: tally.NoopScope, Tracer: d.Tracer,
 	})
 	d.mu.Lock()
--- a/standin/managed/dialect.go
+++ b/standin/managed/dialect.go
@@ -25,7 +25,9 @@
 
 // Clients implements sqlfront.Dialect, the VMs' side of the protocol between
 // clients and VMs.
-type Clients struct{}
+type Clients struct {
+	onRequest func(id string) // called for each request that was read, unless nil
+}
 
 // Servers implements sqlback.Dialect, the VMs' side of the protocol between VMs and
 // backend servers.
@@ -53,8 +55,11 @@
 }
 
 // ReadRequest implements sqlfront.Dialect.
-func (Clients) ReadRequest(r *bufio.Reader) (request statement.Request, ok bool, err error) {
+func (c Clients) ReadRequest(r *bufio.Reader) (request statement.Request, ok bool, err error) {
 	err = readJSON(r, &request)
+	if err == nil && c.onRequest != nil {
+		c.onRequest(request.ID)
+	}
 	if errors.Is(err, io.EOF) {
 		return request, false, nil
 	}
