Link VMs to a few cores of each large data centre

Cause: every VM dialled every other one: 86,700 links at 295 VMs, pings and statuses on each, and views with all VMs that every choice inspects.

Only they own connections and shares of limits, follow the store and order promotions; every VM links to the cores only. The list of members carries data centre and weight, and VMs pass it on like the other documents. Two relays for each large data centre; encoded updates are kept for the VMs that request the same. Watches last half of the time in which a configuration must be in force.

--- a/coordination/fencing/fencing.go
+++ b/coordination/fencing/fencing.go
@@ -106,8 +106,9 @@
 
 // Fleet describes the fleet that a lease is computed for.
 type Fleet struct {
-	Members int           // VMs, including this one; zero if they are not known yet
-	Lease   time.Duration // see LeaseDuration
+	Members  int           // VMs whose renewals count; zero if they are not known yet
+	IsMember bool          // this VM is one of them
+	Lease    time.Duration // see LeaseDuration
 }
 
 // Table holds the designations and renewals of a VM. It must be created with New.
@@ -223,7 +224,10 @@
 	if t.fleet.Members == 0 {
 		return
 	}
-	others := leaseQuorum(t.fleet.Members) - 1 // this VM counts itself
+	others := leaseQuorum(t.fleet.Members)
+	if t.fleet.IsMember {
+		others-- // a VM counts itself
+	}
 	if others == 0 {
 		t.leaseEnd = math.MaxInt64
 		return
--- a/coordination/fencing/fencing_test.go
+++ b/coordination/fencing/fencing_test.go
@@ -25,7 +25,7 @@
 	if table.HasLease(0) {
 		t.Error("a VM that knows no fleet has a lease")
 	}
-	table.SetFleet(Fleet{Members: 5, Lease: time.Second}) // needs two other VMs
+	table.SetFleet(Fleet{Members: 5, IsMember: true, Lease: time.Second}) // needs two other VMs
 	table.RecordState("a", true, 10*time.Second)
 	if table.HasLease(10 * time.Second) {
 		t.Error("one renewal gives a lease")
@@ -59,7 +59,7 @@
 	if table.Claim() != 5 || table.Designated("g") != newer {
 		t.Errorf("claim %d, designation %v", table.Claim(), table.Designated("g"))
 	}
-	table.SetFleet(Fleet{Members: 1, Lease: time.Second})
+	table.SetFleet(Fleet{Members: 1, IsMember: true, Lease: time.Second})
 	for server, want := range map[string]Verdict{"a": NotDesignated, "b": Allowed} {
 		if got := table.Check("g", server, time.Hour); got != want {
 			t.Errorf("verdict on %s: %d, want %d", server, got, want)
@@ -71,7 +71,7 @@
 // designations that its previous process accepted.
 func TestNewVMRenewsNothing(t *testing.T) {
 	table := New()
-	table.SetFleet(Fleet{Members: 5, Lease: time.Second})
+	table.SetFleet(Fleet{Members: 5, IsMember: true, Lease: time.Second})
 	table.RecordState("a", true, time.Second)
 	if table.Settled() {
 		t.Error("settled after the state of one other VM of five")
@@ -97,7 +97,7 @@
 		vms := make([]modelVM, n)
 		for i := range vms {
 			vms[i] = modelVM{New(), rapid.SliceOfN(rapid.Bool(), n, n).Draw(t, "reaches")}
-			vms[i].table.SetFleet(Fleet{Members: n, Lease: lease})
+			vms[i].table.SetFleet(Fleet{Members: n, IsMember: true, Lease: lease})
 			vms[i].table.RecordState("start", true, 0)
 		}
 		fence := State{Claim: 1, Designations: []Designation{{Group: "g", Server: "new", Token: 1}}}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -32,22 +32,33 @@
 	Leaving     bool            // shutting down
 	StoreCutOff bool            // cannot reach the store
 	NoLease     bool            // must not use primaries, see package fencing
+	Edge        bool            // not a core, see Cores
 	Unreachable map[string]bool // backend servers that it cannot reach
 }
 
-// View is this VM's view of all VMs. It is immutable.
+// View is this VM's view of the cores and of itself. It is immutable.
 type View struct {
 	Self    string
 	VMs     []VM // including this VM
-	Members int  // number of VMs that own a share of the limits, alive or not
+	Members int  // number of cores, alive or not; each owns a share of the limits
+	Large   bool // not all VMs are cores
 	Listed  bool // the list of VMs was read from the store
 }
 
-// AliveCount returns the number of VMs that are alive, including this VM.
+// SelfIsCore reports whether this VM is a core.
+func (v *View) SelfIsCore() bool { return !v.vm(v.Self).Edge }
+
+// IsCore reports whether the VM is known and a core.
+func (v *View) IsCore(name string) bool {
+	vm := v.vm(name)
+	return vm != nil && !vm.Edge
+}
+
+// AliveCount returns the number of cores that are alive, including this VM if it is one.
 func (v *View) AliveCount() int {
 	n := 0
 	for i := range v.VMs {
-		if v.VMs[i].Alive {
+		if v.VMs[i].Alive && !v.VMs[i].Edge {
 			n++
 		}
 	}
@@ -91,6 +102,10 @@
 			return vm, true
 		}
 	}
+	// An edge that reaches no core runs reads itself.
+	if self := v.vm(v.Self); self.Edge && reaches(self) {
+		return v.Self, true
+	}
 	return "", false
 }
 
@@ -157,29 +172,32 @@
 	return dataCentres
 }
 
-// Complete reports whether the list of VMs was read from the store and all VMs
-// that own a share of the limits are alive.
+// Complete reports whether the list of VMs was read from the store and all cores are
+// alive.
 func (v *View) Complete() bool { return v.Listed && v.AliveCount() == v.Members }
 
 // FailoverCoordinator returns the failover coordinator, which orders promotions:
-// the VM with the longest uptime. A hash would return this duty to a VM that has
+// the core with the longest uptime, or "" if an edge reaches none. A hash would return this duty to a VM that has
 // just restarted after a crash, and no primary is replaced until that VM has
 // claimed it.
 func (v *View) FailoverCoordinator() string {
 	var oldest *VM
 	for i := range v.VMs {
 		vm := &v.VMs[i]
-		if !vm.Alive || vm.Leaving || vm.StoreCutOff {
+		if !vm.Alive || vm.Leaving || vm.StoreCutOff || vm.Edge {
 			continue
 		}
 		if oldest == nil || vm.Incarnation < oldest.Incarnation || vm.Incarnation == oldest.Incarnation && vm.Name < oldest.Name {
 			oldest = vm
 		}
 	}
-	if oldest == nil {
+	switch {
+	case oldest != nil:
+		return oldest.Name
+	case v.SelfIsCore():
 		return v.Self
 	}
-	return oldest.Name
+	return ""
 }
 
 // StoreReached reports whether a VM that is alive can reach the store.
@@ -211,12 +229,30 @@
 	return false
 }
 
+// relaysPerLargeDataCentre is the number of relays if edges get updates only from them,
+// so that a relay that does not respond delays no edge.
+const relaysPerLargeDataCentre = 2
+
 // Relays reports whether this VM fetches updates from other data centres on behalf
 // of its own. The other VMs of the data centre get them from it or from each other,
 // because traffic between data centres is billed.
 func (v *View) Relays() bool {
+	relays := 1
+	if v.Large {
+		relays = relaysPerLargeDataCentre
+	}
 	self := v.vm(v.Self)
-	return v.bestVM("relay", func(vm *VM) bool { return !vm.Leaving && vm.DataCentre == self.DataCentre }) == v.Self
+	chosen := ""
+	for range relays {
+		next := v.bestVM("relay", func(vm *VM) bool {
+			return !vm.Leaving && vm.DataCentre == self.DataCentre && vm.Name != chosen
+		})
+		if next == v.Self {
+			return true
+		}
+		chosen = next
+	}
+	return false
 }
 
 // InSameDataCentre reports whether the VM is in this VM's data centre.
@@ -235,12 +271,12 @@
 }
 
 // bestVM returns the eligible VM with the highest weighted rendezvous score for the
-// key, among those that are alive, or "".
+// key, among the cores that are alive, or "".
 func (v *View) bestVM(key string, eligible func(*VM) bool) string {
 	name, score := "", 0.0
 	for i := range v.VMs {
 		vm := &v.VMs[i]
-		if !vm.Alive || !eligible(vm) {
+		if !vm.Alive || vm.Edge || !eligible(vm) {
 			continue
 		}
 		s := weightedScore(key, vm)
--- a/node.go
+++ b/node.go
@@ -45,6 +45,7 @@
 	Seeds         []string // link addresses of VMs that may be running
 	Workers       int
 	Grace         time.Duration // from the call of Drain until the process must have exited
+	ConfigWithin  time.Duration // in which operators expect a configuration to be in force; zero for the shortest that is supported, 3 s
 
 	Network       network.Network
 	ClientDialect sqlfront.Dialect
@@ -135,7 +136,7 @@
 	}
 	n.admission = admission.New(n.catalog, n.quota, n.links, o.Logger, o.Scope)
 	dispatchOptions := dispatch.Options{
-		Self: o.Name, Links: n.links, Executor: n.executor, Admission: n.admission, Quota: n.quota, Leadership: n.leaders, Table: n.catalog, Logger: o.Logger,
+		Self: o.Name, DataCentre: o.DataCentre, Links: n.links, Executor: n.executor, Admission: n.admission, Quota: n.quota, Leadership: n.leaders, Table: n.catalog, Logger: o.Logger,
 	}
 	if n.fencer != nil {
 		dispatchOptions.Fencer = n.fencer
@@ -145,8 +146,8 @@
 		Network: o.Network, Address: o.ClientAddress, DataCentre: o.DataCentre, Dialect: o.ClientDialect, Pool: n.pool, Table: n.catalog,
 		Leadership: n.leaders, View: n.links.View, Runner: n.dispatcher, Admitter: n.admission, Logger: o.Logger, Scope: o.Scope, Tracer: o.Tracer,
 	})
-	member := directory.Member{Name: o.Name, Address: o.LinkAddress}
-	n.directory = directory.New(o.Source, n.links, n.catalog, n.leaders, member, o.Logger, o.Scope)
+	member := directory.Member{Name: o.Name, Address: o.LinkAddress, DataCentre: o.DataCentre, Weight: o.Weight}
+	n.directory = directory.New(o.Source, n.links, n.catalog, n.leaders, member, o.ConfigWithin, o.Logger, o.Scope)
 	n.dispatcher.SetDirectory(n.directory)
 	promotionOptions := promotion.Options{
 		Name: o.Name, Platform: o.Platform, Duties: o.Duties, Runner: n.dispatcher, Reports: o.ServerDialect, Table: n.catalog, Leadership: n.leaders,
--- a/standin/managed/load_test.go
+++ b/standin/managed/load_test.go
@@ -31,12 +31,17 @@
 // startLoad starts a writer and three readers on every VM. The VMs take turns in the
 // customer and the group that they work for.
 func startLoad(t *testing.T, d *Deployment) *load {
+	return startLoadOn(t, d, slices.Sorted(maps.Keys(d.VMs)))
+}
+
+// startLoadOn is like startLoad on the named VMs only.
+func startLoadOn(t *testing.T, d *Deployment, vmNames []string) *load {
 	l := &load{
 		t: t, d: d, checker: NewChecker(), codes: make(map[statement.Code]int), reasons: make(map[string]int),
 		lastOK: make(map[string]time.Time), maxGap: make(map[string]time.Duration),
 	}
 	n := 0
-	l.vmNames = slices.Sorted(maps.Keys(d.VMs))
+	l.vmNames = vmNames
 	for _, name := range l.vmNames {
 		customer := n % d.Customers
 		group := n % d.Options.Groups
--- a/standin/managed/reports_test.go
+++ b/standin/managed/reports_test.go
@@ -225,3 +225,62 @@
 		}
 	}
 }
+
+// Guards against a VM that restarts, reaches only a VM which was cut off before a key was
+// withdrawn, and takes clients with that VM's configuration.
+func TestRestartBesideOutdatedVM(t *testing.T) {
+	const informedWithin = 3 * time.Second
+	inDeployment(t, smallDeployment, func(d *Deployment) {
+		const outdated, restarted = "vm-2-1", "vm-1-0"
+		// Clients of the VM that is cut off keep it confident: their writes confirm the
+		// primaries.
+		stop := make(chan struct{})
+		defer close(stop)
+		for group := range d.Options.Groups {
+			c := connect(t, d.VM(outdated), fmt.Sprint("c", group), Database(Latest, group), 0)
+			go func() {
+				defer c.Close()
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(50 * time.Millisecond):
+						c.Do(statement.Write, "x 1")
+					}
+				}
+			}()
+		}
+		d.Store.SetOutage(outdated, Unresponsive)
+		var others []string // both VMs still reach the servers
+		for name := range d.VMs {
+			if name != outdated && name != restarted {
+				others = append(others, name)
+			}
+		}
+		outdatedCut := d.Net.Partition(memnet.Hosts(outdated), memnet.Hosts(others...))
+		both := d.Net.Partition(memnet.Hosts(outdated), memnet.Hosts(restarted))
+		time.Sleep(time.Second)
+		d.Configure(func(c *catalog.Config) { c.Customers[1].Keys = nil })
+		time.Sleep(configWithin)
+		d.Store.SetOutage("", Unresponsive)
+		d.VM(restarted).Kill()
+		both.Heal()
+		restartedCut := d.Net.Partition(memnet.Hosts(restarted), memnet.Hosts(others...))
+		d.StartVM(restarted, zoneName(1))
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			if d.VM(restarted).Node.Ready() {
+				t.Fatal("ready with an outdated configuration")
+			}
+		}
+		restartedCut.Heal()
+		outdatedCut.Heal()
+		time.Sleep(informedWithin)
+		if !d.VM(restarted).Node.Ready() {
+			t.Error("not ready although it reaches the other VMs")
+		}
+		if c, _ := d.VM(restarted).Connect("revoked", Database(Latest, 0), 1); c != nil {
+			t.Error("a withdrawn key is accepted")
+		}
+	})
+}
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -240,19 +240,20 @@
 // member is an entry in the list of members, which the VM announced at since.
 type member struct {
 	directory.Member
-	since time.Time
+	since    time.Time
+	revision uint64
 }
 
-func (c client) Members(ctx context.Context, fresh bool) ([]directory.Member, error) {
+func (c client) Members(ctx context.Context, fresh bool) (directory.Batch, error) {
 	if err := c.call(ctx, c.vm); err != nil {
-		return nil, err
+		return directory.Batch{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var listed []directory.Member
+	listed := directory.Batch{AsOf: c.revision}
 	for m := range maps.Values(c.members) {
 		if fresh || time.Since(m.since) >= memberListLag {
-			listed = append(listed, m.Member)
+			listed.Entries = append(listed.Entries, directory.Entry{Name: m.Name, Revision: m.revision, Member: &m.Member})
 		}
 	}
 	return listed, nil
@@ -264,7 +265,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.members[m.Name] = member{m, time.Now()}
+	c.revision++
+	c.members[m.Name] = member{m, time.Now(), c.revision}
 	return nil
 }
 
@@ -274,6 +276,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.revision++
 	delete(c.members, name)
 	return nil
 }
--- a/transport/admission/admission.go
+++ b/transport/admission/admission.go
@@ -298,6 +298,9 @@
 		return 0
 	}
 	view, now := g.caller.View(), clock.Now()
+	if !view.SelfIsCore() {
+		return 0 // an edge owns no share
+	}
 	if view.Complete() {
 		g.quota.AllVMsReachable(now)
 	}
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -22,14 +22,15 @@
 )
 
 const (
-	// watchWait is how long the store may hold a watch open. The store may drop
-	// a watch without a response, which is detected watchMargin later, within
-	// the 3 s in which a configuration must take effect.
-	watchWait   = 1500 * time.Millisecond
+	// watchMargin is the time after which a watch that the store should have ended
+	// counts as dropped.
 	watchMargin = 500 * time.Millisecond
-	listTimeout = time.Second
-	minBackoff  = 100 * time.Millisecond
-	maxBackoff  = time.Second
+	// minWatchWait and maxWatchWait bound how long the store may hold a watch open.
+	minWatchWait = 1500 * time.Millisecond
+	maxWatchWait = 3 * time.Second
+	listTimeout  = time.Second
+	minBackoff   = 100 * time.Millisecond
+	maxBackoff   = time.Second
 	// deregistrationGrace is how long a server is used after its registration
 	// disappeared. Registrations that expire during an outage of the store are
 	// renewed within about 2 s of its recovery.
@@ -57,10 +58,13 @@
 	// watching VMs and still respond to this one.
 	recheckInterval          = 5 * time.Second
 	initialSyncCheckInterval = 50 * time.Millisecond
-	// membersInterval is how often the list of members is read. VMs also learn
+	// regularMembersInterval is how often the list of members is read. VMs also learn
 	// of each other over their links; the list covers VMs that the links
 	// missed.
-	membersInterval = 8 * time.Second
+	regularMembersInterval = 8 * time.Second
+	// startMembersInterval is the same during the startPeriod of a VM.
+	startMembersInterval = time.Second
+	startPeriod          = 6 * time.Second
 	// retireAfter is how long a VM may be missing before it is removed from the
 	// list.
 	retireAfter = 20 * time.Second
@@ -74,7 +78,8 @@
 	Peers() []fleetwire.Status
 	View() *placement.View
 	UpdateStatus(scope fleetlink.Scope, change func(*fleetwire.Status))
-	SetMembers(addresses []string)
+	SetMembers(members []placement.Member)
+	Connected() map[string]bool
 }
 
 // Directory follows the store. It must be created with New.
@@ -85,11 +90,18 @@
 	leaders *leadership.Table
 	logger  log.Interface
 	self    Member
+	started time.Duration
+	// watchWait is how long the store may hold a watch open. The store may drop a
+	// watch without a response, which is detected watchMargin later, while there is
+	// time left for a configuration to take effect.
+	watchWait time.Duration
 
 	metrics
 
 	mu                lockrank.Mutex // guards the fields below
 	docs              map[Kind]document
+	docsVersion       uint64                   // increases with each change of docs
+	encodedUpdates    map[string][]byte        // see EncodeUpdates; by request
 	deregisteredSince map[string]time.Duration // server to the time at which its registration disappeared
 	unusableSince     map[string]time.Duration // as in catalog.Deployment
 	missingSince      map[string]time.Duration // address to the time at which the member was first found missing
@@ -101,13 +113,16 @@
 	membersAttempted chan struct{} // closed after the first attempt to read the list of members
 }
 
-// New returns the directory of the VM described by self.
-func New(source Source, fleet Fleet, table *catalog.Table, leaders *leadership.Table, self Member, logger log.Interface, scope tally.Scope) *Directory {
+// New returns the directory of the VM described by self. configWithin is the time in
+// which operators expect a configuration to be in force; each watch is billed, so the
+// directory watches as seldom as that allows.
+func New(source Source, fleet Fleet, table *catalog.Table, leaders *leadership.Table, self Member, configWithin time.Duration, logger log.Interface, scope tally.Scope) *Directory {
 	return &Directory{
-		source: source, fleet: fleet, table: table, leaders: leaders, logger: logger, self: self,
+		watchWait: min(max(configWithin/2, minWatchWait), maxWatchWait),
+		source:    source, fleet: fleet, table: table, leaders: leaders, logger: logger, self: self, started: clock.Now(),
 		metrics: newMetrics(scope),
 		mu:      lockrank.New(lockrank.Sessions), docs: make(map[Kind]document), deregisteredSince: make(map[string]time.Duration),
-		unusableSince: make(map[string]time.Duration), missingSince: make(map[string]time.Duration), membersAttempted: make(chan struct{}),
+		unusableSince: make(map[string]time.Duration), missingSince: make(map[string]time.Duration), encodedUpdates: make(map[string][]byte), membersAttempted: make(chan struct{}),
 	}
 }
 
@@ -191,10 +206,10 @@
 }
 
 func (d *Directory) watch(ctx context.Context, kind Kind, after uint64) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+	ctx, cancel := context.WithTimeout(ctx, d.watchWait+watchMargin)
 	defer cancel()
 	begin := clock.Now()
-	batch, err := d.source.Watch(ctx, kind, after, watchWait)
+	batch, err := d.source.Watch(ctx, kind, after, d.watchWait)
 	return batch, d.recordCall(callWatch, kind, begin, err)
 }
 
@@ -285,11 +300,17 @@
 		return
 	}
 	d.docs[kind] = next
+	d.docsVersion++
+	d.encodedUpdates = make(map[string][]byte)
 	revisions := make(map[string]uint64, len(d.docs))
 	for k, doc := range d.docs {
 		revisions[string(k)] = doc.Revision
 	}
-	d.rebuildDeployment()
+	if kind == VMs {
+		d.setMembers(next)
+	} else {
+		d.rebuildDeployment()
+	}
 	d.mu.Unlock()
 	// Watching VMs report the revision to all VMs, and the relay reports it to its
 	// data centre, whose VMs get their updates from the relay.
@@ -304,6 +325,17 @@
 	d.fleet.UpdateStatus(scope, func(s *fleetwire.Status) { s.Revisions = revisions })
 }
 
+// setMembers passes the list of members to the links. The caller holds mu.
+func (d *Directory) setMembers(doc document) {
+	members := make([]Member, 0, len(doc.Entries))
+	for _, e := range doc.Entries {
+		if e.Member != nil {
+			members = append(members, *e.Member)
+		}
+	}
+	d.fleet.SetMembers(members)
+}
+
 // rebuildDeployment derives the deployment from the documents. The caller holds
 // mu.
 func (d *Directory) rebuildDeployment() {
--- a/transport/directory/directory_test.go
+++ b/transport/directory/directory_test.go
@@ -35,7 +35,8 @@
 	return &placement.View{Self: "vm", Members: 1, VMs: []placement.VM{{Name: "vm", Alive: true, Weight: 1}}}
 }
 func (singleVMFleet) UpdateStatus(fleetlink.Scope, func(*fleetwire.Status)) {}
-func (singleVMFleet) SetMembers([]string)                                   {}
+func (singleVMFleet) SetMembers([]placement.Member)                         {}
+func (singleVMFleet) Connected() map[string]bool                            { return nil }
 
 // compactedStore answers the first list, refuses all others, and has no history
 // for watches.
@@ -62,7 +63,7 @@
 func TestRefusedListAfterLostHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &compactedStore{}
-		d := New(s, singleVMFleet{}, catalog.NewTable(), leadership.NewTable(), Member{Name: "vm"}, &log.Logger{Handler: discard.Default}, tally.NoopScope)
+		d := New(s, singleVMFleet{}, catalog.NewTable(), leadership.NewTable(), Member{Name: "vm"}, 0, &log.Logger{Handler: discard.Default}, tally.NoopScope)
 		close(d.membersAttempted)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
@@ -83,7 +84,7 @@
 	const servers = 500
 	synctest.Test(t, func(t *testing.T) {
 		newDirectory := func() *Directory {
-			return New(&compactedStore{}, singleVMFleet{}, catalog.NewTable(), leadership.NewTable(), Member{Name: "vm"}, &log.Logger{Handler: discard.Default}, tally.NoopScope)
+			return New(&compactedStore{}, singleVMFleet{}, catalog.NewTable(), leadership.NewTable(), Member{Name: "vm"}, 0, &log.Logger{Handler: discard.Default}, tally.NoopScope)
 		}
 		a, b := newDirectory(), newDirectory()
 		// transfer sends the updates that b lacks from a to b and returns their
--- a/transport/directory/peers.go
+++ b/transport/directory/peers.go
@@ -17,6 +17,10 @@
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
 
+// maxEncodedUpdates limits the encoded updates that are kept until the next change. After
+// a change, the VMs of a data centre request the same update from their relay.
+const maxEncodedUpdates = 8
+
 // EncodeUpdates returns the encoded changes to the documents after the encoded
 // revisions that the requesting VM knows.
 func (d *Directory) EncodeUpdates(request []byte) []byte {
@@ -26,6 +30,11 @@
 	}
 	newer := make(map[Kind]update)
 	d.mu.Lock()
+	if encoded, cached := d.encodedUpdates[string(request)]; cached {
+		d.mu.Unlock()
+		return encoded
+	}
+	version := d.docsVersion
 	for kind, doc := range d.docs {
 		if doc.Revision > known[kind] {
 			newer[kind] = doc.changesSince(known[kind])
@@ -38,6 +47,11 @@
 	if err := errors.Join(json.NewEncoder(z).Encode(newer), z.Close()); err != nil {
 		panic("directory: documents cannot be encoded: " + err.Error())
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.docsVersion == version && len(d.encodedUpdates) < maxEncodedUpdates {
+		d.encodedUpdates[string(request)] = b.Bytes()
+	}
 	return b.Bytes()
 }
 
--- a/transport/directory/source.go
+++ b/transport/directory/source.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 )
 
@@ -17,16 +18,18 @@
 	Configuration Kind = "configuration"  // one object: the operators' configuration
 	Servers       Kind = "servers"        // registrations of backend servers
 	OutOfService  Kind = "out_of_service" // data centres that are out of service
+	VMs           Kind = "vms"            // the list of members; read at intervals instead of watched
 )
 
-// Entry is an object at a revision of the store. At most one of Config and
-// Server is set; neither is set for an object that is unusable, see Invalid.
+// Entry is an object at a revision of the store. At most one of Config, Server and
+// Member is set; none is set for an object that is unusable, see Invalid.
 type Entry struct {
 	Name     string
 	Revision uint64
 	Deleted  bool            `json:",omitempty"`
 	Config   *catalog.Config `json:",omitempty"`
 	Server   *catalog.Server `json:",omitempty"`
+	Member   *Member         `json:",omitempty"`
 	Invalid  string          `json:",omitempty"` // why the object cannot be used
 }
 
@@ -38,10 +41,7 @@
 }
 
 // Member is a VM in the store's list of members.
-type Member struct {
-	Name    string
-	Address string // where the VM accepts links
-}
+type Member = placement.Member
 
 // ErrHistoryGone is returned by a watch that starts at a revision which the
 // store has already dropped.
@@ -55,9 +55,10 @@
 	// are none within wait. It fails with ErrHistoryGone if the store no longer
 	// has the changes.
 	Watch(ctx context.Context, kind Kind, after uint64, wait time.Duration) (Batch, error)
-	// Members returns the VMs that have announced themselves. Without fresh,
-	// the list may be some seconds old, which makes the call cheaper.
-	Members(ctx context.Context, fresh bool) ([]Member, error)
+	// Members returns the VMs that have announced themselves, as entries with a
+	// Member. Without fresh, the list may be some seconds old, which makes the call
+	// cheaper.
+	Members(ctx context.Context, fresh bool) (Batch, error)
 	// Announce adds this VM to the list of members.
 	Announce(ctx context.Context, m Member) error
 	// Retire removes a VM from the list of members.
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -41,6 +41,7 @@
 // Options holds the components that a Dispatcher connects.
 type Options struct {
 	Self       string
+	DataCentre string // of this VM
 	Links      *fleetlink.Links
 	Executor   *sqlback.Executor
 	Admission  *admission.Controller
@@ -153,7 +154,7 @@
 
 // HandleFencing implements fleetlink.Handler. It ignores the calls if the platform
 // enforces fencing.
-func (d *Dispatcher) HandleFencing(kind fleetwire.Kind, _ string, body []byte, reply func(fleetwire.Kind, []byte)) error {
+func (d *Dispatcher) HandleFencing(kind fleetwire.Kind, body []byte, reply func(fleetwire.Kind, []byte)) error {
 	switch {
 	case d.Fencer == nil:
 		return nil
@@ -192,7 +193,7 @@
 // HandlePing implements fleetlink.Handler. It lends this VM's shares to the
 // sender for the partitions whose quota coordinator the sender is, and returns
 // the known leadership confirmations.
-func (d *Dispatcher) HandlePing(from, origin string, body []byte) fleetwire.Pong {
+func (d *Dispatcher) HandlePing(from *fleetwire.Status, origin string, body []byte) fleetwire.Pong {
 	var p fleetwire.Pong
 	config := d.Table.Current().Config
 	if config == nil {
@@ -202,19 +203,28 @@
 	view := d.Links.View()
 	coordinated, err := fleetwire.DecodePartitions(body)
 	if err != nil {
-		d.Logger.WithError(err).WithField("vm", from).Error("fleet: a ping cannot be decoded.")
+		d.Logger.WithError(err).WithField("vm", from.Name).Error("fleet: a ping cannot be decoded.")
 		return p
 	}
-	d.Quota.Release(from, origin, coordinated, now)
+	d.Quota.Release(from.Name, origin, coordinated, now)
 	p.Lease = quota.LoanDuration(d.Links.PingInterval())
-	p.Lent = d.Quota.Lend(from, origin, intersect(d.partitionsOf(from, view, config), coordinated), p.Lease, now)
-	if len(view.VMs) > maxVMsForRemoteConfirmations && !view.InSameDataCentre(from) {
+	p.Lent = d.Quota.Lend(from.Name, origin, intersect(d.partitionsOf(from.Name, view, config), coordinated), p.Lease, now)
+	if from.DataCentre != d.DataCentre && !sendsRemoteConfirmations(view, from.Name) {
 		return p
 	}
 	p.Confirmations = d.latestConfirmations(config, now)
 	return p
 }
 
+// sendsRemoteConfirmations reports whether the VM of another data centre gets leadership
+// confirmations. In a large fleet the cores get them, and pass them on to their edges.
+func sendsRemoteConfirmations(view *placement.View, vm string) bool {
+	if view.Large {
+		return view.IsCore(vm)
+	}
+	return len(view.VMs) <= maxVMsForRemoteConfirmations
+}
+
 // intersect returns the partitions that are in both lists.
 func intersect(a, b []catalog.LimitPartition) []catalog.LimitPartition {
 	var both []catalog.LimitPartition
--- a/transport/fencer/fencer.go
+++ b/transport/fencer/fencer.go
@@ -132,7 +132,7 @@
 // neither read the list of members nor had time to link with the others.
 func (f *Fencer) fleet(now time.Duration) fencing.Fleet {
 	view := f.Links.View()
-	fleet := fencing.Fleet{Members: view.Members, Lease: fencing.LeaseDuration(f.Links.PingInterval())}
+	fleet := fencing.Fleet{Members: view.Members, IsMember: view.SelfIsCore(), Lease: fencing.LeaseDuration(f.Links.PingInterval())}
 	if !view.Listed && now-f.started < unlistedFleetDelay {
 		fleet.Members = 0
 	}
--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -71,7 +71,7 @@
 	l.sendPing(p, k, l.handler.PingBody())
 	err := l.readFrames(k, func(f fleetwire.Frame) {
 		if f.Kind == fleetwire.KindStatus {
-			l.handleStatus(f.Body, k)
+			l.handleStatus(f.Body, k, true)
 			return
 		}
 		k.handleResponse(f)
@@ -81,19 +81,18 @@
 	k.failCalls()
 }
 
-// handleStatus handles the status of another VM and returns its name. k is the
-// link on which the status arrived if this VM dialled it, or nil if the other VM
-// did.
-func (l *Links) handleStatus(body []byte, k *link) string {
+// handleStatus handles the status of another VM, which arrived on the link k, and
+// returns it, or nil if it cannot be decoded. dialled says whether this VM dialled the
+// link.
+func (l *Links) handleStatus(body []byte, k *link, dialled bool) *fleetwire.Status {
 	s, err := fleetwire.DecodeStatus(body)
 	if err != nil {
 		l.logger.WithError(err).Error("fleet: a status cannot be decoded.")
-		return ""
+		return nil
 	}
-	l.Connect(s.Address)
-	l.applyStatus(s, k)
+	l.applyStatus(s, k, dialled)
 	l.handler.HandleStatus(&s)
-	return s.Name
+	return &s
 }
 
 // errStopping is the reason for which links close when this VM stops.
@@ -134,24 +133,25 @@
 	// A VM that reconnects may use its new link before this VM detects that the
 	// old one is closed. Transactions therefore belong to a link, not to a VM.
 	number := strconv.FormatUint(l.acceptedLinks.Add(1), 10)
-	var from string
+	var from fleetwire.Status
 	err := l.readFrames(k, func(f fleetwire.Frame) {
 		if f.Kind == fleetwire.KindStatus {
-			if name := l.handleStatus(f.Body, nil); name != "" {
-				from = name
+			if status := l.handleStatus(f.Body, k, false); status != nil {
+				from = *status
 			}
 			return
 		}
-		l.handleCall(from, number, k, f)
+		l.handleCall(&from, number, k, f)
 	})
 	k.out.CloseNow()
+	l.linkClosed(k)
 	l.logger.WithFields(log.Fields{"link": number, "why": err.Error()}).Debug("fleet: VM closed its link.")
 	l.handler.LinkClosed(number)
 }
 
 // handleCall passes a call of another VM to the handler and sends the response.
 // A call that cannot be decoded closes the link.
-func (l *Links) handleCall(from, origin string, k *link, f fleetwire.Frame) {
+func (l *Links) handleCall(from *fleetwire.Status, origin string, k *link, f fleetwire.Frame) {
 	reply := func(kind fleetwire.Kind, body []byte) {
 		k.send(fleetwire.Frame{Kind: kind, ID: f.ID, Body: body})
 	}
@@ -179,10 +179,10 @@
 	case fleetwire.KindSnapshot:
 		reply(fleetwire.KindSnapshotReply, l.handler.UpdatesSince(f.Body))
 	case fleetwire.KindFence, fleetwire.KindRenewal:
-		err = l.handler.HandleFencing(f.Kind, from, f.Body, reply)
+		err = l.handler.HandleFencing(f.Kind, f.Body, reply)
 	}
 	if err != nil {
-		l.logger.WithError(err).WithField("vm", from).Error("fleet: a call cannot be decoded.")
+		l.logger.WithError(err).WithField("vm", from.Name).Error("fleet: a call cannot be decoded.")
 		k.out.CloseNow()
 	}
 }
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -1,14 +1,16 @@
 // Package fleetlink connects the VMs of a fleet with each other.
 //
-// Each VM dials every other VM. A link carries the calls of the VM that dialled
-// it and the responses to them, so each pair of VMs has two links. A link without
-// responses for silenceTimeout, or longer in a large fleet, is closed, and the VM
+// Each VM dials all cores, see placement.Cores; in a small fleet these are all VMs. A
+// link carries the calls of the VM that dialled it and the responses to them, so each
+// pair of cores has two links. A link without responses for silenceTimeout, or longer in a large fleet, is closed, and the VM
 // at its other end is not considered alive until it responds again.
 package fleetlink
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,8 +58,8 @@
 	// while after it has changed.
 	PingBody() []byte
 	// HandlePing returns the response to a ping that arrived on the link origin
-	// with the given body.
-	HandlePing(from, origin string, body []byte) fleetwire.Pong
+	// with the given body. from is the status of its sender.
+	HandlePing(from *fleetwire.Status, origin string, body []byte) fleetwire.Pong
 	// HandlePong handles the response to a ping that was sent at sentAt.
 	HandlePong(from string, p fleetwire.Pong, sentAt time.Duration)
 	// HandleStatus handles the status of another VM.
@@ -67,7 +69,7 @@
 	UpdatesSince(known []byte) []byte
 	// HandleFencing handles a call of the kind KindFence or KindRenewal, and calls
 	// reply at most once. An error closes the link.
-	HandleFencing(kind fleetwire.Kind, from string, body []byte, reply func(fleetwire.Kind, []byte)) error
+	HandleFencing(kind fleetwire.Kind, body []byte, reply func(fleetwire.Kind, []byte)) error
 }
 
 // Links manages the links of a VM.
@@ -82,10 +84,13 @@
 
 	mu              lockrank.Mutex // guards the fields below
 	self            fleetwire.Status
-	peers           map[string]*peer // by address
-	view            *placement.View  // nil if outdated, see currentView
-	maxPingInterval time.Duration    // as of the view
-	members         map[string]bool  // addresses in the list of members in the store
+	peers           map[string]*peer            // by address; the VMs that this one dials
+	accepted        map[*link]*fleetwire.Status // links that other VMs dialled, once they have sent their status
+	view            *placement.View             // nil if outdated, see currentView
+	maxPingInterval time.Duration               // as of the view
+	members         map[string]placement.Member // by address; the list of members in the store
+	cores           map[string]bool             // addresses of the cores among the known VMs
+	large           bool                        // not all VMs are cores
 
 	pendingScope Scope         // receivers of the status changes that are not sent yet; None if there are none
 	lastStatusAt time.Duration // when self was last sent
@@ -114,7 +119,8 @@
 func New(ctx context.Context, n network.Network, p *pool.Pool, self fleetwire.Status, logger log.Interface) *Links {
 	l := &Links{
 		ctx: ctx, net: n, pool: p, logger: logger, self: self,
-		mu: lockrank.New(lockrank.Members), peers: make(map[string]*peer), members: make(map[string]bool),
+		mu: lockrank.New(lockrank.Members), peers: make(map[string]*peer), accepted: make(map[*link]*fleetwire.Status),
+		members: make(map[string]placement.Member), cores: map[string]bool{self.Address: true},
 		suspectedSince: make(map[string]time.Duration), pendingScope: None,
 	}
 	return l
@@ -154,7 +160,7 @@
 	return l.view
 }
 
-// Peers returns the statuses of the other VMs that are alive.
+// Peers returns the statuses of the VMs that this VM dials and that are alive.
 func (l *Links) Peers() []fleetwire.Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -194,7 +200,7 @@
 	if scheduled {
 		return
 	}
-	wait := l.lastStatusAt + time.Duration(len(l.peers))*statusSpacing - clock.Now()
+	wait := l.lastStatusAt + time.Duration(len(l.peers)+len(l.accepted))*statusSpacing - clock.Now()
 	if wait <= 0 {
 		l.sendStatus()
 		return
@@ -209,40 +215,87 @@
 // sendStatus sends the status to the VMs in pendingScope. The caller holds mu.
 func (l *Links) sendStatus() {
 	f := fleetwire.Frame{Kind: fleetwire.KindStatus, Body: l.self.Encode()}
+	inScope := func(s *fleetwire.Status) bool { return l.pendingScope == All || s.DataCentre == l.self.DataCentre }
 	for _, p := range l.peers {
-		if p.link != nil && (l.pendingScope == All || p.status.DataCentre == l.self.DataCentre) {
+		if p.link != nil && inScope(&p.status) {
 			p.link.send(f)
 		}
 	}
+	for k, s := range l.accepted {
+		// A VM that this one dials has received it already.
+		if p := l.peers[s.Address]; (p == nil || p.link == nil) && inScope(s) {
+			k.send(f)
+		}
+	}
 	l.pendingScope, l.lastStatusAt = None, clock.Now()
 }
 
-// SetMembers sets the addresses of the VMs in the store's list of members. VMs
-// that are neither in the list nor alive are removed.
-func (l *Links) SetMembers(addresses []string) {
+// SetMembers sets the VMs in the store's list of members. VMs that are neither in the
+// list nor alive are removed.
+func (l *Links) SetMembers(members []placement.Member) {
 	l.mu.Lock()
-	l.members = make(map[string]bool, len(addresses))
-	for _, a := range addresses {
-		l.members[a] = true
+	defer l.mu.Unlock()
+	l.members = make(map[string]placement.Member, len(members))
+	for _, m := range members {
+		l.members[m.Address] = m
 	}
 	for a, p := range l.peers {
-		if !l.members[a] && !p.alive && p.hasStatus {
-			p.cancel()
-			delete(l.peers, a)
+		if _, listed := l.members[a]; !listed && !p.alive && p.hasStatus {
+			l.removePeer(p)
 		}
 	}
+	l.updateCores()
+}
+
+func (l *Links) removePeer(p *peer) {
+	p.cancel()
+	delete(l.peers, p.address)
+}
+
+// updateCores computes the cores among the members and the VMs that have sent their
+// status. It dials new ones, and closes unused links to others. The caller holds mu.
+func (l *Links) updateCores() {
+	known := make(map[string]placement.Member, len(l.members)+1)
+	for a, m := range l.members {
+		known[a] = m
+	}
+	add := func(s *fleetwire.Status) {
+		if m, listed := known[s.Address]; !listed || m.DataCentre == "" {
+			known[s.Address] = placement.Member{Name: s.Name, Address: s.Address, DataCentre: s.DataCentre, Weight: s.Weight}
+		}
+	}
+	add(&l.self)
+	for _, p := range l.peers {
+		if p.hasStatus {
+			add(&p.status)
+		}
+	}
+	for _, s := range l.accepted {
+		add(s)
+	}
+	l.cores, l.large = placement.Cores(slices.Collect(maps.Values(known)))
 	l.view = nil
-	l.mu.Unlock()
-	for _, a := range addresses {
-		l.Connect(a)
+	for a := range l.cores {
+		l.dial(a)
+	}
+	for a, p := range l.peers {
+		unused := p.link == nil || !p.link.used()
+		if !l.cores[a] && unused && (p.hasStatus || len(l.members) > 0) {
+			l.removePeer(p)
+		}
 	}
 }
 
-// Connect connects to the VM at the address, and reconnects whenever the link is
-// lost.
+// Connect connects to the VM at the address, and reconnects whenever the link is lost,
+// unless it turns out that the VM is not a core.
 func (l *Links) Connect(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.dial(address)
+}
+
+// dial starts to dial the address unless it is dialled already. The caller holds mu.
+func (l *Links) dial(address string) {
 	if address == l.self.Address || l.peers[address] != nil {
 		return
 	}
@@ -280,14 +333,11 @@
 
 // rebuildView rebuilds the view and maxPingInterval. The caller holds mu.
 func (l *Links) rebuildView() {
-	v := &placement.View{Self: l.self.Name, Members: 1, Listed: len(l.members) > 0}
-	v.VMs = append(v.VMs, placementVM(&l.self, true))
-	for a, p := range l.peers {
+	v := &placement.View{Self: l.self.Name, Members: len(l.cores), Large: l.large, Listed: len(l.members) > 0}
+	v.VMs = append(v.VMs, l.placementVM(&l.self, true))
+	for _, p := range l.peers {
 		if p.hasStatus {
-			v.VMs = append(v.VMs, placementVM(&p.status, p.alive))
-		}
-		if p.hasStatus || l.members[a] {
-			v.Members++
+			v.VMs = append(v.VMs, l.placementVM(&p.status, p.alive))
 		}
 	}
 	l.view = v
@@ -295,10 +345,10 @@
 	l.maxPingInterval = max(near, far)
 }
 
-func placementVM(s *fleetwire.Status, alive bool) placement.VM {
+func (l *Links) placementVM(s *fleetwire.Status, alive bool) placement.VM {
 	vm := placement.VM{
 		Name: s.Name, DataCentre: s.DataCentre, Weight: s.Weight, Alive: alive, Incarnation: s.Incarnation,
-		Leaving: s.Leaving, StoreCutOff: s.StoreCutOff, NoLease: s.NoLease,
+		Leaving: s.Leaving, StoreCutOff: s.StoreCutOff, NoLease: s.NoLease, Edge: !l.cores[s.Address],
 	}
 	if len(s.Unreachable) > 0 {
 		vm.Unreachable = make(map[string]bool, len(s.Unreachable))
@@ -309,21 +359,32 @@
 	return vm
 }
 
-// applyStatus applies the status of another VM. k is the link on which the
-// status arrived if this VM dialled it, or nil if the other VM did.
+// applyStatus applies the status of another VM, which arrived on the link k. dialled
+// says whether this VM dialled the link.
 //
 // Incarnations are wall-clock times, which may go backwards between two runs of
 // a VM. The process that responds at the VM's address is the current one,
 // regardless of its incarnation.
-func (l *Links) applyStatus(s fleetwire.Status, k *link) {
+func (l *Links) applyStatus(s fleetwire.Status, k *link, dialled bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if s.Name == l.self.Name {
+		return
+	}
+	updated := false
+	if !dialled {
+		updated = l.accepted[k] == nil && l.peers[s.Address] == nil
+		l.accepted[k] = &s
+		if updated {
+			l.updateCores()
+		}
+	}
 	p := l.peers[s.Address]
-	if p == nil || s.Name == l.self.Name || k != nil && p.link != k {
+	if p == nil || dialled && p.link != k {
 		return
 	}
 	switch {
-	case k != nil:
+	case dialled:
 		k.incarnation = s.Incarnation
 	case p.link == nil:
 		select {
@@ -339,17 +400,43 @@
 	// not respond any more.
 	for a, other := range l.peers {
 		if a != s.Address && other.hasStatus && other.status.Name == s.Name && other.status.Incarnation < s.Incarnation {
-			other.cancel()
-			delete(l.peers, a)
+			l.removePeer(other)
 		}
 	}
-	if !p.hasStatus {
+	discovered := !p.hasStatus
+	if discovered {
 		l.logger.WithFields(log.Fields{"vm": s.Name, "address": s.Address}).Info("fleet: VM discovered.")
 	}
-	if !p.hasStatus || k != nil || p.status.Incarnation <= s.Incarnation {
+	if !p.hasStatus || dialled || p.status.Incarnation <= s.Incarnation {
 		p.status, p.hasStatus = s, true
 	}
 	l.view = nil
+	if discovered && !updated {
+		l.updateCores()
+	}
+}
+
+// linkClosed records the end of a link that another VM dialled.
+func (l *Links) linkClosed(k *link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.accepted, k)
+}
+
+// Connected returns the addresses of the VMs that have a link with this one.
+func (l *Links) Connected() map[string]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make(map[string]bool)
+	for a, p := range l.peers {
+		if p.alive {
+			all[a] = true
+		}
+	}
+	for _, s := range l.accepted {
+		all[s.Address] = true
+	}
+	return all
 }
 
 // markAlive records a response from the peer on its link. It returns the name of
--- a/transport/fleetlink/fleetlink_test.go
+++ b/transport/fleetlink/fleetlink_test.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/standin/memnet"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
@@ -30,11 +31,13 @@
 func (idleHandler) GrantTokens(catalog.LimitPartition, int) int                        { return 0 }
 func (idleHandler) VMLost(string)                                                      {}
 func (idleHandler) PingBody() []byte                                                   { return nil }
-func (idleHandler) HandlePing(string, string, []byte) fleetwire.Pong                   { return fleetwire.Pong{} }
-func (idleHandler) HandlePong(string, fleetwire.Pong, time.Duration)                   {}
-func (idleHandler) HandleStatus(*fleetwire.Status)                                     {}
-func (idleHandler) UpdatesSince([]byte) []byte                                         { return nil }
-func (idleHandler) HandleFencing(fleetwire.Kind, string, []byte, func(fleetwire.Kind, []byte)) error {
+func (idleHandler) HandlePing(*fleetwire.Status, string, []byte) fleetwire.Pong {
+	return fleetwire.Pong{}
+}
+func (idleHandler) HandlePong(string, fleetwire.Pong, time.Duration) {}
+func (idleHandler) HandleStatus(*fleetwire.Status)                   {}
+func (idleHandler) UpdatesSince([]byte) []byte                       { return nil }
+func (idleHandler) HandleFencing(fleetwire.Kind, []byte, func(fleetwire.Kind, []byte)) error {
 	return nil
 }
 
@@ -72,11 +75,11 @@
 		defer close(ended)
 		_ = l.Run(ctx)
 	})
-	var addresses []string
+	var members []placement.Member
 	for i := range f.size {
-		addresses = append(addresses, address(i+1))
+		members = append(members, placement.Member{Name: fmt.Sprintf("vm-%d", i+1), Address: address(i + 1)})
 	}
-	l.SetMembers(addresses)
+	l.SetMembers(members)
 	return l, func() {
 		cancel()
 		<-ended
--- a/transport/fleetlink/link.go
+++ b/transport/fleetlink/link.go
@@ -22,6 +22,7 @@
 	lastID uint64
 	calls  map[uint64]pendingCall
 	broken bool
+	called bool // a call other than a heartbeat was sent
 	// waitingCalls is the number of calls other than heartbeats without a response, and
 	// waitingFrom the time since which it has been above zero.
 	waitingCalls int
@@ -55,6 +56,7 @@
 			k.waitingFrom = clock.Now()
 		}
 		k.waitingCalls++
+		k.called = true
 	}
 	k.mu.Unlock()
 	k.send(f)
@@ -75,6 +77,14 @@
 	}
 }
 
+// used reports whether the link has carried calls other than heartbeats. Transactions
+// may be open at its other end.
+func (k *link) used() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.called
+}
+
 // waitingSince returns the time since which calls other than heartbeats have been
 // waiting for responses, and whether any are waiting.
 func (k *link) waitingSince() (since time.Duration, waiting bool) {
--- a/transport/fleetlink/ping.go
+++ b/transport/fleetlink/ping.go
@@ -17,6 +17,9 @@
 	// data centre, and as many to other data centres.
 	pingInterval   = 200 * time.Millisecond
 	pingsPerSecond = 60
+	// pingsPerSecondLarge is the same in a large fleet. Links on which calls wait are
+	// pinged more often.
+	pingsPerSecondLarge = 10
 	// fastPingPeriod is how long pings are more frequent after their body has
 	// changed. A lender grants a share only once it has the same view of the
 	// fleet, which it may receive later than this VM.
@@ -123,8 +126,12 @@
 			nearby++
 		}
 	}
+	rate := pingsPerSecond
+	if l.large {
+		rate = pingsPerSecondLarge
+	}
 	interval := func(n int) time.Duration {
-		return max(pingInterval, time.Duration(n)*time.Second/pingsPerSecond)
+		return max(pingInterval, time.Duration(n)*time.Second/time.Duration(rate))
 	}
 	return interval(nearby), interval(len(l.peers) - nearby)
 }
