Run statements on an edge only if it reaches no core

Cause: an edge opened connections of its own to a server that no core reaches, which every edge would do at once.

Change: an edge runs reads itself only while no core is alive. A test bounds the calls to the store at the start of a large fleet.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -103,7 +103,7 @@
 		}
 	}
 	// An edge that reaches no core runs reads itself.
-	if self := v.vm(v.Self); self.Edge && reaches(self) {
+	if self := v.vm(v.Self); self.Edge && v.AliveCount() == 0 && reaches(self) {
 		return v.Self, true
 	}
 	return "", false
@@ -176,10 +176,10 @@
 // alive.
 func (v *View) Complete() bool { return v.Listed && v.AliveCount() == v.Members }
 
-// FailoverCoordinator returns the failover coordinator, which orders promotions:
-// the core with the longest uptime, or "" if an edge reaches none. A hash would return this duty to a VM that has
-// just restarted after a crash, and no primary is replaced until that VM has
-// claimed it.
+// FailoverCoordinator returns the failover coordinator, which orders promotions: the
+// core with the longest uptime, or "" if an edge reaches none. A hash would return this
+// duty to a VM that has just restarted after a crash, and no primary is replaced until
+// that VM has claimed it.
 func (v *View) FailoverCoordinator() string {
 	var oldest *VM
 	for i := range v.VMs {
--- a/standin/managed/large_test.go
+++ b/standin/managed/large_test.go
@@ -65,6 +65,20 @@
 	}
 }
 
+// Guards against a start of a large fleet at which VMs read the store although others
+// can send them its contents.
+func TestLargeFleetStoreCallsAtStart(t *testing.T) {
+	inDeployment(t, largeDeployment, func(d *Deployment) {
+		const (
+			perVM    = 2  // announcing itself and reading the list of members
+			perFleet = 80 // watches, the duty, later lists of members, and the first cores
+		)
+		if calls, limit := d.Store.Calls(), perVM*len(d.VMs)+perFleet; calls > limit {
+			t.Errorf("%d calls by %d VMs, want %d at most", calls, len(d.VMs), limit)
+		}
+	})
+}
+
 // Guards against links whose number grows with the square of the fleet, and against VMs
 // that disagree about the cores.
 func TestLargeFleetHasFewLinks(t *testing.T) {
