Soak: platforms that do not enforce fencing, and odd entries

Cause: the soak played only a platform that enforces fencing, and no entries of other programs.

Change: runs with odd seeds play a platform that executes all orders, whose replaced primaries go on; a new fault leaves an odd registration in the store.

--- a/cmd/chestnutsoak/soak/soak.go
+++ b/cmd/chestnutsoak/soak/soak.go
@@ -21,6 +21,7 @@
 	"github.com/chestnutdyke/chestnutdyke/platform"
 	"github.com/chestnutdyke/chestnutdyke/standin/managed"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/directory"
 )
 
 // Options configure a run, which has one seed.
@@ -32,6 +33,10 @@
 	Time   time.Duration // how long faults are injected
 }
 
+// enforcesFencing reports whether the platform of the run enforces fencing. Runs with odd
+// seeds play one that does not.
+func (o *Options) enforcesFencing() bool { return o.Seed%2 == 0 }
+
 // Report contains what a run injected and observed.
 type Report struct {
 	Seed       uint64
@@ -141,11 +146,23 @@
 		}
 		return func() {}
 	}},
+	{"odd-entry", func(tb *testbed, rng *rand.Rand) func() {
+		tb.store.Put(directory.Servers, directory.Entry{Name: "odd", Invalid: oddSpecs[rng.IntN(len(oddSpecs))]})
+		return func() { tb.store.Put(directory.Servers, directory.Entry{Name: "odd", Deleted: true}) }
+	}},
 	{"configuration", func(tb *testbed, _ *rand.Rand) func() { tb.publishConfig(); return func() {} }},
 	// The store drops its history of changes, so VMs must read all objects again.
 	{"lost-history", func(tb *testbed, _ *rand.Rand) func() { tb.store.CompactHistory(); return func() {} }},
 }
 
+// oddSpecs are registrations that another program left in the store.
+var oddSpecs = []string{
+	strings.Repeat("[", 5000) + strings.Repeat("]", 5000),
+	`{"service":"group-0","address":"127.0.0.1:99999","zone":"zone-0","state":"ready","dbRole":"primary","born":1}`,
+	`{"service":"group-0","address":"127.0.0.1:1","zone":"zone-0","state":"ready","dbRole":"primary","born":1e40}`,
+	`"` + strings.Repeat("x", 3<<20) + `"`,
+}
+
 // injectFaults starts random faults, which may overlap, for the time in the options.
 // It returns when all of them have ended.
 func (tb *testbed) injectFaults(r *Report) {
--- a/cmd/chestnutsoak/soak/testbed.go
+++ b/cmd/chestnutsoak/soak/testbed.go
@@ -102,6 +102,7 @@
 	}
 	for g := range groupCount {
 		group := managed.NewGroup(managed.GroupName(g), maxServerConns, replicationLag, serverCodec{})
+		group.Unfenced = !o.enforcesFencing()
 		tb.groups[group.Name] = group
 		tb.store.AddGroup(group)
 		for z := range zoneCount {
@@ -185,7 +186,7 @@
 internalPorts: [7004]
 seeds: []
 limits: {cpuShare: 1, cores: 1, memoryMb: 256}
-bounds: {graceS: 6}
+bounds: {graceS: 6, requireFencing: %[5]v}
 platform: {address: %[4]q}
 cloudApi: {address: %[4]q}
 `
@@ -205,7 +206,7 @@
 	}
 	tb.storeProxies[name], tb.clientProxies[name] = storeProxy, clientProxy
 	v := &vm{name: name, settings: filepath.Join(tb.dir, name+".yaml")}
-	text := fmt.Sprintf(settingsFormat, name, zoneName(n%zoneCount), ip, storeProxy.address())
+	text := fmt.Sprintf(settingsFormat, name, zoneName(n%zoneCount), ip, storeProxy.address(), tb.options.enforcesFencing())
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 		return eris.Wrap(err, "write settings of a VM")
 	}
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -171,7 +171,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &Server{
 		ID: id, Zone: zone, Address: l.Addr().String(), group: g, primary: primary, conns: make(map[net.Conn]bool),
-		cancel: cancel, executions: make(map[string]int),
+		cancel: cancel, executions: make(map[string]int), reaches: func(string) bool { return true },
 	}
 	g.mu.Lock()
 	g.servers[id] = s
