--- a/coordination/placement/cores.go
+++ b/coordination/placement/cores.go
@@ -37,10 +37,7 @@
 	for dataCentre, all := range byDataCentre {
 		if dataCentre != "" && len(all) > maxCores {
 			large = true
-			slices.SortFunc(all, func(a, b Member) int {
-				return cmp.Or(cmp.Compare(coreScore(b), coreScore(a)), cmp.Compare(a.Name, b.Name))
-			})
-			all = all[:coresPerLargeDataCentre]
+			all = highestScores(all, coresPerLargeDataCentre)
 		}
 		for _, m := range all {
 			cores[m.Address] = true
@@ -49,6 +46,15 @@
 	return cores, large
 }
 
-func coreScore(m Member) float64 {
-	return weightedScore("core", &VM{Name: m.Name, Weight: m.Weight})
+// highestScores returns the n members with the highest weighted rendezvous scores.
+func highestScores(members []Member, n int) []Member {
+	scores := make(map[string]float64, len(members))
+	for i := range members {
+		m := &members[i]
+		scores[m.Address] = weightedScore("core", &VM{Name: m.Name, Weight: m.Weight})
+	}
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(scores[b.Address], scores[a.Address]), cmp.Compare(a.Name, b.Name))
+	})
+	return members[:n]
 }
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -371,9 +371,10 @@
 	if s.Name == l.self.Name {
 		return
 	}
+	listed := l.members[s.Address].DataCentre != ""
 	updated := false
 	if !dialled {
-		updated = l.accepted[k] == nil && l.peers[s.Address] == nil
+		updated = !listed && l.accepted[k] == nil && l.peers[s.Address] == nil
 		l.accepted[k] = &s
 		if updated {
 			l.updateCores()
@@ -411,7 +412,7 @@
 		p.status, p.hasStatus = s, true
 	}
 	l.view = nil
-	if discovered && !updated {
+	if discovered && !updated && !listed {
 		l.updateCores()
 	}
 }
