Let an order take effect before the leaving primary steps down

Cause: where the platform enforces fencing, a switchover first orders the present primary, to verify that the platform responds. The platform decides what that order changes when it carries it out, 0.3 s or more later. The primary had stepped down by then, so it was promoted again, shortly before its successor, and lost the commits of that time.

Change: the coordinator waits for the longest delay of an order, a second, before the primary steps down. It serves until then.

Measured: TestSwitchoverLosesNothing sees term 3 without the wait and term 2 with it.

--- a/standin/managed/faults_test.go
+++ b/standin/managed/faults_test.go
@@ -80,6 +80,11 @@
 		if n := g.DroppedCommits(); n > 0 {
 			t.Errorf("%d commits were lost", n)
 		}
+		// The order that verifies that the platform responds must not promote the
+		// primary again after it has stepped down.
+		if term := g.Term(); term != 2 {
+			t.Errorf("term %d after one switchover, want 2", term)
+		}
 	})
 }
 
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -150,6 +150,11 @@
 	if !c.giveOrder(ctx, group, primary, gs) {
 		return
 	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(maxPromoteDelay):
+	}
 	term := uint64(0)
 	c.Leadership.With(group, func(l *leadership.Group) { term = l.Term() })
 	last, err := c.queryServer(ctx, group, primary, statement.Command{Verb: statement.StepDown, Term: term + 1})
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -42,6 +42,10 @@
 	// maxOrders limits how often an order is repeated before the group is
 	// evaluated again.
 	maxOrders = 5
+	// maxPromoteDelay is the longest time between the platform's answer to an order and
+	// its effect. The platform decides only then whether the server already is the
+	// primary.
+	maxPromoteDelay = time.Second
 	// catchUpTimeout is how long a switchover waits for a replica to receive the
 	// remaining log. Most replicas need tens of milliseconds.
 	catchUpTimeout = 1200 * time.Millisecond
