Move the soak's odd registrations into the platform's stand-in

Change: platform/standin has the registrations.

Measured: go test ./docs ./cmd/chestnutsoak/... ./platform/... . passes.

--- a/cmd/chestnutsoak/soak/soak.go
+++ b/cmd/chestnutsoak/soak/soak.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/platform"
+	"github.com/chestnutdyke/chestnutdyke/platform/standin"
 	"github.com/chestnutdyke/chestnutdyke/standin/managed"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 	"github.com/chestnutdyke/chestnutdyke/transport/directory"
@@ -147,7 +148,7 @@
 		return func() {}
 	}},
 	{"odd-entry", func(tb *testbed, rng *rand.Rand) func() {
-		tb.store.Put(directory.Servers, directory.Entry{Name: "odd", Invalid: oddSpecs[rng.IntN(len(oddSpecs))]})
+		tb.store.Put(directory.Servers, directory.Entry{Name: "odd", Invalid: standin.OddRegistrations[rng.IntN(len(standin.OddRegistrations))]})
 		return func() { tb.store.Put(directory.Servers, directory.Entry{Name: "odd", Deleted: true}) }
 	}},
 	{"configuration", func(tb *testbed, _ *rand.Rand) func() { tb.publishConfig(); return func() {} }},
@@ -155,14 +156,6 @@
 	{"lost-history", func(tb *testbed, _ *rand.Rand) func() { tb.store.CompactHistory(); return func() {} }},
 }
 
-// oddSpecs are registrations that another program left in the store.
-var oddSpecs = []string{
-	strings.Repeat("[", 5000) + strings.Repeat("]", 5000),
-	`{"service":"group-0","address":"127.0.0.1:99999","zone":"zone-0","state":"ready","dbRole":"primary","born":1}`,
-	`{"service":"group-0","address":"127.0.0.1:1","zone":"zone-0","state":"ready","dbRole":"primary","born":1e40}`,
-	`"` + strings.Repeat("x", 3<<20) + `"`,
-}
-
 // injectFaults starts random faults, which may overlap, for the time in the options.
 // It returns when all of them have ended.
 func (tb *testbed) injectFaults(r *Report) {
