Count only cores for designations and leases, ignore succeeded coordinators

Cause (by reading): links to VMs that are no longer cores counted for the majority of a designation and the quorum of a lease, so the two need not have had a VM in common. A coordinator that another one had succeeded could still designate a server, after which no server of the group was used until the next failover.

Change: only cores count; VMs ignore designations with an outdated claim and respond with the claim that they know.

--- a/transport/fencer/fencer.go
+++ b/transport/fencer/fencer.go
@@ -108,13 +108,24 @@
 		return
 	}
 	f.lastRenewal = now
-	state, digest := f.table.State()
+	_, digest := f.table.State()
 	body := fleetwire.AppendNumber(nil, digest)
+	for _, vm := range f.voters() {
+		f.requestRenewal(vm, body)
+	}
+}
+
+// voters returns the names of the other VMs whose answers count. VMs of earlier versions
+// do not handle designations.
+func (f *Fencer) voters() []string {
+	view := f.Links.View()
+	var names []string
 	for _, p := range f.Links.Peers() {
-		if p.Fencing {
-			f.requestRenewal(p.Name, body, &state)
+		if p.Fencing && view.IsCore(p.Name) {
+			names = append(names, p.Name)
 		}
 	}
+	return names
 }
 
 // reportLease tells the other VMs whether this VM has a lease, after each change.
@@ -139,7 +150,7 @@
 	return fleet
 }
 
-func (f *Fencer) requestRenewal(vm string, body []byte, own *fencing.State) {
+func (f *Fencer) requestRenewal(vm string, body []byte) {
 	sentAt := clock.Now()
 	f.Links.Call(vm, fleetwire.KindRenewal, body, func(frame fleetwire.Frame, ok bool) {
 		if !ok {
@@ -191,8 +202,13 @@
 }
 
 // acceptFence merges the state of the message and calls done once this VM no longer
-// uses former primaries of the groups in it.
+// uses former primaries of the groups in it. It ignores the designations of a coordinator
+// that another one has succeeded; the response shows it the higher claim.
 func (f *Fencer) acceptFence(m *fleetwire.Fence, done func()) {
+	if m.State.Claim < f.table.Claim() {
+		done()
+		return
+	}
 	designated := make(map[string]string)
 	for _, d := range m.State.Designations {
 		if d.Token >= f.table.Designated(d.Group).Token {
--- a/transport/fencer/round.go
+++ b/transport/fencer/round.go
@@ -99,24 +99,24 @@
 	}
 }
 
-// send sends the message to the VMs that have not accepted it.
+// send sends the message to the voters that have not accepted it.
 func (f *Fencer) send(m *fleetwire.Fence, r *round) {
 	body := m.Append(nil)
-	for _, p := range f.Links.Peers() {
-		if !p.Fencing || r.has(p.Name) {
+	for _, vm := range f.voters() {
+		if r.has(vm) {
 			continue
 		}
-		f.Links.Call(p.Name, fleetwire.KindFence, body, func(frame fleetwire.Frame, ok bool) {
+		f.Links.Call(vm, fleetwire.KindFence, body, func(frame fleetwire.Frame, ok bool) {
 			if !ok {
 				return
 			}
 			state, err := fleetwire.DecodeFencingState(frame.Body)
 			if err != nil {
-				f.Logger.WithError(err).WithField("vm", p.Name).Error("fencing: a response cannot be decoded.")
+				f.Logger.WithError(err).WithField("vm", vm).Error("fencing: a response cannot be decoded.")
 				return
 			}
 			f.merge(state)
-			r.accept(p.Name)
+			r.accept(vm)
 		})
 	}
 }
