--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -135,6 +135,7 @@
 	number := strconv.FormatUint(l.acceptedLinks.Add(1), 10)
 	var from fleetwire.Status
 	err := l.readFrames(k, func(f fleetwire.Frame) {
+		k.lastFrame.Store(int64(clock.Now()))
 		if f.Kind == fleetwire.KindStatus {
 			if status := l.handleStatus(f.Body, k, false); status != nil {
 				from = *status
--- a/transport/fleetlink/fleetlink_test.go
+++ b/transport/fleetlink/fleetlink_test.go
@@ -289,3 +289,19 @@
 	r.received.Add(1)
 	r.revision.Store(s.Revisions["kind"])
 }
+
+// Guards against VMs that lost power and still count as members, because their links were
+// never closed.
+func TestSilentAcceptedLinkIsClosed(t *testing.T) {
+	runWithFleet(t, 2, func(f *testFleet) {
+		first, _ := f.start(1, nil)
+		f.start(2, nil)
+		time.Sleep(time.Second)
+		partition := f.net.Partition(memnet.Hosts("vm-1"), memnet.Hosts("vm-2"))
+		defer partition.Heal()
+		time.Sleep(40 * time.Second)
+		if connected := first.Connected(); len(connected) > 0 {
+			t.Errorf("still connected with %v", connected)
+		}
+	})
+}
--- a/transport/fleetlink/link.go
+++ b/transport/fleetlink/link.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
@@ -17,6 +18,9 @@
 	// incarnation of the VM at the other end of a link that this VM dialled;
 	// zero until that VM has sent its status. It is guarded by Links.mu.
 	incarnation int64
+	// lastFrame is the clock reading in ns of the latest frame on a link that the
+	// other VM dialled.
+	lastFrame atomic.Int64
 
 	mu     sync.Mutex // guards the fields below; no other lock is taken under it
 	lastID uint64
--- a/transport/fleetlink/ping.go
+++ b/transport/fleetlink/ping.go
@@ -30,6 +30,9 @@
 	// intervals apply if they are longer.
 	silenceTimeout   = 800 * time.Millisecond
 	silenceIntervals = 3
+	// acceptedTimeout closes links on which the VM that dialled them sends nothing. It
+	// exceeds the longest ping interval.
+	acceptedTimeout = 30 * time.Second
 	// suspectPeriod is how long the VMs of a data centre are pinged at the
 	// interval of a small fleet after one of them became silent. The whole data
 	// centre may be unreachable, and in a large fleet the next regular pings to
@@ -54,7 +57,7 @@
 func (l *Links) checkLinks() {
 	body := l.handler.PingBody()
 	pings, silent := l.collectDue(body, clock.Now())
-	for _, k := range silent {
+	for _, k := range append(silent, l.silentAccepted(clock.Now())...) {
 		k.out.CloseNow()
 	}
 	for _, d := range pings {
@@ -62,6 +65,20 @@
 	}
 }
 
+// silentAccepted returns the links of other VMs that have sent nothing for
+// acceptedTimeout.
+func (l *Links) silentAccepted(now time.Duration) []*link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var silent []*link
+	for k := range l.accepted {
+		if now-time.Duration(k.lastFrame.Load()) > acceptedTimeout {
+			silent = append(silent, k)
+		}
+	}
+	return silent
+}
+
 // duePing identifies the receiver of a ping.
 type duePing struct {
 	peer *peer
