Do not report ready before the configuration is confirmed

Cause: a VM that restarted during an outage of the store took its configuration from the only VM it reached, which had been cut off before a key was withdrawn, and reported ready once that VM's confirmations made the primaries known.

Change: a VM is ready once the store has sent the configuration, or once it has one and reaches a majority of the listed VMs.

--- a/node.go
+++ b/node.go
@@ -106,10 +106,11 @@
 	fencer              *fencer.Fencer // nil if the platform enforces fencing
 	started             time.Duration
 
-	warmedUp       atomic.Bool // warmUpTime has passed since the start
-	isolated       atomic.Bool // result of the latest call of isIsolated
-	draining       atomic.Bool
-	drainStartedAt atomic.Int64 // clock reading in ns when Drain was called; zero before
+	warmedUp        atomic.Bool // warmUpTime has passed since the start
+	configConfirmed atomic.Bool // see directory.ConfigConfirmed
+	isolated        atomic.Bool // result of the latest call of isIsolated
+	draining        atomic.Bool
+	drainStartedAt  atomic.Int64 // clock reading in ns when Drain was called; zero before
 }
 
 // NewNode creates a VM. It serves from the call of Run until ctx is done.
@@ -200,7 +201,7 @@
 
 // Ready reports whether load balancers should send new sessions to the VM.
 func (n *Node) Ready() bool {
-	return n.warmedUp.Load() && !n.isolated.Load() && !n.draining.Load() && n.catalog.Current().Config != nil
+	return n.warmedUp.Load() && n.configConfirmed.Load() && !n.isolated.Load() && !n.draining.Load() && n.catalog.Current().Config != nil
 }
 
 // watchIsolation makes the VM not ready while it is isolated. While it is, and once
@@ -219,6 +220,9 @@
 		if clock.Now()-n.started >= warmUpTime {
 			n.warmedUp.Store(true)
 		}
+		if !n.configConfirmed.Load() && n.directory.ConfigConfirmed() {
+			n.configConfirmed.Store(true)
+		}
 		isolated := n.warmedUp.Load() && n.isIsolated()
 		if isolated != n.isolated.Load() {
 			n.isolated.Store(isolated)
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -109,6 +109,7 @@
 	behindSince       time.Duration            // when VMs of other data centres were first found to be ahead; zero if none is
 	storeFailing      bool                     // the last call to the store failed
 	lastStoreCall     time.Duration            // when the last call to the store ended
+	configConfirmed   bool                     // see ConfigConfirmed
 
 	membersAttempted chan struct{} // closed after the first attempt to read the list of members
 }
@@ -177,6 +178,7 @@
 		switch {
 		case err == nil:
 			d.applyBatch(kind, batch, full)
+			d.confirmConfig(kind)
 			revision = max(revision, batch.AsOf)
 			backoff = minBackoff
 		case relist:
@@ -235,6 +237,31 @@
 	return err
 }
 
+// confirmConfig records that the store has sent the configuration, or that it has not
+// changed since another VM sent it.
+func (d *Directory) confirmConfig(kind Kind) {
+	if kind != Configuration {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.configConfirmed = true
+}
+
+// ConfigConfirmed reports whether this VM's configuration is known to have been current
+// at some time since the VM started: the store sent it, or the VM had it while it reached
+// a majority of the listed VMs. The few VMs that a new VM reaches during an outage of the
+// store may have been cut off when a key was withdrawn.
+func (d *Directory) ConfigConfirmed() bool {
+	view := d.fleet.View()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.docs[Configuration].Revision > 0 && view.Listed && !view.InMinority() {
+		d.configConfirmed = true
+	}
+	return d.configConfirmed
+}
+
 // revision returns the revision of the store at which the kind last changed.
 func (d *Directory) revision(kind Kind) uint64 {
 	d.mu.Lock()
