--- a/standin/managed/large_test.go
+++ b/standin/managed/large_test.go
@@ -80,6 +80,31 @@
 	})
 }
 
+// Guards against a restart of all VMs of a large fleet at which they call the store more
+// often than at its first start.
+func TestLargeFleetStoreCallsAtRestart(t *testing.T) {
+	inDeployment(t, largeDeployment, func(d *Deployment) {
+		const (
+			perVM    = 2  // announcing itself and reading the list of members
+			perFleet = 80 // as in TestLargeFleetStoreCallsAtStart
+			settled  = 5 * time.Second
+		)
+		before := d.Store.Calls()
+		zones := make(map[string]string) // by name of the VM
+		for name, vm := range d.VMs {
+			zones[name] = vm.Zone
+			vm.Kill()
+		}
+		for name, zone := range zones {
+			d.StartVM(name, zone)
+		}
+		time.Sleep(settled)
+		if calls, limit := d.Store.Calls()-before, perVM*len(d.VMs)+perFleet; calls > limit {
+			t.Errorf("%d calls by %d VMs, want %d at most", calls, len(d.VMs), limit)
+		}
+	})
+}
+
 // Guards against links whose number grows with the square of the fleet, and against VMs
 // that disagree about the cores.
 func TestLargeFleetHasFewLinks(t *testing.T) {
