Give transactions random IDs, so that none survives a restart of its VM

What callers saw: after a VM that held the connections of open transactions was killed and restarted, the next statements and COMMIT of a client ran in a transaction that another client, of another customer too, had opened since. Commits succeeded whose first write was lost, writes were committed that nobody had asked for, and ABORTED was said of a write that was kept.

Cause: sqlback numbered transactions from 1 in each process, and a session keeps only the VM's name and that number. The number of the link, which was compared, starts at 1 in each process as well; customer and server were not compared. The abort of a transaction on another VM used the same number.

Change: the ID is a random 64-bit number. A statement whose customer or server is not that of the transaction's connection is refused with ABORTED and logged. Messages between VMs keep their form, so VMs of both builds work together.

An ID of an earlier process now names a transaction with a probability of 2^-64 for each open transaction.

--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -115,10 +115,9 @@
 
 	mu           lockrank.Mutex // guards the fields below
 	pools        map[poolKey]*serverPool
-	txs          map[uint64]*conn
-	runningJobs  int      // jobs without a result
-	callbacks    []func() // run after the current event, without mu
-	lastTx       uint64
+	txs          map[uint64]*conn // by transaction ID, see newTxID
+	runningJobs  int              // jobs without a result
+	callbacks    []func()         // run after the current event, without mu
 	drains       []*primaryDrain
 	failingSince map[string]time.Time // server to its first failed connection attempt since a success
 	unreachable  map[string]bool
--- a/transport/sqlback/executor_test.go
+++ b/transport/sqlback/executor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -145,7 +146,7 @@
 		})
 		running.Go(func() { _ = e.Run(ctx) })
 		test(func(w statement.RemoteStatement) statement.Result {
-			w.Customer, w.Group, w.Server, w.Timeout = customer, group, server, time.Second
+			w.Customer, w.Group, w.Server, w.Timeout = cmp.Or(w.Customer, customer), group, cmp.Or(w.Server, server), time.Second
 			result := make(chan statement.Result, 1)
 			e.Execute("vm-1", &w, func(r statement.Result) { result <- r })
 			return <-result
@@ -178,6 +179,28 @@
 	})
 }
 
+// Guards against a statement that runs on the connection of another customer or to
+// another server because a transaction there has the ID that it names.
+func TestTransactionBelongsToCustomerAndServer(t *testing.T) {
+	s := &scriptedServer{answer: answerInTx}
+	withExecutor(t, s, func(run func(statement.RemoteStatement) statement.Result) {
+		tx := run(statement.RemoteStatement{BeginsTx: true, Command: statement.Command{Verb: statement.Write}}).Tx
+		before := len(s.received())
+		for _, w := range []statement.RemoteStatement{{Customer: "customer-2"}, {Server: "server-2"}} {
+			w.Tx, w.Command.Verb = tx, statement.Write
+			if r := run(w); r.Answer.Code != statement.Aborted {
+				t.Errorf("statement of customer %q for server %q: code %s, want aborted", w.Customer, w.Server, r.Answer.Code)
+			}
+		}
+		if verbs := s.received()[before:]; len(verbs) > 0 {
+			t.Errorf("the server received %v", verbs)
+		}
+		if r := run(statement.RemoteStatement{Tx: tx, Command: statement.Command{Verb: statement.Commit}}); r.Answer.Code != statement.OK {
+			t.Errorf("COMMIT of the transaction itself: code %s, want ok", r.Answer.Code)
+		}
+	})
+}
+
 // Guards against a confirmation that carries the log position of ROLLBACK. Only
 // BEGIN confirms that the server is the primary; it may have lost that role
 // before ROLLBACK, and then reports the position of another primary's log.
--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
@@ -31,6 +33,33 @@
 	e.send(c, commandRollback, statement.Command{Verb: statement.Rollback})
 }
 
+// newTxID returns a random ID for a transaction. A session may still send the ID of a
+// transaction that a previous process of this VM had open, so IDs must not repeat
+// across restarts. The caller holds mu.
+func (e *Executor) newTxID() uint64 {
+	for {
+		id := rand.Uint64()
+		if _, used := e.txs[id]; id != 0 && !used {
+			return id
+		}
+	}
+}
+
+// findTx returns the connection of the transaction that the job's statement belongs
+// to, or nil if the transaction is not open here. The caller holds mu.
+func (e *Executor) findTx(j *job) *conn {
+	c := e.txs[j.stmt.Tx]
+	if c == nil || c.origin != j.origin || c.job != nil {
+		return nil
+	}
+	if key := (poolKey{j.stmt.Customer, j.stmt.Server}); c.pool.key != key {
+		e.logger.WithFields(log.Fields{"id": j.stmt.Command.ID, "customer": key.customer, "server": key.server, "open_for": c.pool.key.customer, "open_on": c.pool.key.server}).
+			Error("backend: the statement's transaction belongs to another customer or server.")
+		return nil
+	}
+	return c
+}
+
 func (e *Executor) clearTx(c *conn) {
 	delete(e.txs, c.tx)
 	c.tx, c.origin = 0, ""
@@ -58,12 +87,11 @@
 	e.runningJobs++
 	j.timer = time.AfterFunc(j.stmt.Timeout, func() { e.post(func() { e.handleTimeout(j) }) })
 	if j.stmt.Tx != 0 {
-		c := e.txs[j.stmt.Tx]
-		if c == nil || c.origin != j.origin || c.job != nil {
+		if c := e.findTx(j); c != nil {
+			e.assign(c, j)
+		} else {
 			e.finish(j, statement.Refusal(statement.Aborted, "the transaction was ended"))
-			return
 		}
-		e.assign(c, j)
 		return
 	}
 	if server == nil {
@@ -232,8 +260,7 @@
 		return
 	}
 	if c.tx == 0 {
-		e.lastTx++
-		c.tx, c.txReadOnly, c.origin = e.lastTx, w.ReadOnlyTx, j.origin
+		c.tx, c.txReadOnly, c.origin = e.newTxID(), w.ReadOnlyTx, j.origin
 		e.txs[c.tx] = c
 	}
 	c.state, c.idleSince = connIdleInTx, time.Now()
