Keep acknowledged commits of groups with synchronous replicas

What callers saw: in a group with syncReplicas 1, acknowledged writes were gone after a failover. One replica was draining and had them all; the other one had received nothing for a second and was promoted.

Cause: the failover coordinator left out servers that take no new work, and servers that did not answer within 0.4 s, however long their logs were. It did not know syncReplicas, which was not decoded.

Change: catalog.Group has SyncReplicas. Where it is set, succession.SelectSuccessor takes the longest log of all servers, and none while as many servers are silent as a commit waits for. The survey is repeated until a server qualifies. The same loss on related paths: a lost primary that still runs steps down before the survey; a switchover begins only while a usable replica keeps up, and ends with the former primary if none has caught up; without enforced fencing the survey is made again once the VMs have stopped using the former primary. The choice is logged with its inputs. Groups without syncReplicas are handled as before.

--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -96,6 +96,38 @@
 	Usable   bool        // accepts new work
 }
 
+// Survey holds what the servers of a group reported that may replace its primary.
+type Survey struct {
+	Candidates []Candidate
+	Silent     int // registered servers that did not report
+}
+
+// SelectSuccessor returns the server to promote in place of a lost primary. It reports
+// false if there is none, or if a server that did not report may be the only one that
+// has all acknowledged commits.
+//
+// If a commit is acknowledged only once syncReplicas replicas have received it, the
+// longest of the reported logs has all acknowledged commits unless as many replicas are
+// silent. The server with that log is selected even if it is being taken out of
+// service. With syncReplicas zero no replica is sure to have them, so the usable server
+// with the longest log is selected.
+func SelectSuccessor(s Survey, syncReplicas int) (Candidate, bool) {
+	usable, found := BestCandidate(s.Candidates)
+	if syncReplicas == 0 {
+		return usable, found
+	}
+	if s.Silent >= syncReplicas {
+		return Candidate{}, false
+	}
+	best := usable
+	for _, c := range s.Candidates {
+		if !found || isLonger(c.Received, best.Received) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
 // BestCandidate returns the usable candidate with the longest log. It reports
 // false if there is none.
 func BestCandidate(candidates []Candidate) (Candidate, bool) {
--- a/coordination/succession/succession_test.go
+++ b/coordination/succession/succession_test.go
@@ -79,3 +79,35 @@
 		t.Error("Holds must be true for equal points and false for a shorter log")
 	}
 }
+
+// Guards against the loss of acknowledged commits that only a leaving or a silent
+// server has, where commits wait for replicas.
+func TestSelectSuccessor(t *testing.T) {
+	candidate := func(id string, position uint64, usable bool) Candidate {
+		return Candidate{Server: &catalog.Server{ID: id}, Received: state.Point{Term: 3, Position: position}, Usable: usable}
+	}
+	behind, leaving, level := candidate("behind", 4, true), candidate("leaving", 9, false), candidate("level", 9, true)
+	for name, tt := range map[string]struct {
+		survey       Survey
+		syncReplicas int
+		want         string // ID of the successor, or "" if none can take over
+	}{
+		"leaving server has more":                    {Survey{Candidates: []Candidate{behind, leaving}}, 1, "leaving"},
+		"usable server has as much":                  {Survey{Candidates: []Candidate{leaving, behind, level}}, 1, "level"},
+		"one is silent":                              {Survey{Candidates: []Candidate{behind}, Silent: 1}, 1, ""},
+		"one is silent, two have each commit":        {Survey{Candidates: []Candidate{behind}, Silent: 1}, 2, "behind"},
+		"two are silent, two have each commit":       {Survey{Candidates: []Candidate{behind}, Silent: 2}, 2, ""},
+		"no server":                                  {Survey{}, 1, ""},
+		"commits wait for none, one leaving":         {Survey{Candidates: []Candidate{behind, leaving}}, 0, "behind"},
+		"commits wait for none, one silent":          {Survey{Candidates: []Candidate{behind}, Silent: 1}, 0, "behind"},
+		"commits wait for none, no server is usable": {Survey{Candidates: []Candidate{leaving}}, 0, ""},
+	} {
+		got := ""
+		if best, ok := SelectSuccessor(tt.survey, tt.syncReplicas); ok {
+			got = best.Server.ID
+		}
+		if got != tt.want {
+			t.Errorf("%s: successor %q, want %q", name, got, tt.want)
+		}
+	}
+}
--- a/standin/managed/check.go
+++ b/standin/managed/check.go
@@ -25,6 +25,7 @@
 	value int
 	at    time.Time
 	id    string
+	group *Group
 }
 
 // rejectedWrite is a write that the client was told was not committed.
@@ -45,7 +46,7 @@
 	defer c.mu.Unlock()
 	switch code {
 	case statement.OK:
-		c.acked[item] = append(c.acked[item], ackedWrite{value, time.Now(), id})
+		c.acked[item] = append(c.acked[item], ackedWrite{value, time.Now(), id, g})
 	case statement.Busy, statement.Aborted, statement.ReadOnly, statement.Lagging, statement.ConnectionLimit, statement.WrongServer:
 		c.rejected = append(c.rejected, rejectedWrite{id, g})
 	default:
@@ -84,8 +85,8 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
-// Violations checks the complete logs for rejected writes and for repeated ones,
-// and returns all violations that were found. It is called once, after the last
+// Violations checks the complete logs for rejected writes, for repeated ones, and for
+// lost ones where commits wait for replicas, and returns all violations that were found. It is called once, after the last
 // write.
 func (c *Checker) Violations(groups map[string]*Group) []string {
 	c.mu.Lock()
@@ -97,6 +98,9 @@
 	}
 	for item, acks := range c.acked {
 		for _, a := range acks {
+			if a.group.SyncReplicas > 0 && a.group.Commits(a.id) == 0 {
+				c.addViolation("write %d of %s was acknowledged and then lost", a.value, item)
+			}
 			for _, g := range groups {
 				if g.committedAfterReplacement(a.id) {
 					c.addViolation("write %d of %s was committed by a replaced primary and acknowledged", a.value, item)
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -42,6 +42,7 @@
 	Handshake    time.Duration // time that opening a connection takes
 	Codec        Codec
 	Unfenced     bool // a replaced primary goes on, see Options.Unfenced
+	SyncReplicas int  // replicas that must have received a commit before it is acknowledged
 
 	mu   sync.Mutex // guards the fields below and those of the servers
 	term uint64
@@ -71,6 +72,7 @@
 	down     bool
 	conns    map[net.Conn]bool
 	cancel   context.CancelFunc
+	ended    <-chan struct{} // closed by cancel
 	// answersToDrop is the number of coming commits after which the server closes
 	// the connection instead of answering.
 	answersToDrop int
@@ -171,7 +173,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &Server{
 		ID: id, Zone: zone, Address: l.Addr().String(), group: g, primary: primary, conns: make(map[net.Conn]bool),
-		cancel: cancel, executions: make(map[string]int), reaches: func(string) bool { return true },
+		cancel: cancel, ended: ctx.Done(), executions: make(map[string]int), reaches: func(string) bool { return true },
 	}
 	g.mu.Lock()
 	g.servers[id] = s
@@ -263,9 +265,11 @@
 	inTx     bool
 	readOnly bool
 	failed   bool
-	term     uint64                       // in which the open read-write transaction began
-	writes   []logEntry                   // of the open transaction
-	prepared map[string]statement.Command // by name
+	term     uint64     // in which the open read-write transaction began
+	writes   []logEntry // of the open transaction
+	// committed is set if the latest command committed a write.
+	committed bool
+	prepared  map[string]statement.Command // by name
 }
 
 func (s *Server) handle(c net.Conn) {
@@ -306,7 +310,7 @@
 			return
 		}
 		a, drop := sess.run(&command)
-		if drop {
+		if drop || a.Code == statement.OK && sess.committed && !s.awaitReplicas(a.At) {
 			return
 		}
 		if _, err := c.Write(g.Codec.AppendAnswer(nil, &a)); err != nil {
@@ -325,6 +329,7 @@
 	g := sess.server.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	sess.committed = false
 	a, drop := sess.apply(c)
 	if a.Code != statement.OK && sess.inTx {
 		sess.failed = true
@@ -416,9 +421,39 @@
 		return statement.Answer{Signature: s.ID}, false
 	}
 	s.appendLog(entry)
+	sess.committed = true
 	return statement.Answer{Signature: s.ID}, sess.dropsAnswer()
 }
 
+// maxSyncWait is how long a commit waits for replicas before its connection is closed.
+const maxSyncWait = 1500 * time.Millisecond
+
+// awaitReplicas waits until the commit at the point has been received by
+// Group.SyncReplicas replicas. It returns false if the server ends, if a promotion ends
+// the term, or after maxSyncWait.
+func (s *Server) awaitReplicas(p state.Point) bool {
+	for deadline := time.Now().Add(maxSyncWait); time.Now().Before(deadline); {
+		s.group.mu.Lock()
+		received := 0
+		for _, other := range s.group.servers {
+			if !other.primary && uint64(other.logLength()) >= p.Position {
+				received++
+			}
+		}
+		ended := s.down || s.group.term != p.Term
+		s.group.mu.Unlock()
+		if ended || received >= s.group.SyncReplicas {
+			return !ended
+		}
+		select {
+		case <-s.ended:
+			return false
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return false
+}
+
 // dropsAnswer reports whether the answer to a commit is to be dropped, and then
 // decrements answersToDrop.
 func (sess *session) dropsAnswer() bool {
@@ -435,6 +470,7 @@
 		return statement.Refusal(statement.ReadOnly, sess.server.ID), false
 	}
 	for _, entry := range sess.writes {
+		sess.committed = true
 		entry.at = time.Now()
 		sess.server.appendLog(entry)
 	}
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -47,6 +47,9 @@
 	Rate      float64       // limit of each customer in operations a second, also its burst
 	Lag       time.Duration // replication lag of replicas
 	MaxConns  int           // that each backend server accepts
+	// SyncReplicas is the number of replicas that must have received a commit before
+	// it is acknowledged.
+	SyncReplicas int
 	// Unfenced makes the platform execute orders regardless of their fencing tokens,
 	// and a replaced primary go on until it is told to step down or can reach its
 	// successor for a second.
@@ -139,7 +142,7 @@
 
 func (d *Deployment) startGroup(name string, index int) {
 	g := NewGroup(name, d.MaxConns, d.Lag, Backend{})
-	g.Unfenced = d.Unfenced
+	g.Unfenced, g.SyncReplicas = d.Unfenced, d.SyncReplicas
 	d.Groups[name] = g
 	d.Store.AddGroup(g)
 	for z := range d.Zones {
@@ -327,7 +330,7 @@
 		c.TxIdle = 3 * time.Second
 		for g := range d.Options.Groups {
 			group := GroupName(g)
-			c.Groups = append(c.Groups, catalog.Group{Name: group, MaxConnections: d.MaxConns})
+			c.Groups = append(c.Groups, catalog.Group{Name: group, MaxConnections: d.MaxConns, SyncReplicas: d.SyncReplicas})
 			for _, r := range []catalog.Route{
 				{Database: Database(Latest, g), Consistency: catalog.Latest},
 				{Database: Database(Bounded, g), Consistency: catalog.BoundedStale, MaxStaleness: time.Second},
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -48,6 +48,9 @@
 type Group struct {
 	Name           string
 	MaxConnections int // to each of its servers, from all VMs together
+	// SyncReplicas is the number of replicas that must have received a commit before
+	// the primary acknowledges it. Zero means that it waits for none.
+	SyncReplicas int
 }
 
 // Config is a version of the operators' configuration. It is immutable.
--- a/transport/promotion/fenced.go
+++ b/transport/promotion/fenced.go
@@ -54,16 +54,32 @@
 	if primary != nil && primary.ID == awaited {
 		former = nil // it may still take over
 	}
+	syncReplicas := c.syncReplicas(group)
 	tried := make(map[string]bool)
+	selectUntried := func() (succession.Candidate, bool) {
+		survey := c.survey(ctx, group, former)
+		best, ok := bestUntried(survey, syncReplicas, tried, awaited)
+		c.logSelection(group, survey, best, ok)
+		return best, ok
+	}
 	for range maxOrders {
-		candidates := c.queryCandidates(ctx, group, former)
-		best, ok := bestUntried(candidates, tried, awaited)
-		if !ok {
-			c.Logger.WithField("group", group).Error("promotion: no server can take over.")
+		best, ok := selectUntried()
+		if !ok || ctx.Err() != nil || c.confirmedSince(group, startedAt) || !c.designate(ctx, group, best.Server, lostDrain) {
 			return
 		}
-		if ctx.Err() != nil || c.confirmedSince(group, startedAt) || !c.designate(ctx, group, best.Server, lostDrain) {
-			return
+		if syncReplicas > 0 {
+			// Commits may have been acknowledged until the VMs accepted the designation.
+			last, ok := selectUntried()
+			if !ok {
+				if primary != nil {
+					c.designate(ctx, group, primary, 0)
+				}
+				return
+			}
+			if last.Server.ID != best.Server.ID && !c.designate(ctx, group, last.Server, 0) {
+				return
+			}
+			best = last
 		}
 		if c.promoteDesignated(ctx, group, best.Server, former) != notRunning {
 			return
@@ -73,31 +89,29 @@
 }
 
 // bestUntried returns the awaited server if it is a candidate, because an order to
-// promote it may be pending, and else the best candidate. It skips those in tried.
-func bestUntried(candidates []succession.Candidate, tried map[string]bool, awaited string) (succession.Candidate, bool) {
-	var left []succession.Candidate
-	for _, candidate := range candidates {
+// promote it may be pending, and else the one that succession.SelectSuccessor selects.
+// It skips those in tried, which the platform refused to promote.
+func bestUntried(survey succession.Survey, syncReplicas int, tried map[string]bool, awaited string) (succession.Candidate, bool) {
+	left := succession.Survey{Silent: survey.Silent}
+	for _, candidate := range survey.Candidates {
 		switch {
 		case tried[candidate.Server.ID]:
+			left.Silent++
 		case candidate.Server.ID == awaited:
 			return candidate, true
 		default:
-			left = append(left, candidate)
+			left.Candidates = append(left.Candidates, candidate)
 		}
 	}
-	return succession.BestCandidate(left)
+	return succession.SelectSuccessor(left, syncReplicas)
 }
 
 // switchOverFenced replaces a primary that is being taken out of service. Once the VMs
 // have stopped using it, its successor can receive its complete log.
 func (c *Coordinator) switchOverFenced(ctx context.Context, group string, primary *catalog.Server, gs *groupState) {
 	defer c.finishPromotion(gs)
-	defer func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		gs.switchoverAt = clock.Now() + switchoverRetryDelay
-	}()
-	best, ok := succession.BestCandidate(c.queryCandidates(ctx, group, primary))
+	defer c.delaySwitchover(gs)
+	best, ok := succession.BestCandidate(c.survey(ctx, group, primary).Candidates)
 	if !ok {
 		c.Logger.WithField("group", group).Error("promotion: no server can take over from the leaving primary.")
 		return
@@ -106,7 +120,18 @@
 		c.designate(ctx, group, primary, 0)
 		return
 	}
-	caughtUp := c.awaitCatchUp(ctx, group, primary, best)
+	last, err := c.queryServer(ctx, group, primary, statement.Command{Verb: statement.Status})
+	if err != nil {
+		c.Logger.WithError(err).WithField("server", primary.ID).Warn("promotion: the leaving primary did not report its position.")
+	}
+	caughtUp, complete := c.awaitCatchUp(ctx, group, primary, last.Received)
+	if c.syncReplicas(group) > 0 && (err != nil || !complete) {
+		c.designate(ctx, group, primary, 0)
+		return
+	}
+	if caughtUp.Server == nil {
+		caughtUp = best
+	}
 	if caughtUp.Server.ID != best.Server.ID && !c.designate(ctx, group, caughtUp.Server, 0) {
 		return
 	}
@@ -117,27 +142,6 @@
 	}
 }
 
-// awaitCatchUp waits until a candidate has the complete log of the primary, which
-// receives no more writes, for at most catchUpTimeout. It returns the candidate with
-// the longest log.
-func (c *Coordinator) awaitCatchUp(ctx context.Context, group string, primary *catalog.Server, best succession.Candidate) succession.Candidate {
-	last, err := c.queryServer(ctx, group, primary, statement.Command{Verb: statement.Status})
-	if err != nil {
-		c.Logger.WithError(err).WithField("server", primary.ID).Warn("promotion: the leaving primary did not report its position.")
-		return best
-	}
-	deadline := time.Now().Add(catchUpTimeout)
-	for {
-		if longest, ok := succession.BestCandidate(c.queryCandidates(ctx, group, primary)); ok {
-			best = longest
-		}
-		if succession.Holds(best.Received, last.Received) || time.Now().After(deadline) || ctx.Err() != nil {
-			return best
-		}
-		time.Sleep(pollInterval)
-	}
-}
-
 // designate makes the VMs use no other server as the primary of the group, and reports
 // whether none does.
 func (c *Coordinator) designate(ctx context.Context, group string, server *catalog.Server, drain time.Duration) bool {
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
+	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
@@ -81,45 +82,21 @@
 	}
 }
 
-// queryCandidates queries the group's servers except the primary for their
-// positions.
-func (c *Coordinator) queryCandidates(ctx context.Context, group string, primary *catalog.Server) []succession.Candidate {
-	d := c.Table.Current()
-	servers := d.GroupServers(group)
-	candidates := make(chan *succession.Candidate, len(servers))
-	for _, server := range servers {
-		if primary != nil && server.ID == primary.ID {
-			candidates <- nil
-			continue
-		}
-		go func() {
-			r, err := c.queryServer(ctx, group, server, statement.Command{Verb: statement.Status})
-			if err != nil {
-				c.Logger.WithError(err).WithFields(log.Fields{"group": group, "server": server.ID}).Warn("promotion: a server did not report its position.")
-				candidates <- nil
-				return
-			}
-			candidates <- &succession.Candidate{Server: server, Received: r.Received, Usable: d.Usable(server)}
-		}()
-	}
-	var all []succession.Candidate
-	for range servers {
-		if candidate := <-candidates; candidate != nil {
-			all = append(all, *candidate)
-		}
-	}
-	return all
-}
-
 // replacePrimary promotes another server because the primary is lost. Orders
 // that are not confirmed are repeated with a new fencing token.
 func (c *Coordinator) replacePrimary(ctx context.Context, group string, primary *catalog.Server, gs *groupState) {
 	defer c.finishPromotion(gs)
 	startedAt := clock.Now()
+	var end state.Point // of the primary's log, if it stepped down
+	steppedDown := false
+	if primary != nil && c.syncReplicas(group) > 0 {
+		// A primary that is only unreachable for most VMs must not acknowledge commits
+		// that its successor has not received.
+		end, steppedDown = c.stopPrimary(ctx, group, primary)
+	}
 	for range maxOrders {
-		best, ok := succession.BestCandidate(c.queryCandidates(ctx, group, primary))
+		best, ok := c.awaitSuccessor(ctx, group, primary, end, steppedDown)
 		if !ok {
-			c.Logger.WithField("group", group).Error("promotion: no server can take over.")
 			return
 		}
 		if ctx.Err() != nil || c.confirmedSince(group, startedAt) || c.promote(ctx, group, best, gs) {
@@ -140,10 +117,15 @@
 // log.
 func (c *Coordinator) switchOver(ctx context.Context, group string, primary *catalog.Server, gs *groupState) {
 	defer c.finishPromotion(gs)
-	if _, ok := succession.BestCandidate(c.queryCandidates(ctx, group, primary)); !ok {
+	if _, ok := succession.BestCandidate(c.survey(ctx, group, primary).Candidates); !ok {
 		c.Logger.WithField("group", group).Error("promotion: no server can take over from the leaving primary.")
 		return
 	}
+	synchronous := c.syncReplicas(group) > 0
+	if synchronous && !c.hasSuccessor(ctx, group, primary) {
+		c.delaySwitchover(gs)
+		return
+	}
 	// An order that does not change the primary verifies that the platform
 	// responds. If the primary stepped down and no successor could be promoted,
 	// the group would have no primary.
@@ -155,22 +137,17 @@
 		return
 	case <-time.After(maxPromoteDelay):
 	}
-	term := uint64(0)
-	c.Leadership.With(group, func(l *leadership.Group) { term = l.Term() })
-	last, err := c.queryServer(ctx, group, primary, statement.Command{Verb: statement.StepDown, Term: term + 1})
-	if err != nil {
-		c.Logger.WithError(err).WithField("server", primary.ID).Warn("promotion: the leaving primary did not step down.")
+	end, steppedDown := c.stopPrimary(ctx, group, primary)
+	if synchronous && !steppedDown {
+		// The primary may go on acknowledging commits.
+		c.delaySwitchover(gs)
+		return
 	}
-	c.Logger.WithFields(log.Fields{"group": group, "server": primary.ID, "position": last.Received.Position}).Info("promotion: the leaving primary stepped down.")
-	deadline := time.Now().Add(catchUpTimeout)
-	var best succession.Candidate
-	for {
-		var ok bool
-		best, ok = succession.BestCandidate(c.queryCandidates(ctx, group, primary))
-		if ok && succession.Holds(best.Received, last.Received) || time.Now().After(deadline) || ctx.Err() != nil {
-			break
-		}
-		time.Sleep(pollInterval)
+	best, complete := c.awaitCatchUp(ctx, group, primary, end)
+	if synchronous && !complete {
+		c.Logger.WithFields(log.Fields{"group": group, "server": primary.ID}).Warn("promotion: no replica caught up, the leaving primary is kept.")
+		c.delaySwitchover(gs)
+		best = succession.Candidate{Server: primary, Received: end}
 	}
 	for range maxOrders {
 		if best.Server == nil || ctx.Err() != nil || c.promote(ctx, group, best, gs) {
--- /dev/null
+++ b/transport/promotion/survey.go
@@ -0,0 +1,144 @@
+package promotion
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
+	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
+	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
+)
+
+// syncReplicas returns the number of replicas that a commit of the group waits for.
+func (c *Coordinator) syncReplicas(group string) int {
+	if g := c.Table.Current().Config.Group(group); g != nil {
+		return g.SyncReplicas
+	}
+	return 0
+}
+
+// survey queries the group's servers except the primary for their positions.
+func (c *Coordinator) survey(ctx context.Context, group string, primary *catalog.Server) succession.Survey {
+	d := c.Table.Current()
+	var others []*catalog.Server
+	for _, server := range d.GroupServers(group) {
+		if primary == nil || server.ID != primary.ID {
+			others = append(others, server)
+		}
+	}
+	candidates := make(chan *succession.Candidate, len(others))
+	for _, server := range others {
+		go func() {
+			r, err := c.queryServer(ctx, group, server, statement.Command{Verb: statement.Status})
+			if err != nil {
+				c.Logger.WithError(err).WithFields(log.Fields{"group": group, "server": server.ID}).Warn("promotion: a server did not report its position.")
+				candidates <- nil
+				return
+			}
+			candidates <- &succession.Candidate{Server: server, Received: r.Received, Usable: d.Usable(server)}
+		}()
+	}
+	var s succession.Survey
+	for range others {
+		if candidate := <-candidates; candidate != nil {
+			s.Candidates = append(s.Candidates, *candidate)
+		} else {
+			s.Silent++
+		}
+	}
+	return s
+}
+
+// awaitSuccessor selects the server to promote in place of the lost primary. Where
+// commits wait for replicas, it repeats the survey for at most catchUpTimeout, until the
+// server has all acknowledged commits. A primary that stepped down, with a log up to end,
+// is promoted again if no other server can take over.
+func (c *Coordinator) awaitSuccessor(ctx context.Context, group string, primary *catalog.Server, end state.Point, steppedDown bool) (succession.Candidate, bool) {
+	syncReplicas := c.syncReplicas(group)
+	deadline := time.Now().Add(catchUpTimeout)
+	for {
+		survey := c.survey(ctx, group, primary)
+		best, ok := succession.SelectSuccessor(survey, syncReplicas)
+		complete := ok && succession.Holds(best.Received, end)
+		if !complete && syncReplicas > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+			time.Sleep(pollInterval)
+			continue
+		}
+		if !complete && steppedDown {
+			best, ok = succession.Candidate{Server: primary, Received: end}, true
+		}
+		c.logSelection(group, survey, best, ok)
+		return best, ok
+	}
+}
+
+// logSelection logs which server is to take over, or that none can, with the inputs of
+// the decision.
+func (c *Coordinator) logSelection(group string, s succession.Survey, selected succession.Candidate, ok bool) {
+	entry := c.Logger.WithFields(log.Fields{"group": group, "reports": len(s.Candidates), "silent": s.Silent, "sync_replicas": c.syncReplicas(group)})
+	if !ok {
+		entry.Error("promotion: no server can take over.")
+		return
+	}
+	entry.WithFields(log.Fields{"server": selected.Server.ID, "term": selected.Received.Term, "position": selected.Received.Position, "usable": selected.Usable}).
+		Info("promotion: successor selected.")
+}
+
+// awaitCatchUp waits until a usable server has the log of the leaving primary up to end,
+// for at most catchUpTimeout. It returns the usable server with the longest log, with a
+// nil Server if there is none, and reports whether it has all of that log.
+func (c *Coordinator) awaitCatchUp(ctx context.Context, group string, primary *catalog.Server, end state.Point) (best succession.Candidate, complete bool) {
+	deadline := time.Now().Add(catchUpTimeout)
+	for {
+		longest, ok := succession.BestCandidate(c.survey(ctx, group, primary).Candidates)
+		if ok {
+			best = longest
+		}
+		complete = ok && succession.Holds(best.Received, end)
+		if complete || time.Now().After(deadline) || ctx.Err() != nil {
+			return best, complete
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// hasSuccessor reports whether a usable server keeps up with the leaving primary. While
+// none does, a primary that stepped down would only interrupt the group's writes.
+func (c *Coordinator) hasSuccessor(ctx context.Context, group string, primary *catalog.Server) bool {
+	r, err := c.queryServer(ctx, group, primary, statement.Command{Verb: statement.Status})
+	complete := false
+	if err == nil {
+		_, complete = c.awaitCatchUp(ctx, group, primary, r.Received)
+	}
+	if !complete {
+		c.Logger.WithFields(log.Fields{"group": group, "server": primary.ID}).Warn("promotion: no replica keeps up with the leaving primary.")
+	}
+	return complete
+}
+
+// stopPrimary makes a primary step down and returns the end of its log. It reports false
+// if the primary did not answer.
+func (c *Coordinator) stopPrimary(ctx context.Context, group string, primary *catalog.Server) (end state.Point, ok bool) {
+	term := uint64(0)
+	c.Leadership.With(group, func(l *leadership.Group) { term = l.Term() })
+	entry := c.Logger.WithFields(log.Fields{"group": group, "server": primary.ID})
+	r, err := c.queryServer(ctx, group, primary, statement.Command{Verb: statement.StepDown, Term: term + 1})
+	if err != nil {
+		entry.WithError(err).Warn("promotion: the primary did not step down.")
+		return state.Point{}, false
+	}
+	entry.WithField("position", r.Received.Position).Info("promotion: the primary stepped down.")
+	return r.Received, true
+}
+
+// delaySwitchover separates the next switchover of the group from this one.
+func (c *Coordinator) delaySwitchover(gs *groupState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	gs.switchoverAt = clock.Now() + switchoverRetryDelay
+}
