Do not call back under the failover coordinator's mutex

What callers saw: after the coordinator's VM had been frozen several times, lost primaries were not replaced any more, and their groups not served. Tests of standin/managed hung for the same reason (TestSilentVMs).

Cause: checkGroup held Coordinator.mu while it queried a primary. If the link to the VM that holds the connection had just been lost, Dispatcher.Run called the callback on the same goroutine, which locks the mutex again.

Change: Dispatcher.Run calls the callback on a pool worker in every case. checkGroup decides under the mutex and calls other components without it. The other callers of Run and Call hold no lock that their callbacks take.

Evidence: TestQueryThatFailsAtOnce waited for 10 s on the code before and passes now; TestUnsentStatementFailsOnWorker saw the callback while the caller held its lock, and passes now. TestSilentVMs passed once without the race detector (22 s).

--- a/node.go
+++ b/node.go
@@ -137,7 +137,7 @@
 	}
 	n.admission = admission.New(n.catalog, n.quota, n.links, o.Logger, o.Scope)
 	dispatchOptions := dispatch.Options{
-		Self: o.Name, DataCentre: o.DataCentre, Links: n.links, Executor: n.executor, Admission: n.admission, Quota: n.quota, Leadership: n.leaders, Table: n.catalog, Logger: o.Logger,
+		Self: o.Name, DataCentre: o.DataCentre, Pool: n.pool, Links: n.links, Executor: n.executor, Admission: n.admission, Quota: n.quota, Leadership: n.leaders, Table: n.catalog, Logger: o.Logger,
 	}
 	if n.fencer != nil {
 		dispatchOptions.Fencer = n.fencer
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutdyke/chestnutdyke/transport/admission"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 	"github.com/chestnutdyke/chestnutdyke/transport/fleetlink"
+	"github.com/chestnutdyke/chestnutdyke/transport/pool"
 	"github.com/chestnutdyke/chestnutdyke/transport/sqlback"
 )
 
@@ -38,10 +39,14 @@
 // rotation.
 const maxConfirmationsPerPong = 6
 
+// unsentLimit is not enforced: each entry belongs to a statement whose caller waits.
+const unsentLimit = 1 << 10
+
 // Options holds the components that a Dispatcher connects.
 type Options struct {
 	Self       string
 	DataCentre string // of this VM
+	Pool       *pool.Pool
 	Links      *fleetlink.Links
 	Executor   *sqlback.Executor
 	Admission  *admission.Controller
@@ -61,6 +66,7 @@
 // Dispatcher implements fleetlink.Handler and sqlfront.Runner.
 type Dispatcher struct {
 	Options
+	unsent             *pool.Queue // runs the callbacks of statements that were not sent
 	directory          Directory
 	confirmationCursor atomic.Uint64 // position of the rotation of latestConfirmations among the groups
 
@@ -78,7 +84,7 @@
 
 // New returns a dispatcher and sets it as the handler of the links.
 func New(o Options) *Dispatcher {
-	d := &Dispatcher{Options: o}
+	d := &Dispatcher{Options: o, unsent: o.Pool.NewQueue(unsentLimit)}
 	o.Links.SetHandler(d)
 	return d
 }
@@ -93,7 +99,9 @@
 // SetDirectory sets the directory. It must be called before the links run.
 func (d *Dispatcher) SetDirectory(directory Directory) { d.directory = directory }
 
-// Run runs a statement on the named VM and calls done once on a pool worker.
+// Run runs a statement on the named VM and calls done once on a pool worker, never
+// before it returns, so callers may hold locks that done takes. If this VM stops, done
+// may not be called.
 func (d *Dispatcher) Run(vm string, w *statement.RemoteStatement, done func(statement.Result)) {
 	if vm == d.Self {
 		d.Executor.Execute(selfOrigin, w, done)
@@ -112,7 +120,7 @@
 		done(r)
 	})
 	if !sent {
-		done(refusal(statement.Unreachable, "the VM is not linked"))
+		d.unsent.PostUnbounded(func() { done(refusal(statement.Unreachable, "the VM is not linked")) })
 	}
 }
 
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -337,6 +337,8 @@
 	queriesLeft int           // queries that may still be sent
 }
 
+// checkGroup starts what is due for the group. Calls to other components are made
+// without mu, because their callbacks take it.
 func (c *Coordinator) checkGroup(ctx context.Context, g *errgroup.Group, check *groupCheck, group string) {
 	now, d := clock.Now(), check.deployment
 	status := succession.GroupStatus{Now: now, Isolated: c.View().InMinority(), Interval: check.interval, RegisteredAt: d.RegisteredAt}
@@ -347,6 +349,53 @@
 		awaited = l.AwaitsDesignated()
 	})
 	status.Leaving = status.Primary != nil && !d.Usable(status.Primary)
+	noLease := c.Fencer != nil && !c.Fencer.HasLease()
+	gs, action := c.decide(group, &status, noLease, check.queriesLeft > 0)
+	switch action {
+	case actionQuery:
+		check.queriesLeft--
+		c.queryPrimary(group, status.Primary, gs)
+	case actionSwitchover:
+		g.Go(func() error {
+			if c.Fencer != nil {
+				c.switchOverFenced(ctx, group, status.Primary, gs)
+			} else {
+				c.switchOver(ctx, group, status.Primary, gs)
+			}
+			return nil
+		})
+	case actionReplace:
+		c.steps[stepDetect].RecordDuration(now - status.ConfirmedAt)
+		c.Logger.WithFields(log.Fields{"group": group, "proof_age_ms": (now - status.ConfirmedAt).Milliseconds(), "failures": status.Failures, "refusals": status.Refusals}).
+			Warn("promotion: the primary is lost.")
+		g.Go(func() error {
+			if c.Fencer != nil {
+				c.replaceFenced(ctx, group, status.Primary, awaited, gs)
+			} else {
+				c.replacePrimary(ctx, group, status.Primary, gs)
+			}
+			return nil
+		})
+	case actionSupersede:
+		g.Go(func() error { c.supersedeOrder(ctx, group, status.Primary, gs); return nil })
+	}
+}
+
+// action is what checkGroup starts for a group.
+type action uint8
+
+const (
+	actionNone       action = iota
+	actionQuery             // query the primary
+	actionSwitchover        // replace a leaving primary
+	actionReplace           // replace a lost primary
+	actionSupersede         // supersede an order whose outcome is unknown
+)
+
+// decide completes the status with the coordinator's own records and returns the action
+// that is due for the group, which is recorded as begun. noLease says that queries fail
+// for lack of a lease, mayQuery that a query may be sent.
+func (c *Coordinator) decide(group string, status *succession.GroupStatus, noLease, mayQuery bool) (*groupState, action) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	gs := c.groups[group]
@@ -358,56 +407,39 @@
 		c.groups[group] = gs
 	}
 	if gs.promoting {
-		return
+		return gs, actionNone
 	}
-	if c.Fencer != nil && !c.Fencer.HasLease() {
-		// Queries fail for lack of a lease and say nothing about the primary.
-		gs.watchedSince = now
+	if noLease {
+		// The failures say nothing about the primary.
+		gs.watchedSince = status.Now
 	}
 	if status.ConfirmedAt >= gs.queriedAt {
 		gs.failures, gs.refusals = 0, 0
 	}
 	status.Failures, status.Refusals, status.WatchedSince = gs.failures, gs.refusals, gs.watchedSince
-	switch succession.Decide(status) {
+	switch succession.Decide(*status) {
 	case succession.QueryPrimary:
-		if !gs.queryPending && check.queriesLeft > 0 {
-			check.queriesLeft--
-			gs.queryPending, gs.queriedAt = true, now
-			c.queryPrimary(group, status.Primary, gs)
+		if gs.queryPending || !mayQuery {
+			return gs, actionNone
 		}
+		gs.queryPending, gs.queriedAt = true, status.Now
+		return gs, actionQuery
 	case succession.Switchover:
-		if !c.exclusive || now < gs.switchoverAt {
-			return
+		if !c.exclusive || status.Now < gs.switchoverAt {
+			return gs, actionNone
 		}
 		gs.promoting = true
-		g.Go(func() error {
-			if c.Fencer != nil {
-				c.switchOverFenced(ctx, group, status.Primary, gs)
-			} else {
-				c.switchOver(ctx, group, status.Primary, gs)
-			}
-			return nil
-		})
+		return gs, actionSwitchover
 	case succession.Replace:
 		if !c.exclusive {
-			return
+			return gs, actionNone
 		}
 		gs.promoting = true
-		c.steps[stepDetect].RecordDuration(now - status.ConfirmedAt)
-		c.Logger.WithFields(log.Fields{"group": group, "proof_age_ms": (now - status.ConfirmedAt).Milliseconds(), "failures": gs.failures, "refusals": gs.refusals}).
-			Warn("promotion: the primary is lost.")
-		g.Go(func() error {
-			if c.Fencer != nil {
-				c.replaceFenced(ctx, group, status.Primary, awaited, gs)
-			} else {
-				c.replacePrimary(ctx, group, status.Primary, gs)
-			}
-			return nil
-		})
-	default:
-		if c.Fencer == nil && gs.orderUnconfirmed && status.Primary != nil && status.ConfirmedAt >= gs.queriedAt {
-			gs.promoting = true
-			g.Go(func() error { c.supersedeOrder(ctx, group, status.Primary, gs); return nil })
-		}
+		return gs, actionReplace
+	}
+	if c.Fencer == nil && gs.orderUnconfirmed && status.Primary != nil && status.ConfirmedAt >= gs.queriedAt {
+		gs.promoting = true
+		return gs, actionSupersede
 	}
+	return gs, actionNone
 }
