Check which session's statements run in which transaction

Neither the model of the platform nor the soak could see such a fault: no client paused inside a transaction, and nothing compared the statements of a transaction with each other.

Change: the model's servers record the session, customer and transaction of each statement, and the checker compares them in every test with load. The soak's clients run transactions with pauses of up to 2.5 s, and the fault kill-series kills a VM and starts it again at once, three times.

TestRestartedVMRunsNoOldTransactions shows on statements in transactions of other sessions, of another customer and on a server of another group.

--- a/cmd/chestnutsoak/soak/soak.go
+++ b/cmd/chestnutsoak/soak/soak.go
@@ -61,6 +61,13 @@
 	maxRecoveryTime = 12 * time.Second
 	clientsPerVM    = 2
 	clientInterval  = 25 * time.Millisecond
+	killSeries      = 3
+	// maxTxPause is the longest pause of a client inside a transaction. It is shorter
+	// than the idle time after which VMs end transactions, and longer than the restart
+	// of a VM.
+	maxTxPause = 2500 * time.Millisecond
+	// txShare is the share of clients' operations that are transactions.
+	txShare = 0.1
 	// callTimeout is longer than the time-out of every route.
 	callTimeout = 4 * time.Second
 )
@@ -107,6 +114,9 @@
 var faults = []fault{
 	{"kill", func(tb *testbed, rng *rand.Rand) func() { return tb.stopVM(rng, syscall.SIGKILL) }},
 	{"terminate", func(tb *testbed, rng *rand.Rand) func() { return tb.stopVM(rng, syscall.SIGTERM) }},
+	// A VM is killed and restarted at once, several times, while clients have transactions
+	// open whose connections it held.
+	{"kill-series", func(tb *testbed, rng *rand.Rand) func() { return tb.killRepeatedly(rng) }},
 	{"pause", func(tb *testbed, rng *rand.Rand) func() {
 		v := tb.randomVM(rng)
 		v.signal(syscall.SIGSTOP)
@@ -193,6 +203,25 @@
 	}
 }
 
+// killRepeatedly kills a random VM's process and starts it again, killSeries times. The
+// returned function waits for the end of the series.
+func (tb *testbed) killRepeatedly(rng *rand.Rand) func() {
+	v := tb.randomVM(rng)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range killSeries {
+			v.signal(syscall.SIGKILL)
+			v.wait(time.Second)
+			if err := tb.start(v); err != nil {
+				panic(err)
+			}
+			time.Sleep(500*time.Millisecond + rand.N(time.Second))
+		}
+	}()
+	return func() { <-done }
+}
+
 // impair changes the mode of a random proxy, and resets its connections if reset is
 // set. The proxies are sorted by name, so that the choice depends only on the seed.
 func impair(proxies map[string]*proxy, rng *rand.Rand, m mode, reset bool) func() {
@@ -237,13 +266,20 @@
 			kind, bound = managed.Own, readYourWritesStaleness
 		}
 		vm := w.testbed.vms[(home+attempt)%len(w.testbed.vms)].name
-		c, err := w.connect(vm, managed.Database(kind, group), number%customerCount, fmt.Sprintf("%d-%d", number, attempt))
+		name := fmt.Sprintf("%d-%d", number, attempt)
+		w.checker.RecordSession(name, managed.CustomerName(number%customerCount), managed.GroupName(group))
+		c, err := w.connect(vm, managed.Database(kind, group), number%customerCount, name)
 		if err != nil {
 			time.Sleep(clientInterval)
 			continue
 		}
-		for ctx.Err() == nil && w.writeAndRead(c, w.testbed.groups[managed.GroupName(group)], item, &value, bound) {
-			time.Sleep(clientInterval)
+		g := w.testbed.groups[managed.GroupName(group)]
+		for usable := true; usable && ctx.Err() == nil; time.Sleep(clientInterval) {
+			if rand.Float64() < txShare {
+				usable = w.runTransaction(c, g, item, &value)
+			} else {
+				usable = w.writeAndRead(c, g, item, &value, bound)
+			}
 		}
 		c.conn.Close()
 	}
@@ -272,6 +308,44 @@
 	return a.Code != statement.Lost
 }
 
+// runTransaction writes the next two values in a transaction, with a pause between them.
+// It reports whether the session is still usable.
+func (w *workload) runTransaction(c *client, g *managed.Group, item string, value *int) bool {
+	if _, a := c.send(statement.Begin, ""); a.Code != statement.OK {
+		w.count(a.Code)
+		return a.Code != statement.Lost
+	}
+	type write struct {
+		id    string
+		value int
+	}
+	var writes []write
+	var a statement.Answer
+	for range 2 {
+		*value++
+		var id string
+		id, a = c.send(statement.Write, fmt.Sprintf("%s %d", item, *value))
+		writes = append(writes, write{id, *value})
+		w.count(a.Code)
+		if a.Code != statement.OK {
+			break
+		}
+		time.Sleep(rand.N(maxTxPause))
+	}
+	switch a.Code {
+	case statement.Lost:
+	case statement.OK:
+		_, a = c.send(statement.Commit, "")
+		w.count(a.Code)
+	default:
+		c.send(statement.Rollback, "")
+	}
+	for _, wr := range writes {
+		w.checker.RecordWrite(g, item, wr.value, wr.id, a.Code)
+	}
+	return a.Code != statement.Lost
+}
+
 func (w *workload) count(code statement.Code) {
 	switch code {
 	case statement.OK:
@@ -315,7 +389,7 @@
 // or callTimeout passes, the answer has the code Lost.
 func (c *client) send(verb statement.Verb, payload string) (string, statement.Answer) {
 	c.lastID++
-	id := fmt.Sprintf("%s-%d", c.name, c.lastID)
+	id := fmt.Sprintf("%s/%d", c.name, c.lastID)
 	c.conn.SetDeadline(time.Now().Add(callTimeout))
 	command := statement.Command{ID: id, Verb: verb, Payload: payload}
 	if _, err := c.conn.Write(platform.Client{}.AppendCommand(nil, &command)); err != nil {
--- a/cmd/chestnutsoak/soak/testbed.go
+++ b/cmd/chestnutsoak/soak/testbed.go
@@ -214,11 +214,18 @@
 	return tb.start(v)
 }
 
-// start starts the VM's process, whose output goes to a file in Options.Logs if that
-// is set.
+// start starts the VM's process unless it runs, because two faults may restart it at the
+// same time. Its output goes to a file in Options.Logs if that is set.
 func (tb *testbed) start(v *vm) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.process != nil {
+		select {
+		case <-v.ended:
+		default:
+			return nil
+		}
+	}
 	c := exec.Command(tb.options.Binary, "platform")
 	c.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settings)
 	if tb.options.Logs != "" {
--- a/standin/managed/check.go
+++ b/standin/managed/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,9 +18,13 @@
 	acked      map[string][]ackedWrite   // by item, in ascending order of values
 	unknown    map[string]map[int]string // item to value to id, of writes with an unknown outcome
 	rejected   []rejectedWrite
+	sessions   map[string]sessionOwner // by name
 	violations []string
 }
 
+// sessionOwner is whose statements a session sends, and to which group.
+type sessionOwner struct{ customer, group string }
+
 // ackedWrite is an acknowledged write of an item.
 type ackedWrite struct {
 	value int
@@ -36,7 +41,15 @@
 
 // NewChecker returns a checker without recorded writes.
 func NewChecker() *Checker {
-	return &Checker{acked: make(map[string][]ackedWrite), unknown: make(map[string]map[int]string)}
+	return &Checker{acked: make(map[string][]ackedWrite), unknown: make(map[string]map[int]string), sessions: make(map[string]sessionOwner)}
+}
+
+// RecordSession records whose statements a session sends, and to which group. The ID of
+// a statement is the name of its session, a slash and a number.
+func (c *Checker) RecordSession(name, customer, group string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sessions[name] = sessionOwner{customer, group}
 }
 
 // RecordWrite records the code of the answer to a write, or to the commit of its
@@ -109,6 +122,7 @@
 		}
 	}
 	for _, g := range groups {
+		c.checkRuns(g)
 		for _, id := range g.repeatedIDs() {
 			c.addViolation("write %s was committed more than once", id)
 		}
@@ -116,6 +130,32 @@
 	return c.violations
 }
 
+// checkRuns checks that each transaction on a server has statements of one session only,
+// and that statements ran for the customer and in the group of their session. The caller
+// holds mu.
+func (c *Checker) checkRuns(g *Group) {
+	sessions := make(map[int]string) // by transaction
+	for _, r := range g.Runs() {
+		name, _, isClient := strings.Cut(r.ID, "/")
+		if !isClient {
+			continue // a statement of a VM
+		}
+		if owner, known := c.sessions[name]; known && owner.customer != r.Customer {
+			c.addViolation("%s of %s ran on a connection of %s", r.ID, owner.customer, r.Customer)
+		} else if known && owner.group != g.Name {
+			c.addViolation("%s for %s ran in %s", r.ID, owner.group, g.Name)
+		}
+		if r.Transaction == 0 {
+			continue
+		}
+		if first, known := sessions[r.Transaction]; known && first != name {
+			c.addViolation("%s ran in a transaction of the session %s on %s", r.ID, first, r.Server)
+		} else {
+			sessions[r.Transaction] = name
+		}
+	}
+}
+
 // isLater reports whether the statement with the id later comes after the one with
 // the id earlier in the log.
 func (g *Group) isLater(later, earlier string) bool {
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -56,6 +56,22 @@
 	// supersededCommits holds the ids of the statements that replaced primaries
 	// committed.
 	supersededCommits map[string]bool
+	runs              []Run
+	transactions      int // that were begun
+}
+
+// Run is a client's statement that a server executed.
+type Run struct {
+	Server, Customer string // of the connection
+	ID               string
+	Transaction      int // unique in the group; zero outside of transactions
+}
+
+// Runs returns the clients' statements that the group's servers executed, in order.
+func (g *Group) Runs() []Run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.runs)
 }
 
 // Server models a backend server of a group.
@@ -268,8 +284,9 @@
 	term     uint64     // in which the open read-write transaction began
 	writes   []logEntry // of the open transaction
 	// committed is set if the latest command committed a write.
-	committed bool
-	prepared  map[string]statement.Command // by name
+	committed   bool
+	transaction int                          // number of the open transaction, or zero
+	prepared    map[string]statement.Command // by name
 }
 
 func (s *Server) handle(c net.Conn) {
@@ -365,9 +382,11 @@
 		if !s.primary {
 			return statement.Refusal(statement.ReadOnly, s.ID), false
 		}
-		sess.inTx, sess.readOnly, sess.term = true, false, s.currentTerm()
+		sess.beginTransaction()
+		sess.readOnly, sess.term = false, s.currentTerm()
 	case statement.BeginReadOnly:
-		sess.inTx, sess.readOnly = true, true
+		sess.beginTransaction()
+		sess.readOnly = true
 	case statement.Rollback:
 		sess.endTransaction()
 	case statement.Commit:
@@ -395,8 +414,20 @@
 	return statement.Answer{}, false
 }
 
+func (sess *session) beginTransaction() {
+	g := sess.server.group
+	g.transactions++
+	sess.inTx, sess.transaction = true, g.transactions
+}
+
 func (sess *session) endTransaction() {
-	sess.inTx, sess.failed, sess.writes = false, false, nil
+	sess.inTx, sess.failed, sess.writes, sess.transaction = false, false, nil, 0
+}
+
+// recordRun records that the server executes a client's statement.
+func (sess *session) recordRun(c *statement.Command) {
+	g := sess.server.group
+	g.runs = append(g.runs, Run{Server: sess.server.ID, Customer: sess.customer, ID: c.ID, Transaction: sess.transaction})
 }
 
 func (sess *session) readOrWrite(c *statement.Command, write bool) (statement.Answer, bool) {
@@ -405,6 +436,7 @@
 		return statement.Refusal(statement.ReadOnly, s.ID), false
 	}
 	s.executions[c.ID]++
+	sess.recordRun(c)
 	item, data, _ := strings.Cut(c.Payload, " ")
 	if !write {
 		a := statement.Answer{Signature: s.ID}
@@ -469,6 +501,7 @@
 		sess.endTransaction()
 		return statement.Refusal(statement.ReadOnly, sess.server.ID), false
 	}
+	sess.recordRun(c)
 	for _, entry := range sess.writes {
 		sess.committed = true
 		entry.at = time.Now()
--- a/standin/managed/load_test.go
+++ b/standin/managed/load_test.go
@@ -98,7 +98,7 @@
 
 // runSessions opens a session, preferably on the VM home, calls f with it, and starts
 // over on the next VM when f returns, until the load stops.
-func (l *load) runSessions(name, home, database string, customer int, f func(c *Client)) {
+func (l *load) runSessions(name, home, database string, customer, group int, f func(c *Client)) {
 	vmNames := append([]string{home}, l.vmNames...)
 	for i := 0; !l.stopped(); i++ {
 		vm := l.d.VM(vmNames[i%len(vmNames)])
@@ -106,7 +106,9 @@
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		c, _ := vm.Connect(fmt.Sprintf("%s-%d", name, i), database, customer)
+		session := fmt.Sprintf("%s-%d", name, i)
+		l.checker.RecordSession(session, CustomerName(customer), GroupName(group))
+		c, _ := vm.Connect(session, database, customer)
 		if c == nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
@@ -124,7 +126,7 @@
 	g := l.d.Groups[GroupName(group)]
 	database := Database(Latest, group)
 	value := 0
-	l.runSessions("w-"+home, home, database, customer, func(c *Client) {
+	l.runSessions("w-"+home, home, database, customer, group, func(c *Client) {
 		for !l.stopped() {
 			value++
 			id, a := l.writeOnce(c, fmt.Sprintf("%s %d", item, value), value%4 == 0)
@@ -169,7 +171,7 @@
 func (l *load) read(home, kind, item string, customer, group int) {
 	g := l.d.Groups[GroupName(group)]
 	database := Database(kind, group)
-	l.runSessions("r-"+kind+"-"+home, home, database, customer, func(c *Client) {
+	l.runSessions("r-"+kind+"-"+home, home, database, customer, group, func(c *Client) {
 		for !l.stopped() {
 			sentAt := time.Now()
 			_, a := c.Do(statement.Read, item)
--- a/standin/managed/restart_test.go
+++ b/standin/managed/restart_test.go
@@ -37,9 +37,12 @@
 	inDeployment(t, o, func(d *Deployment) {
 		const clients = 4
 		g := d.Groups[GroupName(0)]
+		checker := NewChecker()
 		owner, front := ownerAndFront(t, d, CustomerName(0), g.Primary())
 		begin := func(name string, customer, group, n int) *Client {
-			c := connect(t, front, fmt.Sprintf("%s-%d-%d", name, group, n), Database(Latest, group), customer)
+			session := fmt.Sprintf("%s-%d-%d", name, group, n)
+			checker.RecordSession(session, CustomerName(customer), GroupName(group))
+			c := connect(t, front, session, Database(Latest, group), customer)
 			mustDo(t, c, statement.Begin, "")
 			mustDo(t, c, statement.Write, fmt.Sprintf("%s-%d first", name, n))
 			return c
@@ -74,5 +77,8 @@
 				t.Errorf("COMMIT of a client that was not involved: %s %s", a.Code, a.Text)
 			}
 		}
+		for _, v := range checker.Violations(d.Groups) {
+			t.Error(v)
+		}
 	})
 }
