--- a/transport/promotion/promotion_test.go
+++ b/transport/promotion/promotion_test.go
@@ -39,7 +39,9 @@
 	runner := &unlinkedRunner{}
 	c := New(Options{
 		Name: "vm", Runner: runner, Table: table, Leadership: leadership.NewTable(), Scope: tally.NoopScope,
-		View:   func() *placement.View { return &placement.View{Self: "vm", VMs: []placement.VM{{Name: "vm", Alive: true}}} },
+		View: func() *placement.View {
+			return &placement.View{Self: "vm", VMs: []placement.VM{{Name: "vm", Alive: true}}}
+		},
 		Logger: &log.Logger{Handler: discard.Default},
 	})
 	c.started -= time.Minute // the primary has been unconfirmed for long
