Stop reading from sessions that always have requests waiting

What callers saw: during a planned stop, connections ended while requests ran that had been sent 5 s after SIGTERM; some of their writes were committed without an answer.

Cause: a session of a stopping VM was closed only when no request was waiting. Clients that pipeline always have one waiting, so the VM read and passed on requests until it exited.

Change: while the VM sheds load, the reader ends between two requests outside of a transaction; what was read is answered, then the session closes. A transaction whose reader has ended is rolled back and its session closed, since its rest can't be read.

TestStopAnswersPipelinedRequests failed before (a write committed without an answer, exit after 5.3 s in place of 4 s) and passed 3 of 3 runs. TestStopEndsTransactionOfStoppedReader passed before as well; without the second part of the change it doesn't end.

--- a/standin/managed/restart_test.go
+++ b/standin/managed/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -82,3 +83,88 @@
 		}
 	})
 }
+
+// pipeline keeps two writes without an answer open on a session until the connection
+// ends. It returns the IDs of the writes and how many of them were answered.
+func pipeline(c *Client) (ids []string, answered int) {
+	for {
+		for len(ids) < answered+2 {
+			id := fmt.Sprintf("%s/%d", c.name, len(ids))
+			ids = append(ids, id)
+			// If the request cannot be sent, no answer to it can be read.
+			_, _ = c.conn.Write(appendJSON(nil, statement.Request{ID: id, Verb: statement.Write, Payload: c.name + " x"}))
+		}
+		var a statement.Answer
+		if readJSON(c.r, &a) != nil {
+			return ids, answered
+		}
+		answered++
+	}
+}
+
+// Guards against a VM that is stopped and goes on reading requests of clients that send
+// them without waiting for answers, and exits while the last ones run.
+func TestStopAnswersPipelinedRequests(t *testing.T) {
+	inDeployment(t, smallDeployment, func(d *Deployment) {
+		g := d.Groups[GroupName(0)]
+		vm := d.VM("vm-1-0")
+		var clients sync.WaitGroup
+		for n := range 6 {
+			c := connect(t, vm, fmt.Sprintf("batch-%d", n), Database(Latest, 0), n%smallDeployment.Customers)
+			clients.Go(func() {
+				ids, answered := pipeline(c)
+				if answered == 0 {
+					t.Error("nothing was answered")
+				}
+				for _, id := range ids[answered:] {
+					if g.Commits(id) > 0 {
+						t.Errorf("%s was committed without an answer", id)
+					}
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		stopping := time.Now()
+		vm.Terminate()
+		if took := time.Since(stopping); took > 4*time.Second {
+			t.Errorf("the VM took %v to end, although its clients run only short requests", took)
+		}
+		clients.Wait()
+	})
+}
+
+// Guards against a session that hangs until the process ends because its reader was
+// stopped just before it began a transaction: the rest of that is never read.
+func TestStopEndsTransactionOfStoppedReader(t *testing.T) {
+	inDeployment(t, smallDeployment, func(d *Deployment) {
+		vm := d.VM("vm-1-0")
+		c := connect(t, vm, "tx", Database(Latest, 0), 0)
+		var client sync.WaitGroup
+		client.Go(func() {
+			for {
+				// BEGIN is sent with the write before it.
+				requests := appendJSON(nil, statement.Request{ID: "tx/1", Verb: statement.Write, Payload: "a x"})
+				requests = appendJSON(requests, statement.Request{ID: "tx/2", Verb: statement.Begin})
+				if _, err := c.conn.Write(requests); err != nil {
+					return
+				}
+				for range 2 {
+					var a statement.Answer
+					if readJSON(c.r, &a) != nil {
+						return
+					}
+				}
+				if _, a := c.Do(statement.Rollback, ""); a.Code != statement.OK {
+					return
+				}
+			}
+		})
+		time.Sleep(time.Second)
+		stopping := time.Now()
+		vm.Terminate()
+		if took := time.Since(stopping); took > 4*time.Second {
+			t.Errorf("the VM took %v to end", took)
+		}
+		client.Wait()
+	})
+}
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -205,6 +205,10 @@
 
 // handleNext handles the next queued request, or makes the session idle.
 func (c *session) handleNext() {
+	if len(c.backlog) > 0 && c.stateMachine.State() == statement.Idle && c.server.isShedding() {
+		// A client that sends requests without waiting for answers is never idle.
+		c.stopReading()
+	}
 	if len(c.backlog) > 0 && !c.closed {
 		r := c.backlog[0]
 		c.backlog = c.backlog[1:]
@@ -226,6 +230,14 @@
 		}
 		return
 	}
+	if c.readerDone {
+		// The client cannot send the rest of its transaction.
+		if tx := c.stateMachine.FailTx(); tx != nil {
+			c.server.Runner.AbortTxOn(tx.VM, tx.ID)
+		}
+		c.closeAfterOutput()
+		return
+	}
 	c.server.mu.Lock()
 	draining := c.server.draining
 	c.server.mu.Unlock()
@@ -264,6 +276,11 @@
 		c.closeAfterOutput()
 		return
 	}
+	c.stopReading()
+}
+
+// stopReading ends the reader. Requests that it has read are still handled.
+func (c *session) stopReading() {
 	if c.readStopped.CompareAndSwap(false, true) {
 		if err := c.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
 			c.closeAfterOutput()
