Spread entries of other data centres within small data centres

Cause: only messages to a neighbour, a VM of the data centre that is not a voter, ask for entries of other data centres. With up to five VMs in a data centre all of them are voters, so a VM learned of other data centres only by its own exchanges with them, one data centre every 2 s. With two others a report took up to 4 s, and up to 1.5 s more until the VM that was asked had it.

Change: if no other VM of the data centre is left for a neighbour, one of the voters, chosen at random, is addressed as one.

TestSmallDataCentreAsksNeighbours fails before.

--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -229,6 +229,46 @@
 	}
 }
 
+// Guards against entries of other data centres that do not spread within a data
+// centre in which all VMs are voters, because no message asks for them.
+func TestSmallDataCentreAsksNeighbours(t *testing.T) {
+	for _, size := range []int{1, 2, 3, 5} {
+		c, ms := fleet(size, "a", "b")
+		r := Round{
+			Self: self("a", 0), Config: c, Members: ms,
+			Random: rand.New(rand.NewPCG(1, 2)).IntN, Now: now,
+		}
+		for i := range size {
+			r.Voters = append(r.Voters, self("a", i).Name)
+		}
+		var s Schedule
+		asked := make(map[string]bool)
+		for range 40 {
+			var local []string
+			neighbours := 0
+			for _, p := range s.Peers(r) {
+				if p.Kind != Remote {
+					local = append(local, p.Name)
+				}
+				if p.Kind == Neighbour {
+					neighbours++
+					asked[p.Name] = true
+					if p.Brief {
+						t.Errorf("%d VMs: the message to neighbour %s is brief", size, p.Name)
+					}
+				}
+			}
+			if want := min(1, size-1); neighbours != want || len(local) != size-1 {
+				t.Fatalf("%d VMs: %d neighbours among %v, want %d", size, neighbours, local, want)
+			}
+			r.Now = r.Now.Add(RoundInterval)
+		}
+		if len(asked) != size-1 {
+			t.Errorf("%d VMs: only %v were asked", size, asked)
+		}
+	}
+}
+
 // Guards against a data centre without a relay after one relay has failed and the
 // other is leaving.
 func TestRelaysTakeOver(t *testing.T) {
--- a/coordination/membership/schedule.go
+++ b/coordination/membership/schedule.go
@@ -32,7 +32,7 @@
 // Values of Kind.
 const (
 	Voter     Kind = iota // votes on this VM's incarnation
-	Neighbour             // random VM of the same data centre
+	Neighbour             // random VM of the same data centre; a voter if all of them are
 	Remote                // VM of another data centre
 )
 
@@ -72,7 +72,8 @@
 	rounds     int
 }
 
-// Peers returns the VMs to address in this round, without duplicates.
+// Peers returns the VMs to address in this round, without duplicates. One of them
+// is a neighbour unless no other VM of the data centre can be addressed.
 func (s *Schedule) Peers(r Round) []Peer {
 	known := candidates(r)
 	peers := voterPeers(r, known)
@@ -80,7 +81,15 @@
 	for i := range peers {
 		peers[i].Brief = r.Config != nil && !r.Joining && (s.rounds+i)%fullMessageRounds != 0
 	}
-	peers = append(peers, neighbourPeers(r, known, peers)...)
+	if neighbours := neighbourPeers(r, known, peers); len(neighbours) > 0 {
+		peers = append(peers, neighbours...)
+	} else if len(peers) > 0 {
+		// Only messages to neighbours ask for entries of other data centres. If all VMs
+		// of a small data centre are voters, such entries do not spread within it
+		// unless one of the voters is addressed as a neighbour.
+		p := &peers[r.Random(len(peers))]
+		p.Kind, p.Brief = Neighbour, false
+	}
 	if r.Now.Before(s.nextRemote) && !r.Missed && r.Config != nil {
 		return peers
 	}
