--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -391,7 +391,8 @@
 			}
 			if _, known := d.unusableSince[id]; !known {
 				d.unusableSince[id] = now
-				d.logger.WithField("server", id).Info("directory: server takes no new work.")
+				d.logger.WithFields(log.Fields{"server": id, "data_centre": s.DataCentre, "draining": s.Draining, "out_of_service": out[s.DataCentre]}).
+					Info("directory: server takes no new work.")
 			}
 			next.UnusableSince[id] = d.unusableSince[id]
 		}
