Tests: statements reach a data centre that was taken out of service

TestReregisteredPrimaryStaysOutOfService measured with the machine's clock while its waits were virtual, so it failed whatever the code did.

--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -26,6 +26,7 @@
 	history       map[directory.Kind][]directory.Entry // changes in order of revision
 	compacted     uint64                               // highest revision of which the history was dropped
 	changed       chan struct{}                        // closed and replaced at each change
+	watchesLost   int                                  // number of calls of LoseWatches
 	members       map[string]member
 	duty          promotion.Duty
 	fencingTokens map[string]uint64 // highest one seen, by group
@@ -97,6 +98,14 @@
 	s.history = make(map[directory.Kind][]directory.Entry)
 }
 
+// LoseWatches makes the store forget all watches that are waiting: they are never
+// answered. Watches that begin later are answered.
+func (s *Store) LoseWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchesLost++
+}
+
 // SetOutage sets the outage that affects the calls of the named VM, or of all VMs for "".
 // Orders to promote are not affected.
 func (s *Store) SetOutage(vm string, o Outage) {
@@ -203,10 +212,17 @@
 func (c client) Watch(ctx context.Context, kind directory.Kind, after uint64, wait time.Duration) (directory.Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	c.mu.Lock()
+	watchesLost := c.watchesLost
+	c.mu.Unlock()
 	for {
 		if err := c.call(ctx, c.vm); err != nil {
 			return directory.Batch{}, err
 		}
+		if c.lostSince(watchesLost) {
+			<-ctx.Done()
+			return directory.Batch{}, ctx.Err()
+		}
 		c.mu.Lock()
 		if after < c.compacted {
 			c.mu.Unlock()
@@ -227,12 +243,21 @@
 		case <-ctx.Done():
 			return directory.Batch{}, ctx.Err()
 		case <-timer.C:
-			return b, nil
+			if !c.lostSince(watchesLost) {
+				return b, nil
+			}
 		case <-changed:
 		}
 	}
 }
 
+// lostSince reports whether LoseWatches was called more often than before.
+func (s *Store) lostSince(before int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchesLost > before
+}
+
 // memberListLag is the time after which a VM appears in lists that need not be
 // fresh.
 const memberListLag = 3 * time.Second
--- a/transport/directory/evacuation_test.go
+++ b/transport/directory/evacuation_test.go
@@ -20,6 +20,9 @@
 func TestReregisteredPrimaryStaysOutOfService(t *testing.T) {
 	const evacuatedWithin = 5 * time.Second // required by operators
 	synctest.Test(t, func(t *testing.T) {
+		epoch := time.Now().Add(-time.Hour)
+		clock.SetForTest(func() time.Duration { return time.Since(epoch) })
+		defer clock.SetForTest(nil)
 		table := catalog.NewTable()
 		d := New(&compactedStore{}, singleVMFleet{}, table, leadership.NewTable(), Member{Name: "vm"}, 0, &log.Logger{Handler: discard.Default}, tally.NoopScope)
 		primary := Entry{Name: "s1", Revision: 1, Server: &catalog.Server{ID: "s1", Group: "g", DataCentre: "dc"}}
