Stop using servers that leave by a deadline that counts from the change

Cause: each step had a limit of its own, and the last one began when a VM learned of the change: up to half of the time for configurations plus 0.5 s until a lost watch is noticed, up to 1.8 s from VM to VM, then 3.5 s of handover. The sum is over the 5 s of all sites. For the same reason the handover began anew when a registration expired and came back, and on VMs that started or returned later. The class of fault: limits of steps that are added up, where only a deadline is promised.

Change: a VM knows the earliest time at which the change can have been made: that of the last call to which the store responded without it. VMs tell each other this age. Operations of primaries end at this time plus the operators' bound less 0.5 s for statements under way; if the age is unknown, at once. The store is watched for data centres out of service in quarters of that bound. A VM that begins to watch them lists them first, which dates the next change. A draining server that comes back after its registration expired is remembered.

Ages that are missing, negative or very large count as unknown (test).

--- a/node.go
+++ b/node.go
@@ -45,7 +45,7 @@
 	Seeds         []string // link addresses of VMs that may be running
 	Workers       int
 	Grace         time.Duration // from the call of Drain until the process must have exited
-	ConfigWithin  time.Duration // in which operators expect a configuration to be in force; zero for the shortest that is supported, 3 s
+	Bounds        directory.Bounds
 
 	Network       network.Network
 	ClientDialect sqlfront.Dialect
@@ -148,7 +148,7 @@
 		Leadership: n.leaders, View: n.links.View, Runner: n.dispatcher, Admitter: n.admission, Logger: o.Logger, Scope: o.Scope, Tracer: o.Tracer,
 	})
 	member := directory.Member{Name: o.Name, Address: o.LinkAddress, DataCentre: o.DataCentre, Weight: o.Weight}
-	n.directory = directory.New(o.Source, n.links, n.catalog, n.leaders, member, o.ConfigWithin, o.Logger, o.Scope)
+	n.directory = directory.New(o.Source, n.links, n.catalog, n.leaders, member, o.Bounds, o.Logger, o.Scope)
 	n.dispatcher.SetDirectory(n.directory)
 	promotionOptions := promotion.Options{
 		Name: o.Name, Platform: o.Platform, Duties: o.Duties, Runner: n.dispatcher, Reports: o.ServerDialect, Table: n.catalog, Leadership: n.leaders,
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -53,13 +53,11 @@
 	// Unfenced makes the platform execute orders regardless of their fencing tokens,
 	// and a replaced primary go on until it is told to step down or can reach its
 	// successor for a second.
-	Unfenced bool
-	// ConfigWithin is the time in which a configuration must be in force on the VMs;
-	// zero for their default.
-	ConfigWithin time.Duration
-	OnRequest    func(id string) // called for each client request that a VM has read; nil for none
-	Logger       log.Interface   // nil discards log entries
-	Tracer       trace.Tracer    // nil discards spans
+	Unfenced  bool
+	Bounds    directory.Bounds // that VMs are given
+	OnRequest func(id string)  // called for each client request that a VM has read; nil for none
+	Logger    log.Interface    // nil discards log entries
+	Tracer    trace.Tracer     // nil discards spans
 }
 
 // Deployment is a fleet of VMs with its simulated platform, in virtual time.
@@ -372,7 +370,7 @@
 	c := client{Store: d.Store, vm: name}
 	vm := &VM{Name: name, Zone: zone, deployment: d, host: host, cancel: cancel, done: make(chan struct{})}
 	vm.Node = chestnutdyke.NewNode(ctx, chestnutdyke.NodeOptions{
-		Name: name, DataCentre: zone, Weight: 1, Workers: 2, Grace: 6 * time.Second, ConfigWithin: d.ConfigWithin,
+		Name: name, DataCentre: zone, Weight: 1, Workers: 2, Grace: 6 * time.Second, Bounds: d.Bounds,
 		ClientAddress: fmt.Sprintf("%s:%d", name, clientPort), LinkAddress: fmt.Sprintf("%s:%d", name, linkPort),
 		ReadyAddress:            fmt.Sprintf("%s:%d", name, readyPort),
 		PlatformEnforcesFencing: !d.Unfenced,
--- a/standin/managed/evacuation_test.go
+++ b/standin/managed/evacuation_test.go
@@ -1,6 +1,7 @@
 package managed
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -33,17 +34,23 @@
 // their data centre is out of service, and no other server can be promoted.
 func TestPrimariesLeaveDataCentreWhileWatchesAreLost(t *testing.T) {
 	const phases, phase = 3, 500 * time.Millisecond // of the watches that are lost
-	for _, configWithin := range []time.Duration{3 * time.Second, 5 * time.Second, 6 * time.Second} {
+	for _, bounds := range []directory.Bounds{
+		{},
+		{Configuration: 5 * time.Second},
+		{Configuration: 6 * time.Second},
+		{Configuration: 6 * time.Second, OutOfService: 3500 * time.Millisecond},
+		{OutOfService: 12 * time.Second},
+	} {
 		for i := range phases {
-			t.Run(fmt.Sprint(configWithin, i), func(t *testing.T) {
+			t.Run(fmt.Sprint(bounds, i), func(t *testing.T) {
 				o := smallDeployment
-				o.ConfigWithin = configWithin
+				o.Bounds = bounds
 				inDeployment(t, o, func(d *Deployment) {
 					l := startLoad(t, d)
 					time.Sleep(2*time.Second + time.Duration(i)*phase)
 					d.Store.RefuseOrders(true)
 					d.Store.LoseWatches()
-					takeOut(t, d, zoneName(0), evacuateWithin)
+					takeOut(t, d, zoneName(0), cmp.Or(bounds.OutOfService, evacuateWithin))
 					d.Store.RefuseOrders(false)
 					time.Sleep(2 * time.Second)
 					l.finish()
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -147,18 +147,19 @@
 	Config  *Config            // nil until a configuration is known
 	Servers map[string]*Server // by id
 	Out     map[string]bool    // data centres whose servers take no work
-	// UnusableSince has the servers that take no new work, because they are
-	// draining or their data centre is out of service, with the time at which
-	// this VM learned it.
-	UnusableSince map[string]time.Duration
+	// Leaving has the servers that take no new work, because they are draining or their
+	// data centre is out of service.
+	Leaving map[string]Leaving
 	// RegisteredAt is when this VM last learned of a new server.
 	RegisteredAt time.Duration
 }
 
-// primaryHandoverPeriod is how long a primary that takes no new work still
-// receives operations that only a primary can run. Operators allow 5 s for taking
-// a data centre out of service and 7 s for draining.
-const primaryHandoverPeriod = 3500 * time.Millisecond
+// Leaving says how long a server that takes no new work is still used until another one
+// takes over from it. It is a reading of the clock that keeps running while the host is
+// suspended.
+type Leaving struct {
+	OperationsUntil time.Duration
+}
 
 // GroupServers returns the servers of a group sorted by ID.
 func (d *Deployment) GroupServers(group string) []*Server {
@@ -177,13 +178,9 @@
 
 // UsableAsPrimary reports whether the server may receive operations that only a
 // primary can run. A primary that is being taken out of service runs them until
-// another server takes over, for at most primaryHandoverPeriod.
+// another server takes over, or until operators require that it gets none.
 func (d *Deployment) UsableAsPrimary(s *Server, now time.Duration) bool {
-	if d.Usable(s) {
-		return true
-	}
-	since, known := d.UnusableSince[s.ID]
-	return known && now-since < primaryHandoverPeriod
+	return d.Usable(s) || now < d.Leaving[s.ID].OperationsUntil
 }
 
 // Table holds the current deployment. Readers take no lock, so they may hold
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -26,11 +26,12 @@
 	// counts as dropped.
 	watchMargin = 500 * time.Millisecond
 	// minWatchWait and maxWatchWait bound how long the store may hold a watch open.
-	minWatchWait = 1500 * time.Millisecond
-	maxWatchWait = 3 * time.Second
-	listTimeout  = time.Second
-	minBackoff   = 100 * time.Millisecond
-	maxBackoff   = time.Second
+	minWatchWait       = time.Second
+	minConfigWatchWait = 1500 * time.Millisecond // of the configuration
+	maxWatchWait       = 3 * time.Second
+	listTimeout        = time.Second
+	minBackoff         = 100 * time.Millisecond
+	maxBackoff         = time.Second
 	// deregistrationGrace is how long a server is used after its registration
 	// disappeared. Registrations that expire during an outage of the store are
 	// renewed within about 2 s of its recovery.
@@ -91,39 +92,36 @@
 	logger  log.Interface
 	self    Member
 	started time.Duration
-	// watchWait is how long the store may hold a watch open. The store may drop a
-	// watch without a response, which is detected watchMargin later, while there is
-	// time left for a configuration to take effect.
-	watchWait time.Duration
+	bounds  Bounds // with defaults
 
 	metrics
 
 	mu                lockrank.Mutex // guards the fields below
 	docs              map[Kind]document
-	docsVersion       uint64                   // increases with each change of docs
-	encodedUpdates    map[string][]byte        // see EncodeUpdates; by request
-	deregisteredSince map[string]time.Duration // server to the time at which its registration disappeared
-	unusableSince     map[string]time.Duration // as in catalog.Deployment
-	missingSince      map[string]time.Duration // address to the time at which the member was first found missing
-	requestDeadline   time.Duration            // deadline of the pending request to another VM; zero once it has a response or has failed
-	behindSince       time.Duration            // when VMs of other data centres were first found to be ahead; zero if none is
-	storeFailing      bool                     // the last call to the store failed
-	lastStoreCall     time.Duration            // when the last call to the store ended
-	configConfirmed   bool                     // see ConfigConfirmed
+	docsVersion       uint64                      // increases with each change of docs
+	encodedUpdates    map[string]encodedUpdate    // see EncodeUpdates; by request
+	deregisteredSince map[string]time.Duration    // server to the time at which its registration disappeared
+	departures        map[departure]departureTime // those in docs, and draining servers that were registered not long ago
+	confirmedAt       map[Kind]time.Duration      // when the latest call was sent to which the store responded with the kind
+	missingSince      map[string]time.Duration    // address to the time at which the member was first found missing
+	requestDeadline   time.Duration               // deadline of the pending request to another VM; zero once it has a response or has failed
+	behindSince       time.Duration               // when VMs of other data centres were first found to be ahead; zero if none is
+	storeFailing      bool                        // the last call to the store failed
+	lastStoreCall     time.Duration               // when the last call to the store ended
+	configConfirmed   bool                        // see ConfigConfirmed
 
 	membersAttempted chan struct{} // closed after the first attempt to read the list of members
 }
 
-// New returns the directory of the VM described by self. configWithin is the time in
-// which operators expect a configuration to be in force; each watch is billed, so the
-// directory watches as seldom as that allows.
-func New(source Source, fleet Fleet, table *catalog.Table, leaders *leadership.Table, self Member, configWithin time.Duration, logger log.Interface, scope tally.Scope) *Directory {
+// New returns the directory of the VM described by self.
+func New(source Source, fleet Fleet, table *catalog.Table, leaders *leadership.Table, self Member, bounds Bounds, logger log.Interface, scope tally.Scope) *Directory {
 	return &Directory{
-		watchWait: min(max(configWithin/2, minWatchWait), maxWatchWait),
-		source:    source, fleet: fleet, table: table, leaders: leaders, logger: logger, self: self, started: clock.Now(),
+		source: source, fleet: fleet, table: table, leaders: leaders, logger: logger, self: self, started: clock.Now(),
+		bounds:  bounds.withDefaults(),
 		metrics: newMetrics(scope),
 		mu:      lockrank.New(lockrank.Sessions), docs: make(map[Kind]document), deregisteredSince: make(map[string]time.Duration),
-		unusableSince: make(map[string]time.Duration), missingSince: make(map[string]time.Duration), encodedUpdates: make(map[string][]byte), membersAttempted: make(chan struct{}),
+		departures: make(map[departure]departureTime), confirmedAt: make(map[Kind]time.Duration),
+		missingSince: make(map[string]time.Duration), encodedUpdates: make(map[string]encodedUpdate), membersAttempted: make(chan struct{}),
 	}
 }
 
@@ -166,7 +164,8 @@
 			continue
 		}
 		revision = max(revision, d.revision(kind))
-		full := relist || revision == 0
+		full := relist || revision == 0 || kind == OutOfService && d.needsConfirmation()
+		sentAt := clock.Now()
 		var batch Batch
 		var err error
 		if full {
@@ -178,7 +177,7 @@
 		switch {
 		case err == nil:
 			d.applyBatch(kind, batch, full)
-			d.confirmConfig(kind)
+			d.confirm(kind, sentAt)
 			revision = max(revision, batch.AsOf)
 			backoff = minBackoff
 		case relist:
@@ -208,10 +207,11 @@
 }
 
 func (d *Directory) watch(ctx context.Context, kind Kind, after uint64) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.watchWait+watchMargin)
+	wait := d.bounds.watchWait(kind)
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
 	begin := clock.Now()
-	batch, err := d.source.Watch(ctx, kind, after, d.watchWait)
+	batch, err := d.source.Watch(ctx, kind, after, wait)
 	return batch, d.recordCall(callWatch, kind, begin, err)
 }
 
@@ -237,15 +237,24 @@
 	return err
 }
 
-// confirmConfig records that the store has sent the configuration, or that it has not
-// changed since another VM sent it.
-func (d *Directory) confirmConfig(kind Kind) {
-	if kind != Configuration {
-		return
+// confirm records that the store has responded to a call for the kind that was sent at
+// sentAt. The documents contain all changes that were made before.
+func (d *Directory) confirm(kind Kind, sentAt time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.confirmedAt[kind] = max(d.confirmedAt[kind], sentAt)
+	if kind == Configuration {
+		d.configConfirmed = true
 	}
+}
+
+// needsConfirmation reports whether the store has not responded for long to a call of this
+// VM for the data centres that are out of service, which is so when the VM begins to watch
+// them. A list confirms at once that none is, which dates the next change.
+func (d *Directory) needsConfirmation() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.configConfirmed = true
+	return clock.Now()-d.confirmedAt[OutOfService] > 2*(d.bounds.watchWait(OutOfService)+watchMargin)
 }
 
 // ConfigConfirmed reports whether this VM's configuration is known to have been current
@@ -316,19 +325,22 @@
 			next.remove(name, batch.AsOf)
 		}
 	}
-	d.replaceDocument(kind, next)
+	// The previous response of the store did not contain the changes.
+	earliest := d.confirmedAt[kind]
+	d.replaceDocument(kind, next, func(string) time.Duration { return earliest })
 }
 
-// replaceDocument replaces the document of a kind and reports the new revision
-// to other VMs. The caller holds mu, which replaceDocument releases.
-func (d *Directory) replaceDocument(kind Kind, next document) {
+// replaceDocument replaces the document of a kind and reports the new revision to other
+// VMs. earliest returns the earliest time of the change of an object, or zero. The caller
+// holds mu, which replaceDocument releases.
+func (d *Directory) replaceDocument(kind Kind, next document, earliest func(name string) time.Duration) {
 	if next.Revision < d.docs[kind].Revision {
 		d.mu.Unlock()
 		return
 	}
 	d.docs[kind] = next
 	d.docsVersion++
-	d.encodedUpdates = make(map[string][]byte)
+	clear(d.encodedUpdates)
 	revisions := make(map[string]uint64, len(d.docs))
 	for k, doc := range d.docs {
 		revisions[string(k)] = doc.Revision
@@ -336,6 +348,7 @@
 	if kind == VMs {
 		d.setMembers(next)
 	} else {
+		d.recordDepartures(clock.Now(), earliest)
 		d.rebuildDeployment()
 	}
 	d.mu.Unlock()
@@ -384,21 +397,10 @@
 				d.logger.WithFields(log.Fields{"version": e.Config.Version, "revision": e.Revision}).Info("directory: configuration in force.")
 			}
 		}
-		next.UnusableSince = make(map[string]time.Duration)
+		next.Leaving = make(map[string]catalog.Leaving)
 		for id, s := range next.Servers {
-			if next.Usable(s) {
-				continue
-			}
-			if _, known := d.unusableSince[id]; !known {
-				d.unusableSince[id] = now
-				d.logger.WithFields(log.Fields{"server": id, "data_centre": s.DataCentre, "draining": s.Draining, "out_of_service": out[s.DataCentre]}).
-					Info("directory: server takes no new work.")
-			}
-			next.UnusableSince[id] = d.unusableSince[id]
-		}
-		for id := range d.unusableSince {
-			if _, unusable := next.UnusableSince[id]; !unusable {
-				delete(d.unusableSince, id)
+			if !next.Usable(s) {
+				next.Leaving[id] = d.leaving(s)
 			}
 		}
 		return next
--- a/transport/directory/directory_test.go
+++ b/transport/directory/directory_test.go
@@ -21,6 +21,7 @@
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 	"github.com/chestnutdyke/chestnutdyke/transport/fleetlink"
 )
 
@@ -63,7 +64,7 @@
 func TestRefusedListAfterLostHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &compactedStore{}
-		d := New(s, singleVMFleet{}, catalog.NewTable(), leadership.NewTable(), Member{Name: "vm"}, 0, &log.Logger{Handler: discard.Default}, tally.NoopScope)
+		d := New(s, singleVMFleet{}, catalog.NewTable(), leadership.NewTable(), Member{Name: "vm"}, Bounds{}, &log.Logger{Handler: discard.Default}, tally.NoopScope)
 		close(d.membersAttempted)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
@@ -84,7 +85,7 @@
 	const servers = 500
 	synctest.Test(t, func(t *testing.T) {
 		newDirectory := func() *Directory {
-			return New(&compactedStore{}, singleVMFleet{}, catalog.NewTable(), leadership.NewTable(), Member{Name: "vm"}, 0, &log.Logger{Handler: discard.Default}, tally.NoopScope)
+			return New(&compactedStore{}, singleVMFleet{}, catalog.NewTable(), leadership.NewTable(), Member{Name: "vm"}, Bounds{}, &log.Logger{Handler: discard.Default}, tally.NoopScope)
 		}
 		a, b := newDirectory(), newDirectory()
 		// transfer sends the updates that b lacks from a to b and returns their
@@ -96,7 +97,7 @@
 				t.Fatal(err)
 			}
 			body := a.EncodeUpdates(request)
-			b.applyUpdates("a", body, known)
+			b.applyUpdates("a", body, known, clock.Now())
 			if diff := cmp.Diff(a.docs[Servers].Entries, b.docs[Servers].Entries); diff != "" {
 				t.Fatalf("b differs from a: %s", diff)
 			}
--- a/transport/directory/evacuation_test.go
+++ b/transport/directory/evacuation_test.go
@@ -1,6 +1,11 @@
 package directory
 
 import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"errors"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,28 +19,131 @@
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
 
-// Guards against a primary that gets work again although its data centre was taken out
-// of service long ago: its registration expires while it is cut off from the store and
-// comes back, and the time for handing over to another primary starts anew.
-func TestReregisteredPrimaryStaysOutOfService(t *testing.T) {
-	const evacuatedWithin = 5 * time.Second // required by operators
+// inVirtualTime runs a test in virtual time, which the clock of ages follows.
+func inVirtualTime(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		epoch := time.Now().Add(-time.Hour)
 		clock.SetForTest(func() time.Duration { return time.Since(epoch) })
 		defer clock.SetForTest(nil)
-		table := catalog.NewTable()
-		d := New(&compactedStore{}, singleVMFleet{}, table, leadership.NewTable(), Member{Name: "vm"}, 0, &log.Logger{Handler: discard.Default}, tally.NoopScope)
+		test(t)
+	})
+}
+
+// testDirectory returns a directory without other VMs, and its table.
+func testDirectory(bounds Bounds) (*Directory, *catalog.Table) {
+	table := catalog.NewTable()
+	return New(&compactedStore{}, singleVMFleet{}, table, leadership.NewTable(), Member{Name: "vm"}, bounds, &log.Logger{Handler: discard.Default}, tally.NoopScope), table
+}
+
+// change applies a change from the store, which follows a response of the store.
+func change(d *Directory, kind Kind, e Entry) {
+	d.applyBatch(kind, Batch{AsOf: e.Revision, Entries: []Entry{e}}, false)
+	d.confirm(kind, clock.Now())
+}
+
+// checkUsable fails the test unless the only server gets operations that need a primary, or
+// gets none.
+func checkUsable(t *testing.T, table *catalog.Table, want bool, when string) {
+	t.Helper()
+	deployment := table.Current()
+	s := deployment.Servers["s1"]
+	if s == nil {
+		t.Fatalf("%s: the server is not known", when)
+	}
+	if got := deployment.UsableAsPrimary(s, clock.Now()); got != want {
+		t.Errorf("%s: the server gets work: %v, want %v", when, got, want)
+	}
+}
+
+// Guards against a primary that gets work again although its data centre was taken out
+// of service long ago, because its registration expires and comes back.
+func TestReregisteredPrimaryStaysOutOfService(t *testing.T) {
+	const evacuatedWithin = 5 * time.Second // required by operators
+	inVirtualTime(t, func(t *testing.T) {
+		d, table := testDirectory(Bounds{OutOfService: evacuatedWithin})
 		primary := Entry{Name: "s1", Revision: 1, Server: &catalog.Server{ID: "s1", Group: "g", DataCentre: "dc"}}
-		d.applyBatch(Servers, Batch{AsOf: 1, Entries: []Entry{primary}}, true)
-		d.applyBatch(OutOfService, Batch{AsOf: 2, Entries: []Entry{{Name: "dc", Revision: 2}}}, true)
+		change(d, Servers, primary)
+		d.confirm(OutOfService, clock.Now())
+		change(d, OutOfService, Entry{Name: "dc", Revision: 2})
+		checkUsable(t, table, true, "at the change")
 		time.Sleep(2 * time.Second)
-		d.applyBatch(Servers, Batch{AsOf: 3, Entries: []Entry{{Name: "s1", Revision: 3, Deleted: true}}}, false)
+		change(d, Servers, Entry{Name: "s1", Revision: 3, Deleted: true})
 		time.Sleep(evacuatedWithin)
 		primary.Revision = 4
-		d.applyBatch(Servers, Batch{AsOf: 4, Entries: []Entry{primary}}, false)
-		deployment := table.Current()
-		if s := deployment.Servers["s1"]; s == nil || deployment.UsableAsPrimary(s, clock.Now()) {
-			t.Errorf("server %+v gets work 7 s after its data centre was taken out of service", s)
+		change(d, Servers, primary)
+		checkUsable(t, table, false, "7 s after its data centre was taken out of service")
+	})
+}
+
+// Guards against a draining primary that gets work again for the same reason.
+func TestReregisteredPrimaryStaysDraining(t *testing.T) {
+	const drainedWithin = 7 * time.Second
+	inVirtualTime(t, func(t *testing.T) {
+		d, table := testDirectory(Bounds{Draining: drainedWithin})
+		primary := Entry{Name: "s1", Revision: 1, Server: &catalog.Server{ID: "s1", Group: "g", DataCentre: "dc", Born: 1}}
+		change(d, Servers, primary)
+		draining := Entry{Name: "s1", Revision: 2, Server: &catalog.Server{ID: "s1", Group: "g", DataCentre: "dc", Born: 1, Draining: true}}
+		change(d, Servers, draining)
+		checkUsable(t, table, true, "at the change")
+		time.Sleep(2 * time.Second)
+		change(d, Servers, Entry{Name: "s1", Revision: 3, Deleted: true})
+		time.Sleep(drainedWithin)
+		draining.Revision = 4
+		change(d, Servers, draining)
+		checkUsable(t, table, false, "9 s after it started to drain")
+		restarted := Entry{Name: "s1", Revision: 5, Server: &catalog.Server{ID: "s1", Group: "g", DataCentre: "dc", Born: 2}}
+		change(d, Servers, restarted)
+		checkUsable(t, table, true, "after a restart of the server")
+	})
+}
+
+// Guards against a bound that begins anew on each VM that learns of the change: from the
+// store late, or from another VM.
+func TestBoundCountsFromTheChange(t *testing.T) {
+	const evacuatedWithin = 3 * time.Second
+	inVirtualTime(t, func(t *testing.T) {
+		server := Entry{Name: "s1", Revision: 1, Server: &catalog.Server{ID: "s1", Group: "g", DataCentre: "dc"}}
+		informed, informedTable := testDirectory(Bounds{OutOfService: evacuatedWithin})
+		change(informed, Servers, server)
+		informed.confirm(OutOfService, clock.Now())
+		time.Sleep(time.Second) // the change is made meanwhile
+		change(informed, OutOfService, Entry{Name: "dc", Revision: 2})
+
+		other, otherTable := testDirectory(Bounds{OutOfService: evacuatedWithin})
+		change(other, Servers, server)
+		time.Sleep(500 * time.Millisecond)
+		request := []byte(`{"servers":1}`)
+		other.applyUpdates("informed", informed.EncodeUpdates(request), map[Kind]uint64{Servers: 1}, clock.Now())
+		checkUsable(t, otherTable, true, "1.5 s after the last response without the change")
+		time.Sleep(time.Second)
+		for _, table := range []*catalog.Table{informedTable, otherTable} {
+			checkUsable(t, table, false, "2.5 s after it")
+		}
+	})
+}
+
+// Guards against a VM that uses a primary although it can't tell how long ago the data
+// centre was taken out of service: its first list has the entry, or a VM of a version that
+// sends no ages, or false ones, sent it.
+func TestPrimaryIsNotUsedAfterChangeOfUnknownAge(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		server := Entry{Name: "s1", Revision: 1, Server: &catalog.Server{ID: "s1", Group: "g", DataCentre: "dc"}}
+		listed, table := testDirectory(Bounds{})
+		change(listed, Servers, server)
+		listed.applyBatch(OutOfService, Batch{AsOf: 2, Entries: []Entry{{Name: "dc", Revision: 2}}}, true)
+		checkUsable(t, table, false, "after the first list")
+		for name, ages := range map[string]map[string]int64{"no ages": nil, "negative age": {"dc": -5000}, "large age": {"dc": math.MaxInt64}} {
+			told, table := testDirectory(Bounds{})
+			change(told, Servers, server)
+			var b bytes.Buffer
+			z := gzip.NewWriter(&b)
+			updates := map[Kind]update{OutOfService: {Revision: 2, Full: true, Entries: []Entry{{Name: "dc", Revision: 2}}, Ages: ages}}
+			if err := errors.Join(json.NewEncoder(z).Encode(updates), z.Close()); err != nil {
+				t.Fatal(err)
+			}
+			told.applyUpdates("other", b.Bytes(), nil, clock.Now())
+			checkUsable(t, table, false, name)
 		}
 	})
 }
--- /dev/null
+++ b/transport/directory/leaving.go
@@ -0,0 +1,183 @@
+package directory
+
+import (
+	"math"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+)
+
+// Bounds are the times that operators allow from the store's acknowledgement of a change
+// until it is in force on all VMs. A bound of zero has a default.
+type Bounds struct {
+	Configuration time.Duration // a configuration; default 3 s
+	OutOfService  time.Duration // servers of a data centre that is taken out of service get nothing more; default 5 s
+	Draining      time.Duration // a server that is draining gets no new work; default 7 s
+}
+
+const (
+	defaultConfigurationBound = 3 * time.Second
+	defaultOutOfServiceBound  = 5 * time.Second
+	defaultDrainingBound      = 7 * time.Second
+	// sendMargin is the part of a bound that is left for statements which are on their
+	// way to a server when the VM stops sending.
+	sendMargin = 500 * time.Millisecond
+	// drainMemory is how long a VM remembers that a server was draining after its
+	// registration has disappeared. Registrations that expire during an outage of the
+	// store are renewed within about 2 s of its recovery.
+	drainMemory = time.Minute
+)
+
+func (b Bounds) withDefaults() Bounds {
+	if b.Configuration <= 0 {
+		b.Configuration = defaultConfigurationBound
+	}
+	if b.OutOfService <= 0 {
+		b.OutOfService = defaultOutOfServiceBound
+	}
+	if b.Draining <= 0 {
+		b.Draining = defaultDrainingBound
+	}
+	return b
+}
+
+// watchWait returns how long the store may hold a watch of the kind open. The store may
+// drop a watch without a response, which is detected watchMargin later. Each watch is
+// billed, so the wait is as long as the bounds allow.
+func (b Bounds) watchWait(kind Kind) time.Duration {
+	config := min(max(b.Configuration/2, minConfigWatchWait), maxWatchWait)
+	leaving := func(bound time.Duration) time.Duration {
+		return min(max(bound/4, minWatchWait), maxWatchWait)
+	}
+	switch kind {
+	case OutOfService:
+		return leaving(b.OutOfService)
+	case Servers:
+		return min(config, leaving(b.Draining))
+	}
+	return config
+}
+
+// departure identifies a change after which servers get no new work: a data centre that
+// is taken out of service, or a server that starts to drain.
+type departure struct {
+	kind Kind
+	name string // of the object
+	born int64  // of the server
+}
+
+// departureTime is what a VM knows of the time of a departure, as readings of the clock.
+type departureTime struct {
+	// earliest is a time at which the change had not been made yet; zero if none is
+	// known. Bounds are counted from it, because they begin when the change is made and
+	// not when a VM learns of it.
+	earliest time.Duration
+	seen     time.Duration // when the documents last contained the change
+}
+
+// currentDepartures returns the departures that the documents contain. The caller holds
+// mu.
+func (d *Directory) currentDepartures() map[departure]bool {
+	current := make(map[departure]bool)
+	for name := range d.docs[OutOfService].Entries {
+		current[departure{kind: OutOfService, name: name}] = true
+	}
+	for name, e := range d.docs[Servers].Entries {
+		if e.Server != nil && e.Server.Draining {
+			current[departure{Servers, name, e.Server.Born}] = true
+		}
+	}
+	return current
+}
+
+// recordDepartures records the departures that are new in the documents. earliest returns
+// the earliest time of the change of an object, or zero if it is unknown. The caller holds
+// mu.
+func (d *Directory) recordDepartures(now time.Duration, earliest func(name string) time.Duration) {
+	current := d.currentDepartures()
+	for p := range current {
+		t, known := d.departures[p]
+		if !known {
+			t.earliest = earliest(p.name)
+			d.logDeparture(p, t, now)
+		}
+		t.seen = now
+		d.departures[p] = t
+	}
+	for p, t := range d.departures {
+		if !current[p] && (p.kind == OutOfService || d.isBack(p) || now-t.seen > drainMemory) {
+			delete(d.departures, p)
+		}
+	}
+}
+
+// logDeparture logs a new departure, with the largest age that the change may have.
+func (d *Directory) logDeparture(p departure, t departureTime, now time.Duration) {
+	entry := d.logger.WithFields(log.Fields{"kind": string(p.kind), "name": p.name, "age_known": t.earliest > 0})
+	if t.earliest > 0 {
+		entry = entry.WithField("max_age_ms", (now - t.earliest).Milliseconds())
+	}
+	entry.Info("directory: no new work any more.")
+}
+
+// isBack reports whether the server of a departure is registered and not draining. The
+// caller holds mu.
+func (d *Directory) isBack(p departure) bool {
+	s := d.docs[Servers].Entries[p.name].Server
+	return s != nil && !s.Draining
+}
+
+// leaving returns how long a server that takes no new work is still used. The caller
+// holds mu.
+func (d *Directory) leaving(s *catalog.Server) catalog.Leaving {
+	until := time.Duration(math.MaxInt64)
+	if _, out := d.docs[OutOfService].Entries[s.DataCentre]; out {
+		until = d.departures[departure{kind: OutOfService, name: s.DataCentre}].end(d.bounds.OutOfService)
+	}
+	if s.Draining {
+		until = min(until, d.departures[departure{Servers, s.ID, s.Born}].end(d.bounds.Draining))
+	}
+	return catalog.Leaving{OperationsUntil: until}
+}
+
+// end returns the time at which VMs stop sending if the bound counts from the change. It
+// is zero, which is in the past, if the change may have any age.
+func (t departureTime) end(bound time.Duration) time.Duration {
+	if t.earliest == 0 {
+		return 0
+	}
+	return t.earliest + bound - sendMargin
+}
+
+// maxDepartureAge limits the ages that VMs tell each other. All bounds are shorter.
+const maxDepartureAge = time.Hour
+
+// departureAges returns upper limits for the ages of the departures among the entries of
+// an update that is sent within encodedUpdateLifetime, in milliseconds by name. The caller
+// holds mu.
+func (d *Directory) departureAges(kind Kind, entries []Entry, now time.Duration) map[string]int64 {
+	ages := make(map[string]int64)
+	for _, e := range entries {
+		p := departure{kind: kind, name: e.Name}
+		if e.Server != nil {
+			p.born = e.Server.Born
+		}
+		t := d.departures[p]
+		if age := now - t.earliest + encodedUpdateLifetime; t.earliest > 0 && age < maxDepartureAge {
+			ages[e.Name] = age.Milliseconds() + 1
+		}
+	}
+	return ages
+}
+
+// earliestDeparture returns the earliest time of the named object's change according to
+// the ages that another VM sent after requestedAt, or zero if it is unknown.
+func earliestDeparture(ages map[string]int64, name string, requestedAt time.Duration) time.Duration {
+	age, known := ages[name]
+	if !known || age < 0 || age > maxDepartureAge.Milliseconds() {
+		return 0
+	}
+	return max(requestedAt-time.Duration(age)*time.Millisecond, 0)
+}
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -119,7 +119,6 @@
 	runningJobs  int              // jobs without a result
 	callbacks    []func()         // run after the current event, without mu
 	drains       []*primaryDrain
-	leavingLogAt map[string]time.Time // server to the time of the latest log line of logLeaving
 	failingSince map[string]time.Time // server to its first failed connection attempt since a success
 	unreachable  map[string]bool
 }
@@ -152,7 +151,7 @@
 		tracer: o.Tracer, holdsConnections: o.HoldsConnections, reportUnreachable: o.ReportUnreachable,
 		checkPrimary: o.CheckPrimary,
 		mu:           lockrank.New(lockrank.Backends), pools: make(map[poolKey]*serverPool), txs: make(map[uint64]*conn),
-		leavingLogAt: make(map[string]time.Time), failingSince: make(map[string]time.Time), unreachable: make(map[string]bool),
+		failingSince: make(map[string]time.Time), unreachable: make(map[string]bool),
 	}
 }
 
--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -13,7 +13,6 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
-	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
 
 // abortTx rolls back the connection's transaction now, or when its statement
@@ -149,7 +148,6 @@
 		return
 	}
 	j := c.job
-	e.logLeaving(c)
 	j.sent = true
 	command := j.stmt.Command
 	if j.stmt.BeginsTx {
@@ -161,22 +159,6 @@
 	}
 }
 
-// leavingLogInterval limits the log lines of logLeaving on one server.
-const leavingLogInterval = time.Second
-
-// logLeaving logs that the connection's job is about to be sent to a server that takes no
-// new work. The caller holds mu.
-func (e *Executor) logLeaving(c *conn) {
-	id := c.pool.key.server
-	since, leaving := e.table.Current().UnusableSince[id]
-	if !leaving || time.Since(e.leavingLogAt[id]) < leavingLogInterval {
-		return
-	}
-	e.leavingLogAt[id] = time.Now()
-	e.logger.WithFields(log.Fields{"id": c.job.stmt.Command.ID, "server": id, "in_tx": c.job.stmt.Tx != 0, "origin": c.job.origin, "known_ms": (clock.Now() - since).Milliseconds()}).
-		Info("backend: statement sent to a server that takes no new work.")
-}
-
 func (e *Executor) send(c *conn, kind commandKind, command statement.Command) {
 	c.unanswered = append(c.unanswered, kind)
 	c.out.Enqueue(e.dialect.AppendCommand(nil, &command))
