Check where a statement goes when it is sent, not only when it is chosen

Cause: only the VM of the client looked at whether a server takes work, once, before the first statement. The VM that sends statements to the server ran what it was given. The class of fault: a decision that is not checked again where it is carried out.

Change: the VM that sends checks its own view when a statement gets a connection and once more after BEGIN. What may not be sent is refused: with BUSY, so that another server is tried, or with ABORTED in a transaction, which is rolled back by closing the connection, without a message to the server. Transactions that are idle are ended in the same way. A server that drains finishes its transactions. Commands of the proxy itself are sent as before; a switchover needs them.

--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -155,10 +155,14 @@
 }
 
 // Leaving says how long a server that takes no new work is still used until another one
-// takes over from it. It is a reading of the clock that keeps running while the host is
-// suspended.
+// takes over from it. The times are readings of the clock that keeps running while the
+// host is suspended.
 type Leaving struct {
+	// OperationsUntil ends operations that only a primary can run.
 	OperationsUntil time.Duration
+	// TransactionsUntil ends transactions that are open. A server that is draining
+	// finishes them, so it is the end of time for such a server.
+	TransactionsUntil time.Duration
 }
 
 // GroupServers returns the servers of a group sorted by ID.
@@ -183,6 +187,19 @@
 	return d.Usable(s) || now < d.Leaving[s.ID].OperationsUntil
 }
 
+// MaySend reports whether a statement may still be sent to the server, in a transaction
+// that is open there or outside of one.
+func (d *Deployment) MaySend(server string, inTx bool, now time.Duration) bool {
+	l, leaving := d.Leaving[server]
+	switch {
+	case !leaving:
+		return true
+	case inTx:
+		return now < l.TransactionsUntil
+	}
+	return now < l.OperationsUntil
+}
+
 // Table holds the current deployment. Readers take no lock, so they may hold
 // locks of any rank.
 type Table struct {
--- a/transport/directory/leaving.go
+++ b/transport/directory/leaving.go
@@ -129,17 +129,21 @@
 	return s != nil && !s.Draining
 }
 
+// endOfTime is later than all readings of the clock.
+const endOfTime = time.Duration(math.MaxInt64)
+
 // leaving returns how long a server that takes no new work is still used. The caller
 // holds mu.
 func (d *Directory) leaving(s *catalog.Server) catalog.Leaving {
-	until := time.Duration(math.MaxInt64)
+	l := catalog.Leaving{OperationsUntil: endOfTime, TransactionsUntil: endOfTime}
 	if _, out := d.docs[OutOfService].Entries[s.DataCentre]; out {
-		until = d.departures[departure{kind: OutOfService, name: s.DataCentre}].end(d.bounds.OutOfService)
+		l.OperationsUntil = d.departures[departure{kind: OutOfService, name: s.DataCentre}].end(d.bounds.OutOfService)
+		l.TransactionsUntil = l.OperationsUntil
 	}
 	if s.Draining {
-		until = min(until, d.departures[departure{Servers, s.ID, s.Born}].end(d.bounds.Draining))
+		l.OperationsUntil = min(l.OperationsUntil, d.departures[departure{Servers, s.ID, s.Born}].end(d.bounds.Draining))
 	}
-	return catalog.Leaving{OperationsUntil: until}
+	return l
 }
 
 // end returns the time at which VMs stop sending if the bound counts from the change. It
--- a/transport/sqlback/executor_test.go
+++ b/transport/sqlback/executor_test.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -40,6 +41,7 @@
 	down              atomic.Bool    // connections are not accepted
 	reportUnreachable func([]string) // receives the unreachable servers
 	keepAlive         atomic.Pointer[net.KeepAliveConfig]
+	table             *catalog.Table // of the executor; set by withExecutor
 
 	mu       sync.Mutex // guards commands
 	commands []statement.Verb
@@ -123,6 +125,7 @@
 		workers := pool.New(2)
 		running.Go(func() { _ = workers.Run(ctx) })
 		table := catalog.NewTable()
+		s.table = table
 		config := &catalog.Config{
 			TxIdle: txIdle, Groups: []catalog.Group{{Name: group, MaxConnections: 4}},
 			Customers: []catalog.Customer{{Name: customer, Rate: 10, Burst: 10}},
@@ -325,3 +328,90 @@
 		}
 	})
 }
+
+// leave makes the server leave: it gets no operations any more, and transactions as given.
+func (s *scriptedServer) leave(transactionsUntil time.Duration) {
+	s.table.Update(func(d catalog.Deployment) catalog.Deployment {
+		d.Leaving = map[string]catalog.Leaving{server: {TransactionsUntil: transactionsUntil}}
+		return d
+	})
+}
+
+// endOfTime is later than all readings of the clock.
+const endOfTime = time.Duration(math.MaxInt64)
+
+// Guards against a statement that reaches a server which must get nothing more, because a
+// VM with an outdated view chose that server.
+func TestNoStatementOfOtherVMsReachesServerThatLeft(t *testing.T) {
+	s := &scriptedServer{answer: answerInTx}
+	withExecutor(t, s, func(run func(statement.RemoteStatement) statement.Result) {
+		s.leave(endOfTime)
+		if r := run(statement.RemoteStatement{Command: statement.Command{ID: "1", Verb: statement.Write}}); r.Answer.Code != statement.Busy {
+			t.Errorf("answered %s, want busy", r.Answer.Code)
+		}
+		if verbs := s.received(); len(verbs) > 0 {
+			t.Errorf("the server received %v", verbs)
+		}
+		// A switchover needs the server's reports.
+		if r := run(statement.RemoteStatement{Command: statement.Command{Verb: statement.Status}}); r.Answer.Code != statement.OK {
+			t.Errorf("a report is answered %s %s", r.Answer.Code, r.Answer.Text)
+		}
+	})
+}
+
+// Guards against a statement that reaches a server which must get nothing more, because it
+// waited for a connection since the server was chosen.
+func TestWaitingStatementDoesNotReachServerThatLeft(t *testing.T) {
+	s := &scriptedServer{answer: answerInTx}
+	withExecutor(t, s, func(run func(statement.RemoteStatement) statement.Result) {
+		var open []uint64
+		begin := statement.RemoteStatement{BeginsTx: true, Command: statement.Command{ID: "tx", Verb: statement.Write}}
+		for {
+			begin.Wait = 10 * time.Millisecond
+			r := run(begin)
+			if r.Answer.Code != statement.OK {
+				break
+			}
+			open = append(open, r.Tx)
+		}
+		answered := make(chan statement.Code)
+		go func() {
+			r := run(statement.RemoteStatement{Command: statement.Command{ID: "waits", Verb: statement.Read}})
+			answered <- r.Answer.Code
+		}()
+		time.Sleep(20 * time.Millisecond)
+		s.leave(endOfTime)
+		if r := run(statement.RemoteStatement{Tx: open[0], Command: statement.Command{ID: "end", Verb: statement.Commit}}); r.Answer.Code != statement.OK {
+			t.Errorf("the end of a transaction on a draining server is answered %s", r.Answer.Code)
+		}
+		if code := <-answered; code != statement.Busy {
+			t.Errorf("the waiting statement is answered %s, want busy", code)
+		}
+		if verbs := s.received(); slices.Contains(verbs, statement.Read) {
+			t.Errorf("the server received %v", verbs)
+		}
+	})
+}
+
+// Guards against a transaction that goes on, or is ended by a further message, on a server
+// of a data centre that is out of service.
+func TestTransactionEndsOnServerThatLeft(t *testing.T) {
+	for _, idle := range []time.Duration{0, txIdle} { // until the client commits
+		s := &scriptedServer{answer: answerInTx}
+		withExecutor(t, s, func(run func(statement.RemoteStatement) statement.Result) {
+			r := run(statement.RemoteStatement{BeginsTx: true, Command: statement.Command{ID: "1", Verb: statement.Write}})
+			if r.Tx == 0 {
+				t.Fatalf("no transaction is open: %+v", r)
+			}
+			received := len(s.received())
+			s.leave(0)
+			time.Sleep(idle)
+			if r := run(statement.RemoteStatement{Tx: r.Tx, Command: statement.Command{ID: "2", Verb: statement.Commit}}); r.Answer.Code != statement.Aborted {
+				t.Errorf("a commit after %v is answered %s, want aborted", idle, r.Answer.Code)
+			}
+			if verbs := s.received()[received:]; len(verbs) > 0 {
+				t.Errorf("the server received %v", verbs)
+			}
+		})
+	}
+}
--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -98,6 +98,10 @@
 		e.finish(j, statement.Refusal(statement.Unreachable, "the server is not registered here"))
 		return
 	}
+	if !e.maySend(j.stmt, server.ID) {
+		e.refuseLeft(j)
+		return
+	}
 	p := e.pool(poolKey{j.stmt.Customer, j.stmt.Server}, server.Group)
 	if c := p.findIdle(j.stmt.Values); c != nil {
 		e.assign(c, j)
@@ -122,7 +126,7 @@
 	c.job, j.conn = j, c
 	e.connectionWait.RecordDuration(time.Since(j.submittedAt))
 	c.state = connBusy
-	if e.refuseIfNotPrimary(c) {
+	if e.refuseIfLeft(c) || e.refuseIfNotPrimary(c) {
 		return
 	}
 	for _, command := range c.setupCommands(j) {
@@ -144,7 +148,7 @@
 // must not be sent with BEGIN: if the server refused BEGIN, the statement would
 // run outside a transaction.
 func (e *Executor) sendStatement(c *conn) {
-	if e.refuseIfNotPrimary(c) {
+	if e.refuseIfLeft(c) || e.refuseIfNotPrimary(c) {
 		return
 	}
 	j := c.job
--- a/transport/sqlback/maintenance.go
+++ b/transport/sqlback/maintenance.go
@@ -65,12 +65,14 @@
 	}
 }
 
-// sweep rolls back abandoned transactions, and closes connections that do not
+// sweep rolls back abandoned transactions and those on servers that must get nothing more,
+// and closes connections that do not
 // answer, that lead to servers which take no work, whose customers are assigned to
 // another VM, or that were idle for too long.
 func (e *Executor) sweep() {
 	d := e.table.Current()
 	e.mu.Lock()
+	e.leaveServers(d)
 	e.rollbackAbandoned(d)
 	e.closeUnanswered()
 	var idle []*conn
