--- a/standin/managed/evacuation_test.go
+++ b/standin/managed/evacuation_test.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/chestnutdyke/chestnutdyke/standin/memnet"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 	"github.com/chestnutdyke/chestnutdyke/transport/directory"
 )
@@ -114,3 +116,43 @@
 		}
 	})
 }
+
+// Guards against VMs that learn of a change too late because all VMs that watch the store
+// for it are in a data centre that is cut off at that time.
+func TestWatchersAreCutOffAtTheChange(t *testing.T) {
+	for _, vms := range []int{2, 4} { // in each data centre
+		o := smallDeployment
+		o.VMs = vms
+		inDeployment(t, o, func(d *Deployment) {
+			cutOff, out := "", ""
+			for _, vm := range d.VMs {
+				if vm.Node.View().Watches(string(directory.OutOfService)) {
+					cutOff = vm.Zone
+				}
+			}
+			for z := range o.Zones {
+				if zoneName(z) != cutOff {
+					out = zoneName(z)
+				}
+			}
+			var inTouch []string
+			for name, vm := range d.VMs {
+				if vm.Zone != cutOff {
+					inTouch = append(inTouch, name)
+				}
+			}
+			slices.Sort(inTouch)
+			l := startLoadOn(t, d, inTouch)
+			time.Sleep(2 * time.Second)
+			// The VMs that are cut off stop without a sign, as the others see it.
+			for name, vm := range d.VMs {
+				if vm.Zone == cutOff {
+					d.Store.SetOutage(name, Unresponsive)
+				}
+			}
+			d.Net.Partition(memnet.Zones(cutOff), memnet.All())
+			takeOut(t, d, out, evacuateWithin)
+			l.finish()
+		})
+	}
+}
