Test: transaction IDs that repeat after a restart, for one customer and server

Cause: TestRestartedVMRunsNoOldTransactions had clients of another customer or group after the restart only. For those, the check of customer and server refuses lost transactions, also if IDs repeat. No test failed if they did.

Change: a second case of the test with clients of the same customer on the same server. No check was removed; what follows the restart is the same for both cases.

Measured: with IDs that count from 1 in each process, the new case fails (statements and a COMMIT of 4 of 4 lost transactions run in those of other clients), the old one passes. On the code as it is, both passed 5 of 5 times with the race detector.

--- a/standin/managed/restart_test.go
+++ b/standin/managed/restart_test.go
@@ -31,57 +31,71 @@
 
 // Guards against a session whose transaction was lost with the VM that held its
 // connection, and whose next statements run in a transaction that another client opened
-// through the restarted VM.
+// through the restarted VM. If it is a client of the same customer on the same server,
+// only the ID of the transaction tells the two apart.
 func TestRestartedVMRunsNoOldTransactions(t *testing.T) {
-	o := smallDeployment
-	o.VMs, o.Groups = 1, 4 // the primaries of groups 0 and 3 are in one zone
-	inDeployment(t, o, func(d *Deployment) {
-		const clients = 4
-		g := d.Groups[GroupName(0)]
-		checker := NewChecker()
-		owner, front := ownerAndFront(t, d, CustomerName(0), g.Primary())
-		begin := func(name string, customer, group, n int) *Client {
-			session := fmt.Sprintf("%s-%d-%d", name, group, n)
-			checker.RecordSession(session, CustomerName(customer), GroupName(group))
-			c := connect(t, front, session, Database(Latest, group), customer)
-			mustDo(t, c, statement.Begin, "")
-			mustDo(t, c, statement.Write, fmt.Sprintf("%s-%d first", name, n))
-			return c
-		}
-		var early []*Client
-		for n := range clients {
-			early = append(early, begin("early", 0, 0, n))
-		}
-		owner.Kill()
-		d.StartVM(owner.Name, owner.Zone)
-		time.Sleep(1500 * time.Millisecond)
-		// Transactions of another customer, and on the servers of another group.
-		var late []*Client
-		for n := range clients {
-			late = append(late, begin("late", 1, 0, n), begin("other", 1, 3, n))
-		}
-		for n, c := range early {
-			id, a := c.Do(statement.Write, fmt.Sprintf("early-%d second", n))
-			if a.Code != statement.Aborted {
-				t.Errorf("statement of a lost transaction: %s %s", a.Code, a.Text)
-			}
-			_, a = c.Do(statement.Commit, "")
-			if a.Code == statement.OK {
-				t.Error("COMMIT of a lost transaction succeeded")
-			}
-			if g.Commits(id) > 0 {
-				t.Errorf("%s was committed in another client's transaction", id)
-			}
+	type clientsOf struct{ customer, group int }
+	for name, late := range map[string][]clientsOf{
+		"another customer or group":    {{1, 0}, {1, 3}},
+		"the same customer and server": {{0, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := smallDeployment
+			o.VMs, o.Groups = 1, 4 // the primaries of groups 0 and 3 are in one zone
+			inDeployment(t, o, func(d *Deployment) {
+				owner, front := ownerAndFront(t, d, CustomerName(0), d.Groups[GroupName(0)].Primary())
+				checker := NewChecker()
+				const clients = 4
+				// begin opens the transactions of clients.
+				begin := func(name string, of clientsOf) (open []*Client) {
+					for n := range clients {
+						session := fmt.Sprintf("%s-%d-%d", name, of.group, n)
+						checker.RecordSession(session, CustomerName(of.customer), GroupName(of.group))
+						c := connect(t, front, session, Database(Latest, of.group), of.customer)
+						mustDo(t, c, statement.Begin, "")
+						mustDo(t, c, statement.Write, session+" first")
+						open = append(open, c)
+					}
+					return open
+				}
+				lost := begin("early", clientsOf{0, 0})
+				owner.Kill()
+				d.StartVM(owner.Name, owner.Zone)
+				time.Sleep(1500 * time.Millisecond)
+				var others []*Client
+				for _, of := range late {
+					others = append(others, begin("late", of)...)
+				}
+				checkLostTransactions(t, d.Groups[GroupName(0)], lost)
+				for _, c := range others {
+					if _, a := c.Do(statement.Commit, ""); a.Code != statement.OK {
+						t.Errorf("COMMIT of a client that was not involved: %s %s", a.Code, a.Text)
+					}
+				}
+				for _, v := range checker.Violations(d.Groups) {
+					t.Error(v)
+				}
+			})
+		})
+	}
+}
+
+// checkLostTransactions fails the test if a statement or a COMMIT of transactions that were
+// lost with their VM has an effect.
+func checkLostTransactions(t *testing.T, g *Group, clients []*Client) {
+	t.Helper()
+	for _, c := range clients {
+		id, a := c.Do(statement.Write, c.name+" second")
+		if a.Code != statement.Aborted {
+			t.Errorf("statement of a lost transaction: %s %s", a.Code, a.Text)
 		}
-		for _, c := range late {
-			if _, a := c.Do(statement.Commit, ""); a.Code != statement.OK {
-				t.Errorf("COMMIT of a client that was not involved: %s %s", a.Code, a.Text)
-			}
+		if _, a = c.Do(statement.Commit, ""); a.Code == statement.OK {
+			t.Error("COMMIT of a lost transaction succeeded")
 		}
-		for _, v := range checker.Violations(d.Groups) {
-			t.Error(v)
+		if g.Commits(id) > 0 {
+			t.Errorf("%s was committed in another client's transaction", id)
 		}
-	})
+	}
 }
 
 // pipeline keeps two writes without an answer open on a session until the connection
