Split bounds from departures; one log line for each change

Cause: one file held the operators' bounds and the times of changes.

Measured: tests of transport and platform pass.

--- a/node.go
+++ b/node.go
@@ -44,8 +44,8 @@
 	AdminAddress  string   // HTTP metrics and readiness endpoint; empty for none
 	Seeds         []string // link addresses of VMs that may be running
 	Workers       int
-	Grace         time.Duration // from the call of Drain until the process must have exited
-	Bounds        directory.Bounds
+	Grace         time.Duration    // from the call of Drain until the process must have exited
+	Bounds        directory.Bounds // times that operators allow until changes are in force
 
 	Network       network.Network
 	ClientDialect sqlfront.Dialect
--- a/transport/directory/leaving.go
+++ b/transport/directory/departure.go
@@ -9,57 +9,6 @@
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 )
 
-// Bounds are the times that operators allow from the store's acknowledgement of a change
-// until it is in force on all VMs. A bound of zero has a default.
-type Bounds struct {
-	Configuration time.Duration // a configuration; default 3 s
-	OutOfService  time.Duration // servers of a data centre that is taken out of service get nothing more; default 5 s
-	Draining      time.Duration // a server that is draining gets no new work; default 7 s
-}
-
-const (
-	defaultConfigurationBound = 3 * time.Second
-	defaultOutOfServiceBound  = 5 * time.Second
-	defaultDrainingBound      = 7 * time.Second
-	// sendMargin is the part of a bound that is left for statements which are on their
-	// way to a server when the VM stops sending.
-	sendMargin = 500 * time.Millisecond
-	// drainMemory is how long a VM remembers that a server was draining after its
-	// registration has disappeared. Registrations that expire during an outage of the
-	// store are renewed within about 2 s of its recovery.
-	drainMemory = time.Minute
-)
-
-func (b Bounds) withDefaults() Bounds {
-	if b.Configuration <= 0 {
-		b.Configuration = defaultConfigurationBound
-	}
-	if b.OutOfService <= 0 {
-		b.OutOfService = defaultOutOfServiceBound
-	}
-	if b.Draining <= 0 {
-		b.Draining = defaultDrainingBound
-	}
-	return b
-}
-
-// watchWait returns how long the store may hold a watch of the kind open. The store may
-// drop a watch without a response, which is detected watchMargin later. Each watch is
-// billed, so the wait is as long as the bounds allow.
-func (b Bounds) watchWait(kind Kind) time.Duration {
-	config := min(max(b.Configuration/2, minConfigWatchWait), maxWatchWait)
-	leaving := func(bound time.Duration) time.Duration {
-		return min(max(bound/4, minWatchWait), maxWatchWait)
-	}
-	switch kind {
-	case OutOfService:
-		return leaving(b.OutOfService)
-	case Servers:
-		return min(config, leaving(b.Draining))
-	}
-	return config
-}
-
 // departure identifies a change after which servers get no new work: a data centre that
 // is taken out of service, or a server that starts to drain.
 type departure struct {
@@ -77,6 +26,11 @@
 	seen     time.Duration // when the documents last contained the change
 }
 
+// drainMemory is how long a VM remembers that a server was draining after its registration
+// has disappeared. Registrations that expire during an outage of the store are renewed
+// within about 2 s of its recovery.
+const drainMemory = time.Minute
+
 // currentDepartures returns the departures that the documents contain. The caller holds
 // mu.
 func (d *Directory) currentDepartures() map[departure]bool {
@@ -119,7 +73,7 @@
 	if t.earliest > 0 {
 		entry = entry.WithField("max_age_ms", (now - t.earliest).Milliseconds())
 	}
-	entry.Info("directory: no new work any more.")
+	entry.Info("directory: servers take no new work.")
 }
 
 // isBack reports whether the server of a departure is registered and not draining. The
@@ -155,7 +109,7 @@
 	return t.earliest + bound - sendMargin
 }
 
-// maxDepartureAge limits the ages that VMs tell each other. All bounds are shorter.
+// maxDepartureAge limits the ages that VMs tell each other. No bound is longer.
 const maxDepartureAge = time.Hour
 
 // departureAges returns upper limits for the ages of the departures among the entries of
--- a/transport/directory/peers.go
+++ b/transport/directory/peers.go
@@ -21,7 +21,8 @@
 // a change, the VMs of a data centre request the same update from their relay.
 const maxEncodedUpdates = 8
 
-// encodedUpdateLifetime is how long an encoded update that contains ages is kept.
+// encodedUpdateLifetime is how long an encoded update that contains ages is kept. The ages
+// include it.
 const encodedUpdateLifetime = 100 * time.Millisecond
 
 // encodedUpdate is a response to the requests of other VMs.
