VMs tell each other when the store last confirmed which servers leave

Callers' writes were refused for longer than needed when a data centre was taken out of service while the store lost its watches: VMs that began to watch could not tell how old the change was, and gave its primaries up at once.

Cause: a VM could date a change only by its own calls to the store, and by the ages that came with another VM's update. The VM that learned first was often a new watcher, without calls of its own.

Change: pongs carry the time up to which the sender's documents were confirmed, with their revisions; the receiver takes it over if its own documents are as new. This replaces the ages in updates. The new fields go only to VMs whose status says that they read them.

--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -203,11 +203,23 @@
 	Age    time.Duration // when encoded; rounded up to whole milliseconds, so that the confirmation never appears fresher than it is
 }
 
+// StoreConfirmation says that the sender's document of a kind of the store's objects had all
+// changes that were made up to a time.
+type StoreConfirmation struct {
+	Revision uint64        // of the document; zero if nothing is confirmed
+	Age      time.Duration // of that time when encoded; rounded up to whole milliseconds
+}
+
+// StoreConfirmations are those of the documents that say which servers get no new work.
+type StoreConfirmations struct{ Servers, OutOfService StoreConfirmation }
+
 // Pong is the response to a ping.
 type Pong struct {
 	Lent          []catalog.LimitPartition // partitions of limits of which the sender lends its share to the receiver
 	Lease         time.Duration            // duration of the loans; whole milliseconds
 	Confirmations []LeadershipConfirmation // latest confirmations known to the sender
+	// Store is only sent to VMs whose Status has StoreConfirmations; nil if it was not sent.
+	Store *StoreConfirmations
 }
 
 // Append appends the encoded pong to dst.
@@ -222,6 +234,12 @@
 			dst = binary.AppendUvarint(dst, n)
 		}
 	}
+	if p.Store != nil {
+		for _, c := range []StoreConfirmation{p.Store.Servers, p.Store.OutOfService} {
+			age := (c.Age + time.Millisecond - 1).Milliseconds()
+			dst = binary.AppendUvarint(binary.AppendUvarint(dst, c.Revision), uint64(max(age, 0)))
+		}
+	}
 	return dst
 }
 
@@ -237,9 +255,23 @@
 		c.Age = time.Duration(d.uvarint()) * time.Millisecond
 		p.Confirmations = append(p.Confirmations, c)
 	}
+	if len(d.b) > 0 {
+		p.Store = &StoreConfirmations{Servers: d.storeConfirmation(), OutOfService: d.storeConfirmation()}
+	}
 	return p, d.finish("pong")
 }
 
+// maxStoreConfirmationAge keeps malformed ages from overflowing a duration.
+const maxStoreConfirmationAge = 365 * 24 * time.Hour
+
+func (d *decoder) storeConfirmation() StoreConfirmation {
+	c := StoreConfirmation{Revision: d.uvarint()}
+	ms := d.uvarint()
+	d.failed = d.failed || ms > uint64(maxStoreConfirmationAge.Milliseconds())
+	c.Age = time.Duration(ms) * time.Millisecond
+	return c
+}
+
 func appendStrings(dst []byte, list []string) []byte {
 	dst = binary.AppendUvarint(dst, uint64(len(list)))
 	for _, s := range list {
--- a/protocol/fleetwire/fleetwire_test.go
+++ b/protocol/fleetwire/fleetwire_test.go
@@ -34,7 +34,8 @@
 	if err != nil || !cmp.Equal(result, gotResult) {
 		t.Errorf("result: %v\n%s", err, cmp.Diff(result, gotResult))
 	}
-	pong := Pong{Lent: []catalog.LimitPartition{{Customer: "c", Index: 1}, {Customer: "d"}}, Lease: time.Second, Confirmations: []LeadershipConfirmation{{Group: "g", Server: "s", Point: state.Point{Term: 1, Position: 2}, Age: 3 * time.Millisecond}}}
+	pong := Pong{Lent: []catalog.LimitPartition{{Customer: "c", Index: 1}, {Customer: "d"}}, Lease: time.Second, Confirmations: []LeadershipConfirmation{{Group: "g", Server: "s", Point: state.Point{Term: 1, Position: 2}, Age: 3 * time.Millisecond}},
+		Store: &StoreConfirmations{Servers: StoreConfirmation{Revision: 4, Age: 5 * time.Millisecond}, OutOfService: StoreConfirmation{Revision: 6, Age: 7 * time.Millisecond}}}
 	gotPong, err := DecodePong(pong.Append(nil))
 	if err != nil || !cmp.Equal(pong, gotPong) {
 		t.Errorf("pong: %v\n%s", err, cmp.Diff(pong, gotPong))
--- a/protocol/fleetwire/status.go
+++ b/protocol/fleetwire/status.go
@@ -20,6 +20,8 @@
 	Revisions   map[string]uint64 `json:"revisions,omitempty"`     // latest known revision of the store's objects, by kind
 	Fencing     bool              `json:"fencing,omitempty"`       // the VM handles KindFence and KindRenewal
 	NoLease     bool              `json:"no_lease,omitempty"`      // the VM must not use primaries, see package fencing
+	// StoreConfirmations says that the VM decodes Pong.Store.
+	StoreConfirmations bool `json:"store_confirmations,omitempty"`
 }
 
 // Encode returns the status in JSON.
--- a/transport/directory/bounds.go
+++ b/transport/directory/bounds.go
@@ -32,19 +32,26 @@
 	return b
 }
 
+// Times for which the store may hold a watch open.
+const (
+	minConfigWatchWait       = 1500 * time.Millisecond
+	minServersWatchWait      = time.Second
+	minOutOfServiceWatchWait = 500 * time.Millisecond
+	maxWatchWait             = 3 * time.Second
+)
+
 // watchWait returns how long the store may hold a watch of the kind open. The store may
 // drop a watch without a response, which is detected watchMargin later. Each watch is
-// billed, so the wait is as long as the bounds allow.
+// billed, so the wait is as long as the bounds allow. The time of a change is known only
+// to within about two watches, and primaries are given up by the earliest time; so the
+// waits of departures are small parts of their bounds.
 func (b Bounds) watchWait(kind Kind) time.Duration {
 	config := min(max(b.Configuration/2, minConfigWatchWait), maxWatchWait)
-	leaving := func(bound time.Duration) time.Duration {
-		return min(max(bound/4, minWatchWait), maxWatchWait)
-	}
 	switch kind {
 	case OutOfService:
-		return leaving(b.OutOfService)
+		return min(max(b.OutOfService/8, minOutOfServiceWatchWait), maxWatchWait)
 	case Servers:
-		return min(config, leaving(b.Draining))
+		return min(max(b.Draining/4, minServersWatchWait), config)
 	}
 	return config
 }
--- a/transport/directory/departure.go
+++ b/transport/directory/departure.go
@@ -19,9 +19,10 @@
 
 // departureTime is what a VM knows of the time of a departure, as readings of the clock.
 type departureTime struct {
-	// earliest is a time at which the change had not been made yet; zero if none is
-	// known. Bounds are counted from it, because they begin when the change is made and
-	// not when a VM learns of it.
+	// earliest is a time at which the change had not been made yet: that of the latest
+	// confirmation of a document without it. It is zero if there is none. Bounds are
+	// counted from it, because they begin when the change is made and not when a VM learns
+	// of it.
 	earliest time.Duration
 	seen     time.Duration // when the documents last contained the change
 }
@@ -46,15 +47,14 @@
 	return current
 }
 
-// recordDepartures records the departures that are new in the documents. earliest returns
-// the earliest time of the change of an object, or zero if it is unknown. The caller holds
+// recordDepartures records the departures that are new in the documents. The caller holds
 // mu.
-func (d *Directory) recordDepartures(now time.Duration, earliest func(name string) time.Duration) {
+func (d *Directory) recordDepartures(now time.Duration) {
 	current := d.currentDepartures()
 	for p := range current {
 		t, known := d.departures[p]
 		if !known {
-			t.earliest = earliest(p.name)
+			t.earliest = d.confirmedAt[p.kind]
 			d.logDeparture(p, t, now)
 		}
 		t.seen = now
@@ -108,34 +108,3 @@
 	}
 	return t.earliest + bound - sendMargin
 }
-
-// maxDepartureAge limits the ages that VMs tell each other. No bound is longer.
-const maxDepartureAge = time.Hour
-
-// departureAges returns upper limits for the ages of the departures among the entries of
-// an update that is sent within encodedUpdateLifetime, in milliseconds by name. The caller
-// holds mu.
-func (d *Directory) departureAges(kind Kind, entries []Entry, now time.Duration) map[string]int64 {
-	ages := make(map[string]int64)
-	for _, e := range entries {
-		p := departure{kind: kind, name: e.Name}
-		if e.Server != nil {
-			p.born = e.Server.Born
-		}
-		t := d.departures[p]
-		if age := now - t.earliest + encodedUpdateLifetime; t.earliest > 0 && age < maxDepartureAge {
-			ages[e.Name] = age.Milliseconds() + 1
-		}
-	}
-	return ages
-}
-
-// earliestDeparture returns the earliest time of the named object's change according to
-// the ages that another VM sent after requestedAt, or zero if it is unknown.
-func earliestDeparture(ages map[string]int64, name string, requestedAt time.Duration) time.Duration {
-	age, known := ages[name]
-	if !known || age < 0 || age > maxDepartureAge.Milliseconds() {
-		return 0
-	}
-	return max(requestedAt-time.Duration(age)*time.Millisecond, 0)
-}
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -25,13 +25,9 @@
 	// watchMargin is the time after which a watch that the store should have ended
 	// counts as dropped.
 	watchMargin = 500 * time.Millisecond
-	// minWatchWait and maxWatchWait bound how long the store may hold a watch open.
-	minWatchWait       = time.Second
-	minConfigWatchWait = 1500 * time.Millisecond // of the configuration
-	maxWatchWait       = 3 * time.Second
-	listTimeout        = time.Second
-	minBackoff         = 100 * time.Millisecond
-	maxBackoff         = time.Second
+	listTimeout = time.Second
+	minBackoff  = 100 * time.Millisecond
+	maxBackoff  = time.Second
 	// deregistrationGrace is how long a server is used after its registration
 	// disappeared. Registrations that expire during an outage of the store are
 	// renewed within about 2 s of its recovery.
@@ -99,7 +95,7 @@
 	mu                lockrank.Mutex // guards the fields below
 	docs              map[Kind]document
 	docsVersion       uint64                      // increases with each change of docs
-	encodedUpdates    map[string]encodedUpdate    // see EncodeUpdates; by request
+	encodedUpdates    map[string][]byte           // see EncodeUpdates; by request
 	deregisteredSince map[string]time.Duration    // server to the time at which its registration disappeared
 	departures        map[departure]departureTime // those in docs, and draining servers that were registered not long ago
 	confirmedAt       map[Kind]time.Duration      // when the latest call was sent to which the store responded with the kind
@@ -121,7 +117,7 @@
 		metrics: newMetrics(scope),
 		mu:      lockrank.New(lockrank.Sessions), docs: make(map[Kind]document), deregisteredSince: make(map[string]time.Duration),
 		departures: make(map[departure]departureTime), confirmedAt: make(map[Kind]time.Duration),
-		missingSince: make(map[string]time.Duration), encodedUpdates: make(map[string]encodedUpdate), membersAttempted: make(chan struct{}),
+		missingSince: make(map[string]time.Duration), encodedUpdates: make(map[string][]byte), membersAttempted: make(chan struct{}),
 	}
 }
 
@@ -237,26 +233,6 @@
 	return err
 }
 
-// confirm records that the store has responded to a call for the kind that was sent at
-// sentAt. The documents contain all changes that were made before.
-func (d *Directory) confirm(kind Kind, sentAt time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.confirmedAt[kind] = max(d.confirmedAt[kind], sentAt)
-	if kind == Configuration {
-		d.configConfirmed = true
-	}
-}
-
-// needsConfirmation reports whether the store has not responded for long to a call of this
-// VM for the data centres that are out of service, which is so when the VM begins to watch
-// them. A list confirms at once that none is, which dates the next change.
-func (d *Directory) needsConfirmation() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return clock.Now()-d.confirmedAt[OutOfService] > 2*(d.bounds.watchWait(OutOfService)+watchMargin)
-}
-
 // ConfigConfirmed reports whether this VM's configuration is known to have been current
 // at some time since the VM started: the store sent it, or the VM had it while it reached
 // a majority of the listed VMs. The few VMs that a new VM reaches during an outage of the
@@ -325,15 +301,12 @@
 			next.remove(name, batch.AsOf)
 		}
 	}
-	// The previous response of the store did not contain the changes.
-	earliest := d.confirmedAt[kind]
-	d.replaceDocument(kind, next, func(string) time.Duration { return earliest })
+	d.replaceDocument(kind, next)
 }
 
-// replaceDocument replaces the document of a kind and reports the new revision to other
-// VMs. earliest returns the earliest time of the change of an object, or zero. The caller
-// holds mu, which replaceDocument releases.
-func (d *Directory) replaceDocument(kind Kind, next document, earliest func(name string) time.Duration) {
+// replaceDocument replaces the document of a kind and reports the new revision
+// to other VMs. The caller holds mu, which replaceDocument releases.
+func (d *Directory) replaceDocument(kind Kind, next document) {
 	if next.Revision < d.docs[kind].Revision {
 		d.mu.Unlock()
 		return
@@ -348,7 +321,7 @@
 	if kind == VMs {
 		d.setMembers(next)
 	} else {
-		d.recordDepartures(clock.Now(), earliest)
+		d.recordDepartures(clock.Now())
 		d.rebuildDeployment()
 	}
 	d.mu.Unlock()
--- a/transport/directory/directory_test.go
+++ b/transport/directory/directory_test.go
@@ -21,7 +21,6 @@
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
-	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 	"github.com/chestnutdyke/chestnutdyke/transport/fleetlink"
 )
 
@@ -97,7 +96,7 @@
 				t.Fatal(err)
 			}
 			body := a.EncodeUpdates(request)
-			b.applyUpdates("a", body, known, clock.Now())
+			b.applyUpdates("a", body, known)
 			if diff := cmp.Diff(a.docs[Servers].Entries, b.docs[Servers].Entries); diff != "" {
 				t.Fatalf("b differs from a: %s", diff)
 			}
--- a/transport/directory/document.go
+++ b/transport/directory/document.go
@@ -49,9 +49,6 @@
 	Full     bool     `json:"whole,omitempty"`
 	Entries  []Entry  `json:"entries,omitempty"`
 	Removed  []string `json:"removed,omitempty"`
-	// Ages has upper limits for the ages of departures, in milliseconds by name of the
-	// object. An age that is missing is unknown.
-	Ages map[string]int64 `json:"ages,omitempty"`
 }
 
 // changesSince returns the changes after the known revision.
--- a/transport/directory/evacuation_test.go
+++ b/transport/directory/evacuation_test.go
@@ -1,11 +1,7 @@
 package directory
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
-	"errors"
-	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
+	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
@@ -104,46 +101,58 @@
 	const evacuatedWithin = 3 * time.Second
 	inVirtualTime(t, func(t *testing.T) {
 		server := Entry{Name: "s1", Revision: 1, Server: &catalog.Server{ID: "s1", Group: "g", DataCentre: "dc"}}
-		informed, informedTable := testDirectory(Bounds{OutOfService: evacuatedWithin})
-		change(informed, Servers, server)
-		informed.confirm(OutOfService, clock.Now())
-		time.Sleep(time.Second) // the change is made meanwhile
-		change(informed, OutOfService, Entry{Name: "dc", Revision: 2})
-
+		watching, watchingTable := testDirectory(Bounds{OutOfService: evacuatedWithin})
+		change(watching, Servers, server)
+		watching.applyBatch(OutOfService, Batch{AsOf: 1, Entries: []Entry{{Name: "before", Revision: 1}}}, true)
+		watching.confirm(OutOfService, clock.Now())
 		other, otherTable := testDirectory(Bounds{OutOfService: evacuatedWithin})
-		change(other, Servers, server)
+		transfer := func(known map[Kind]uint64) {
+			request, err := json.Marshal(known)
+			if err != nil {
+				t.Fatal(err)
+			}
+			other.applyUpdates("watching", watching.EncodeUpdates(request), known)
+		}
+		transfer(nil)
+		pingedAt := clock.Now()
+		time.Sleep(100 * time.Millisecond)
+		other.RecordConfirmations(watching.Confirmations(), pingedAt)
+
+		time.Sleep(900 * time.Millisecond) // the change is made meanwhile
+		change(watching, OutOfService, Entry{Name: "dc", Revision: 2})
 		time.Sleep(500 * time.Millisecond)
-		request := []byte(`{"servers":1}`)
-		other.applyUpdates("informed", informed.EncodeUpdates(request), map[Kind]uint64{Servers: 1}, clock.Now())
+		transfer(map[Kind]uint64{Servers: 1, OutOfService: 1})
 		checkUsable(t, otherTable, true, "1.5 s after the last response without the change")
 		time.Sleep(time.Second)
-		for _, table := range []*catalog.Table{informedTable, otherTable} {
+		for _, table := range []*catalog.Table{watchingTable, otherTable} {
 			checkUsable(t, table, false, "2.5 s after it")
 		}
 	})
 }
 
+// Guards against a VM that takes over the confirmation of another one that knew of a change
+// already, and counts the bound from then on.
+func TestConfirmationOfNewerDocumentDoesNotCount(t *testing.T) {
+	const evacuatedWithin = 3 * time.Second
+	inVirtualTime(t, func(t *testing.T) {
+		d, table := testDirectory(Bounds{OutOfService: evacuatedWithin})
+		change(d, Servers, Entry{Name: "s1", Revision: 1, Server: &catalog.Server{ID: "s1", Group: "g", DataCentre: "dc"}})
+		d.applyBatch(OutOfService, Batch{AsOf: 1, Entries: []Entry{{Name: "before", Revision: 1}}}, true)
+		d.confirm(OutOfService, clock.Now())
+		time.Sleep(evacuatedWithin)
+		d.RecordConfirmations(fleetwire.StoreConfirmations{OutOfService: fleetwire.StoreConfirmation{Revision: 2}}, clock.Now())
+		d.applyBatch(OutOfService, Batch{AsOf: 2, Entries: []Entry{{Name: "dc", Revision: 2}}}, false)
+		checkUsable(t, table, false, "3 s after the last confirmation of its own document")
+	})
+}
+
 // Guards against a VM that uses a primary although it can't tell how long ago the data
-// centre was taken out of service: its first list has the entry, or a VM of a version that
-// sends no ages, or false ones, sent it.
+// centre was taken out of service, because its first list has the entry.
 func TestPrimaryIsNotUsedAfterChangeOfUnknownAge(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		server := Entry{Name: "s1", Revision: 1, Server: &catalog.Server{ID: "s1", Group: "g", DataCentre: "dc"}}
-		listed, table := testDirectory(Bounds{})
-		change(listed, Servers, server)
-		listed.applyBatch(OutOfService, Batch{AsOf: 2, Entries: []Entry{{Name: "dc", Revision: 2}}}, true)
+		d, table := testDirectory(Bounds{})
+		change(d, Servers, Entry{Name: "s1", Revision: 1, Server: &catalog.Server{ID: "s1", Group: "g", DataCentre: "dc"}})
+		d.applyBatch(OutOfService, Batch{AsOf: 2, Entries: []Entry{{Name: "dc", Revision: 2}}}, true)
 		checkUsable(t, table, false, "after the first list")
-		for name, ages := range map[string]map[string]int64{"no ages": nil, "negative age": {"dc": -5000}, "large age": {"dc": math.MaxInt64}} {
-			told, table := testDirectory(Bounds{})
-			change(told, Servers, server)
-			var b bytes.Buffer
-			z := gzip.NewWriter(&b)
-			updates := map[Kind]update{OutOfService: {Revision: 2, Full: true, Entries: []Entry{{Name: "dc", Revision: 2}}, Ages: ages}}
-			if err := errors.Join(json.NewEncoder(z).Encode(updates), z.Close()); err != nil {
-				t.Fatal(err)
-			}
-			told.applyUpdates("other", b.Bytes(), nil, clock.Now())
-			checkUsable(t, table, false, name)
-		}
 	})
 }
--- a/transport/directory/peers.go
+++ b/transport/directory/peers.go
@@ -21,16 +21,6 @@
 // a change, the VMs of a data centre request the same update from their relay.
 const maxEncodedUpdates = 8
 
-// encodedUpdateLifetime is how long an encoded update that contains ages is kept. The ages
-// include it.
-const encodedUpdateLifetime = 100 * time.Millisecond
-
-// encodedUpdate is a response to the requests of other VMs.
-type encodedUpdate struct {
-	body    []byte
-	expires time.Duration // zero if it contains no ages
-}
-
 // EncodeUpdates returns the encoded changes to the documents after the encoded
 // revisions that the requesting VM knows.
 func (d *Directory) EncodeUpdates(request []byte) []byte {
@@ -39,23 +29,15 @@
 		d.logger.WithError(err).Error("directory: another VM's request cannot be decoded.")
 	}
 	newer := make(map[Kind]update)
-	now := clock.Now()
-	expires := time.Duration(0)
 	d.mu.Lock()
-	encoded, cached := d.encodedUpdates[string(request)]
-	if cached && (encoded.expires == 0 || now < encoded.expires) {
+	if encoded, cached := d.encodedUpdates[string(request)]; cached {
 		d.mu.Unlock()
-		return encoded.body
+		return encoded
 	}
 	version := d.docsVersion
 	for kind, doc := range d.docs {
 		if doc.Revision > known[kind] {
-			u := doc.changesSince(known[kind])
-			u.Ages = d.departureAges(kind, u.Entries, now)
-			if len(u.Ages) > 0 {
-				expires = now + encodedUpdateLifetime
-			}
-			newer[kind] = u
+			newer[kind] = doc.changesSince(known[kind])
 		}
 	}
 	d.mu.Unlock()
@@ -67,8 +49,8 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.docsVersion == version && (cached || len(d.encodedUpdates) < maxEncodedUpdates) {
-		d.encodedUpdates[string(request)] = encodedUpdate{b.Bytes(), expires}
+	if d.docsVersion == version && len(d.encodedUpdates) < maxEncodedUpdates {
+		d.encodedUpdates[string(request)] = b.Bytes()
 	}
 	return b.Bytes()
 }
@@ -125,7 +107,7 @@
 	}
 	d.fleet.Call(vm, fleetwire.KindSnapshot, request, func(f fleetwire.Frame, ok bool) {
 		if ok {
-			d.applyUpdates(vm, f.Body, known, now)
+			d.applyUpdates(vm, f.Body, known)
 		}
 		d.mu.Lock()
 		d.requestDeadline = 0
@@ -181,8 +163,8 @@
 }
 
 // applyUpdates applies another VM's response to a request that listed the known
-// revisions and was sent at requestedAt.
-func (d *Directory) applyUpdates(vm string, body []byte, known map[Kind]uint64, requestedAt time.Duration) {
+// revisions.
+func (d *Directory) applyUpdates(vm string, body []byte, known map[Kind]uint64) {
 	updates, err := decodeUpdates(body)
 	if err != nil {
 		d.logger.WithError(err).WithField("vm", vm).Error("directory: another VM's documents cannot be decoded.")
@@ -201,6 +183,6 @@
 			continue
 		}
 		d.logger.WithFields(log.Fields{"kind": string(kind), "vm": vm, "revision": u.Revision}).Info("directory: updated from another VM.")
-		d.replaceDocument(kind, old.withUpdate(u), func(name string) time.Duration { return earliestDeparture(u.Ages, name, requestedAt) })
+		d.replaceDocument(kind, old.withUpdate(u))
 	}
 }
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -94,6 +94,8 @@
 type Directory interface {
 	EncodeUpdates(known []byte) []byte
 	HandleRevisions(revisions map[string]uint64)
+	Confirmations() fleetwire.StoreConfirmations
+	RecordConfirmations(c fleetwire.StoreConfirmations, sentAt time.Duration)
 }
 
 // SetDirectory sets the directory. It must be called before the links run.
@@ -200,9 +202,13 @@
 
 // HandlePing implements fleetlink.Handler. It lends this VM's shares to the
 // sender for the partitions whose quota coordinator the sender is, and returns
-// the known leadership confirmations.
+// the known confirmations.
 func (d *Dispatcher) HandlePing(from *fleetwire.Status, origin string, body []byte) fleetwire.Pong {
 	var p fleetwire.Pong
+	if from.StoreConfirmations {
+		confirmations := d.directory.Confirmations()
+		p.Store = &confirmations
+	}
 	config := d.Table.Current().Config
 	if config == nil {
 		return p
@@ -281,6 +287,9 @@
 // HandlePong implements fleetlink.Handler.
 func (d *Dispatcher) HandlePong(from string, p fleetwire.Pong, sentAt time.Duration) {
 	d.Quota.Receive(from, intersect(p.Lent, d.ownPartitions()), p.Lease, sentAt)
+	if p.Store != nil {
+		d.directory.RecordConfirmations(*p.Store, sentAt)
+	}
 	for _, c := range p.Confirmations {
 		d.Leadership.With(c.Group, func(g *leadership.Group) { g.RecordConfirmation(c.Server, c.Point, sentAt-c.Age) })
 	}
