--- a/standin/managed/evacuation_test.go
+++ b/standin/managed/evacuation_test.go
@@ -32,8 +32,7 @@
 	}
 }
 
-// Guards against primaries that get statements for too long if the VMs learn late that
-// their data centre is out of service, and no other server can be promoted.
+// Guards against a handover that begins when a VM learns of the change, however late.
 func TestPrimariesLeaveDataCentreWhileWatchesAreLost(t *testing.T) {
 	const phases, phase = 3, 500 * time.Millisecond // of the watches that are lost
 	for _, bounds := range []directory.Bounds{
@@ -62,8 +61,7 @@
 	}
 }
 
-// Guards against transactions that go on in a data centre which was taken out of service,
-// on its primaries and on its replicas.
+// Guards against transactions that go on there without a bound.
 func TestOpenTransactionsEndInDataCentreTakenOut(t *testing.T) {
 	for _, begin := range []statement.Verb{statement.Begin, statement.BeginReadOnly} {
 		inDeployment(t, smallDeployment, func(d *Deployment) {
@@ -90,8 +88,7 @@
 	}
 }
 
-// Guards against a VM that starts while a data centre is out of service, and uses its
-// primaries as if that had just happened.
+// Guards against a VM that starts and takes an old change for a new one.
 func TestStartedVMSendsNothingToDataCentreTakenOut(t *testing.T) {
 	inDeployment(t, smallDeployment, func(d *Deployment) {
 		d.Store.RefuseOrders(true)
@@ -117,8 +114,7 @@
 	})
 }
 
-// Guards against VMs that learn of a change too late because all VMs that watch the store
-// for it are in a data centre that is cut off at that time.
+// Guards against VMs that learn of a change too late because all watchers are cut off.
 func TestWatchersAreCutOffAtTheChange(t *testing.T) {
 	for _, vms := range []int{2, 4} { // in each data centre
 		o := smallDeployment
--- a/transport/directory/bounds.go
+++ b/transport/directory/bounds.go
@@ -41,10 +41,8 @@
 )
 
 // watchWait returns how long the store may hold a watch of the kind open. The store may
-// drop a watch without a response, which is detected watchMargin later. Each watch is
-// billed, so the wait is as long as the bounds allow. The time of a change is known only
-// to within about two watches, and primaries are given up by the earliest time; so the
-// waits of departures are small parts of their bounds.
+// drop a watch without a response, which is detected watchMargin later, and the time of a
+// change is known to within two watches. Each watch is billed.
 func (b Bounds) watchWait(kind Kind) time.Duration {
 	config := min(max(b.Configuration/2, minConfigWatchWait), maxWatchWait)
 	switch kind {
--- a/transport/directory/evacuation_test.go
+++ b/transport/directory/evacuation_test.go
@@ -53,8 +53,7 @@
 	}
 }
 
-// Guards against a primary that gets work again although its data centre was taken out
-// of service long ago, because its registration expires and comes back.
+// Guards against a handover that begins anew when a registration expires and comes back.
 func TestReregisteredPrimaryStaysOutOfService(t *testing.T) {
 	const evacuatedWithin = 5 * time.Second // required by operators
 	inVirtualTime(t, func(t *testing.T) {
@@ -73,7 +72,7 @@
 	})
 }
 
-// Guards against a draining primary that gets work again for the same reason.
+// Guards against the same for a draining primary.
 func TestReregisteredPrimaryStaysDraining(t *testing.T) {
 	const drainedWithin = 7 * time.Second
 	inVirtualTime(t, func(t *testing.T) {
@@ -95,8 +94,7 @@
 	})
 }
 
-// Guards against a bound that begins anew on each VM that learns of the change: from the
-// store late, or from another VM.
+// Guards against a bound that begins anew on each VM that learns of the change.
 func TestBoundCountsFromTheChange(t *testing.T) {
 	const evacuatedWithin = 3 * time.Second
 	inVirtualTime(t, func(t *testing.T) {
@@ -130,8 +128,7 @@
 	})
 }
 
-// Guards against a VM that takes over the confirmation of another one that knew of a change
-// already, and counts the bound from then on.
+// Guards against the confirmation of a VM that knew of the change already.
 func TestConfirmationOfNewerDocumentDoesNotCount(t *testing.T) {
 	const evacuatedWithin = 3 * time.Second
 	inVirtualTime(t, func(t *testing.T) {
@@ -146,8 +143,7 @@
 	})
 }
 
-// Guards against a VM that uses a primary although it can't tell how long ago the data
-// centre was taken out of service, because its first list has the entry.
+// Guards against a handover although the change may have any age.
 func TestPrimaryIsNotUsedAfterChangeOfUnknownAge(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		d, table := testDirectory(Bounds{})
--- a/transport/sqlback/executor_test.go
+++ b/transport/sqlback/executor_test.go
@@ -340,8 +340,7 @@
 // endOfTime is later than all readings of the clock.
 const endOfTime = time.Duration(math.MaxInt64)
 
-// Guards against a statement that reaches a server which must get nothing more, because a
-// VM with an outdated view chose that server.
+// Guards against a VM that sends what another VM with an outdated view has chosen.
 func TestNoStatementOfOtherVMsReachesServerThatLeft(t *testing.T) {
 	s := &scriptedServer{answer: answerInTx}
 	withExecutor(t, s, func(run func(statement.RemoteStatement) statement.Result) {
@@ -359,8 +358,7 @@
 	})
 }
 
-// Guards against a statement that reaches a server which must get nothing more, because it
-// waited for a connection since the server was chosen.
+// Guards against a server that is checked only before a statement waits for a connection.
 func TestWaitingStatementDoesNotReachServerThatLeft(t *testing.T) {
 	s := &scriptedServer{answer: answerInTx}
 	withExecutor(t, s, func(run func(statement.RemoteStatement) statement.Result) {
@@ -393,8 +391,7 @@
 	})
 }
 
-// Guards against a transaction that goes on, or is ended by a further message, on a server
-// of a data centre that is out of service.
+// Guards against a transaction that goes on there, or whose end is a further message.
 func TestTransactionEndsOnServerThatLeft(t *testing.T) {
 	for _, idle := range []time.Duration{0, txIdle} { // until the client commits
 		s := &scriptedServer{answer: answerInTx}
--- a/transport/sqlback/leaving.go
+++ b/transport/sqlback/leaving.go
@@ -10,10 +10,8 @@
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
 
-// maySend reports whether the statement may still be sent to the server. The VM that chose
-// the server may not know yet that it is leaving, and the statement may have waited for a
-// connection since. Commands of the proxy itself are sent as long as the server runs,
-// because a switchover needs its reports.
+// maySend reports whether the statement may still be sent to the server. Commands of the
+// proxy itself may always be: a switchover needs the server's reports.
 func (e *Executor) maySend(w *statement.RemoteStatement, server string) bool {
 	return w.Command.ID == "" || e.table.Current().MaySend(server, w.Tx != 0, clock.Now())
 }
