Order a switchover only away from the server that confirmed its leadership last

Cause: the failover coordinator replaced a lost primary, which confirmed at 4.229 s. A failed connection made the new primary suspected, and the former one, still registered as primary, in a data centre out of service and cut off, ranked above it. The coordinator began a switchover of that one with an order for the present primary (4.532 s), and the platform promoted it again. The order that supersedes one without an answer had the same fault.

Change: both orders need the server that confirmed its leadership last.

--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -173,6 +173,9 @@
 // or zero.
 func (g *Group) ConfirmedAt() time.Duration { return g.confirmedAt }
 
+// ConfirmedPrimary returns the server that confirmed its leadership last, or "".
+func (g *Group) ConfirmedPrimary() string { return g.primary }
+
 // Term returns the highest confirmed term.
 func (g *Group) Term() uint64 { return g.term }
 
--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -51,6 +51,7 @@
 	Interval     time.Duration   // see QueryInterval
 	Primary      *catalog.Server // most likely primary; nil if none is known
 	Leaving      bool            // Primary is being taken out of service
+	Confirmed    bool            // Primary confirmed its leadership last; orders for any other server promote it
 	ConfirmedAt  time.Duration   // latest leadership confirmation that any VM has
 	Failures     int             // queries that failed since then
 	Refusals     int             // of these, refused connections
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -346,9 +346,10 @@
 	c.Leadership.With(group, func(l *leadership.Group) {
 		status.Primary = l.Primary(d.GroupServers(group), now)
 		status.ConfirmedAt = l.ConfirmedAt()
+		status.Confirmed = status.Primary != nil && status.Primary.ID == l.ConfirmedPrimary()
 		awaited = l.AwaitsDesignated()
 	})
-	status.Leaving = status.Primary != nil && !d.Usable(status.Primary)
+	status.Leaving = status.Confirmed && !d.Usable(status.Primary)
 	noLease := c.Fencer != nil && !c.Fencer.HasLease()
 	gs, action := c.decide(group, &status, noLease, check.queriesLeft > 0)
 	switch action {
@@ -437,7 +438,7 @@
 		gs.promoting = true
 		return gs, actionReplace
 	}
-	if c.Fencer == nil && gs.orderUnconfirmed && status.Primary != nil && status.ConfirmedAt >= gs.queriedAt {
+	if c.Fencer == nil && gs.orderUnconfirmed && status.Confirmed && status.ConfirmedAt >= gs.queriedAt {
 		gs.promoting = true
 		return gs, actionSupersede
 	}
--- a/transport/promotion/promotion_test.go
+++ b/transport/promotion/promotion_test.go
@@ -12,8 +12,11 @@
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
+	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
+	"github.com/chestnutdyke/chestnutdyke/transport/sqlback"
 )
 
 // unlinkedRunner fails each statement before Run returns.
@@ -69,3 +72,75 @@
 // minChecks is the number of checks after which the coordinator would replace the
 // primary if this VM were exclusive.
 const minChecks = 2
+
+// reportingRunner answers queries for reports. All other statements fail.
+type reportingRunner struct{}
+
+// Run implements Runner.
+func (reportingRunner) Run(_ string, w *statement.RemoteStatement, done func(statement.Result)) {
+	if w.Command.Verb == statement.Status {
+		done(statement.Result{Answer: statement.Answer{Rows: []string{""}}})
+		return
+	}
+	done(statement.Result{Answer: statement.Refusal(statement.Unreachable, "no path")})
+}
+
+// emptyReports decodes every report as that of a replica with an empty log.
+type emptyReports struct{ sqlback.Dialect }
+
+// DecodeReport implements sqlback.Dialect.
+func (emptyReports) DecodeReport(string) (sqlback.Report, error) { return sqlback.Report{}, nil }
+
+// orderedServers records the servers that the platform is ordered to promote.
+type orderedServers struct{ ids chan string }
+
+// Promote implements Platform.
+func (o orderedServers) Promote(_ context.Context, _, server, _ string, _ uint64) error {
+	o.ids <- server
+	return ErrNotSent
+}
+
+// Guards against an order for a former primary that has not noticed its replacement.
+func TestFormerPrimaryIsNotPromotedByItsSwitchover(t *testing.T) {
+	config := &catalog.Config{Routes: []catalog.Route{{Name: "r", Group: "g"}}, Groups: []catalog.Group{{Name: "g"}}}
+	config.Index()
+	table := catalog.NewTable()
+	table.Update(func(d catalog.Deployment) catalog.Deployment {
+		d.Config, d.Out = config, map[string]bool{"out": true}
+		d.Servers = map[string]*catalog.Server{
+			"former": {ID: "former", Group: "g", DataCentre: "out", Primary: true},
+			"new":    {ID: "new", Group: "g", DataCentre: "in"},
+		}
+		return d
+	})
+	leaders := leadership.NewTable()
+	leaders.With("g", func(l *leadership.Group) {
+		l.RecordConfirmation("former", state.Point{Term: 1, Position: 1}, clock.Now())
+		l.RecordConfirmation("new", state.Point{Term: 2, Position: 1}, clock.Now())
+		l.Suspect("new", clock.Now()) // a connection to it failed
+	})
+	platform := orderedServers{ids: make(chan string, 10)}
+	for name, unconfirmed := range map[string]bool{"switchover": false, "order without an answer": true} {
+		c := New(Options{
+			Name: "vm", Platform: platform, Runner: reportingRunner{}, Reports: emptyReports{}, Table: table, Leadership: leaders, Scope: tally.NoopScope,
+			View: func() *placement.View {
+				return &placement.View{Self: "vm", VMs: []placement.VM{{Name: "vm", Alive: true}}}
+			},
+			Logger: &log.Logger{Handler: discard.Default},
+		})
+		c.exclusive, c.nextToken, c.endToken = true, 1, 100
+		if unconfirmed {
+			c.groups["g"] = &groupState{orderUnconfirmed: true}
+		}
+		var g errgroup.Group
+		c.checkGroups(context.Background(), &g)
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+		select {
+		case id := <-platform.ids:
+			t.Errorf("%s: an order to promote %s", name, id)
+		default:
+		}
+	}
+}
