Ignore an older confirmation of a former primary in the same term

Cause: a confirmation carries the end of the server's log. Until a new primary has committed, its log ends in the term of the former one. A pong with an older confirmation of the former primary then made that one the group's primary again: i-2bab3f0cbb confirmed at 4.251 s, and at 4.452 s the former primary i-4994da047d got the order that begins a switchover. The class of fault: a message that is taken for news because it arrives late.

Change: at the same term, a confirmation of another server than the one that is known counts only if it isn't older.

--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -124,11 +124,15 @@
 
 // RecordConfirmation records that the server was the primary at sentAt or later,
 // with a log that ended at p. Confirmations of earlier terms than the latest, and of
-// other servers than the designated one, are ignored.
+// other servers than the designated one, are ignored, and so are older ones of another
+// server: until a new primary has committed, its log ends in the term of the former one.
 func (g *Group) RecordConfirmation(id string, p state.Point, sentAt time.Duration) {
 	if p.Term < g.term || p.Term == 0 || g.designated != "" && id != g.designated {
 		return
 	}
+	if p.Term == g.term && id != g.primary && sentAt < g.confirmedAt {
+		return
+	}
 	if p.Term > g.term {
 		g.samples = g.samples[:0]
 		g.term = p.Term
--- a/coordination/leadership/leadership_test.go
+++ b/coordination/leadership/leadership_test.go
@@ -180,3 +180,21 @@
 		t.Errorf("%d hedged reads at once", hedged)
 	}
 }
+
+// Guards against a late confirmation of a former primary, whose successor has not committed.
+func TestOlderConfirmationOfFormerPrimaryIsIgnored(t *testing.T) {
+	leaders := NewTable()
+	leaders.With("g", func(g *Group) {
+		end := state.Point{Term: 1, Position: 38} // of both logs
+		g.RecordConfirmation("former", end, time.Second)
+		g.RecordConfirmation("new", end, 3*time.Second)
+		g.RecordConfirmation("former", end, 2*time.Second)
+		if g.ConfirmedPrimary() != "new" || g.ConfirmedAt() != 3*time.Second {
+			t.Errorf("%s confirmed last, at %v", g.ConfirmedPrimary(), g.ConfirmedAt())
+		}
+		g.RecordConfirmation("former", end, 4*time.Second)
+		if g.ConfirmedPrimary() != "former" {
+			t.Errorf("%s confirmed last, want the server that was promoted again", g.ConfirmedPrimary())
+		}
+	})
+}
