Core types for store eras, usage, connection loans and classes

Cause: the new parts (docs/design/load-and-recovery.md) change messages between VMs and shared types at the same places. Nothing uses the types yet. Measured: go vet of the changed packages; no change of behaviour.

--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -28,20 +28,24 @@
 // session no longer uses a transaction, for example because its client has
 // disconnected or the transaction was idle for too long.
 const (
-	KindStatus        Kind = iota + 1 // a Status in JSON: the state of the sender
-	KindPing                          // heartbeat with the partitions of customers' limits for which the sender is the quota coordinator
-	KindPong                          // a Pong, the response to KindPing
-	KindStatement                     // a statement.RemoteStatement to run
-	KindResult                        // a statement.Result, the response to KindStatement
-	KindAbort                         // rolls back the transaction with the given number; no response
-	KindTokenRequest                  // asks the quota coordinator of one partition of a customer's limit for tokens
-	KindTokenGrant                    // number of tokens granted, the response to KindTokenRequest
-	KindSnapshot                      // the latest revision that the sender knows of each kind of the store's objects, in JSON; asks for newer ones
-	KindSnapshotReply                 // the newer objects in JSON, the response to KindSnapshot
-	KindFence                         // a Fence: designations to accept; only sent to VMs whose Status has Fencing
-	KindFenced                        // the sender's fencing.State, the response to KindFence
-	KindRenewal                       // digest of the sender's fencing.State; asks the receiver to renew its lease; only sent to VMs whose Status has Fencing
-	KindRenewed                       // a Renewed, the response to KindRenewal
+	KindStatus            Kind = iota + 1 // a Status in JSON: the state of the sender
+	KindPing                              // heartbeat with the partitions of customers' limits for which the sender is the quota coordinator
+	KindPong                              // a Pong, the response to KindPing
+	KindStatement                         // a statement.RemoteStatement to run
+	KindResult                            // a statement.Result, the response to KindStatement
+	KindAbort                             // rolls back the transaction with the given number; no response
+	KindTokenRequest                      // asks the quota coordinator of one partition of a customer's limit for tokens
+	KindTokenGrant                        // number of tokens granted, the response to KindTokenRequest
+	KindSnapshot                          // the latest revision that the sender knows of each kind of the store's objects, in JSON; asks for newer ones
+	KindSnapshotReply                     // the newer objects in JSON, the response to KindSnapshot
+	KindFence                             // a Fence: designations to accept; only sent to VMs whose Status has Fencing
+	KindFenced                            // the sender's fencing.State, the response to KindFence
+	KindRenewal                           // digest of the sender's fencing.State; asks the receiver to renew its lease; only sent to VMs whose Status has Fencing
+	KindRenewed                           // a Renewed, the response to KindRenewal
+	KindUsageRequest                      // asks for the usage counts of recent windows; only sent to VMs whose Status has Usage
+	KindUsageReply                        // the sender's usage counts, the response to KindUsageRequest
+	KindConnectionRequest                 // asks the receiver to lend connections to a backend server; only sent to VMs whose Status has ConnectionLoans
+	KindConnectionGrant                   // the connections lent, the response to KindConnectionRequest
 )
 
 // Frame is one message. ID matches a response to its request; it is zero in messages
--- a/protocol/fleetwire/status.go
+++ b/protocol/fleetwire/status.go
@@ -22,6 +22,12 @@
 	NoLease     bool              `json:"no_lease,omitempty"`      // the VM must not use primaries, see package fencing
 	// StoreConfirmations says that the VM decodes Pong.Store.
 	StoreConfirmations bool `json:"store_confirmations,omitempty"`
+	// Eras has the era of the store to which each of Revisions belongs, by kind. A VM of
+	// an earlier build sends none.
+	Eras            map[string]uint64 `json:"eras,omitempty"`
+	Usage           bool              `json:"usage,omitempty"`            // the VM handles KindUsageRequest
+	ConnectionLoans bool              `json:"connection_loans,omitempty"` // the VM handles KindConnectionRequest
+	Classes         bool              `json:"classes,omitempty"`          // the VM decodes the class of a statement
 }
 
 // Encode returns the status in JSON.
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -38,10 +38,11 @@
 
 // Customer has keys and a limit that applies to all VMs together.
 type Customer struct {
-	Name  string
-	Rate  float64 // operations per second
-	Burst float64 // operations
-	Keys  []state.KeyHash
+	Name     string
+	Rate     float64 // operations per second
+	Burst    float64 // operations
+	Priority int     // 0 is the highest
+	Keys     []state.KeyHash
 }
 
 // Group is a database group.
