Classes of operations in configurations and messages

Nothing sends or uses them yet. Measured: go test ./protocol/fleetwire ./platform/... ./state/... passes.

--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -98,6 +98,13 @@
 	flagPrepared
 	flagPreparedWrites
 	flagTraced
+	flagAdmission
+)
+
+// Flags in the third byte of KindResult.
+const (
+	flagPrimaryConfirmed = 1 << iota
+	flagRetryAfter       // only in responses to statements with flagAdmission
 )
 
 // AppendStatement appends the encoded statement to dst. Durations are cut to whole
@@ -116,6 +123,7 @@
 	setFlag(stmt.Prepared != nil, flagPrepared)
 	setFlag(stmt.Prepared != nil && stmt.Prepared.Writes, flagPreparedWrites)
 	setFlag(stmt.Trace != statement.Trace{}, flagTraced)
+	setFlag(stmt.Admission != nil, flagAdmission)
 	dst = append(dst, flags, byte(stmt.Command.Verb))
 	for _, s := range []string{stmt.Customer, stmt.Group, stmt.Server, stmt.Command.ID, stmt.Command.Name, stmt.Command.Payload} {
 		dst = appendString(dst, s)
@@ -133,6 +141,9 @@
 	if flags&flagTraced != 0 {
 		dst = append(append(dst, stmt.Trace.TraceID[:]...), stmt.Trace.SpanID[:]...)
 	}
+	if stmt.Admission != nil {
+		dst = appendAdmission(dst, stmt.Admission)
+	}
 	return dst
 }
 
@@ -163,22 +174,32 @@
 		d.copy(stmt.Trace.TraceID[:])
 		d.copy(stmt.Trace.SpanID[:])
 	}
+	if flags&flagAdmission != 0 {
+		stmt.Admission = d.admission()
+	}
 	return stmt, d.finish("work")
 }
 
 // AppendResult appends the encoded result to dst.
 func AppendResult(dst []byte, res *statement.Result) []byte {
 	a := &res.Answer
-	confirmed := byte(0)
+	flags := byte(0)
 	if res.PrimaryConfirmed {
-		confirmed = 1
+		flags |= flagPrimaryConfirmed
 	}
-	dst = append(dst, byte(a.Code), byte(a.State), confirmed)
+	if res.RetryAfter > 0 {
+		flags |= flagRetryAfter
+	}
+	dst = append(dst, byte(a.Code), byte(a.State), flags)
 	dst = appendString(appendString(dst, a.Text), a.Signature)
 	for _, n := range []uint64{a.At.Term, a.At.Position, res.Tx} {
 		dst = binary.AppendUvarint(dst, n)
 	}
-	return appendStrings(dst, a.Rows)
+	dst = appendStrings(dst, a.Rows)
+	if res.RetryAfter > 0 {
+		dst = binary.AppendUvarint(dst, uint64(res.RetryAfter.Milliseconds()))
+	}
+	return dst
 }
 
 // DecodeResult decodes the output of AppendResult. It fails on unknown codes and
@@ -191,11 +212,15 @@
 	if !a.Code.Valid() || !a.State.Valid() {
 		return statement.Result{}, eris.Errorf("result with the unknown code %d or state %d", a.Code, a.State)
 	}
-	res.PrimaryConfirmed = d.byte() == 1
+	flags := d.byte()
+	res.PrimaryConfirmed = flags&flagPrimaryConfirmed != 0
 	a.Text, a.Signature = d.string(), d.string()
 	a.At = state.Point{Term: d.uvarint(), Position: d.uvarint()}
 	res.Tx = d.uvarint()
 	a.Rows = d.strings()
+	if flags&flagRetryAfter != 0 {
+		res.RetryAfter = d.milliseconds()
+	}
 	return res, d.finish("result")
 }
 
--- a/protocol/fleetwire/fleetwire_test.go
+++ b/protocol/fleetwire/fleetwire_test.go
@@ -18,10 +18,11 @@
 func TestRoundTrip(t *testing.T) {
 	stmt := &statement.RemoteStatement{
 		Customer: "c", Group: "g", Server: "s", RequirePrimary: true, Tx: 7, BeginsTx: true, ReadOnlyTx: true, Timeout: 800 * time.Millisecond, Wait: 30 * time.Millisecond,
-		Command:  statement.Command{ID: "1f", Verb: statement.Execute, Name: "p1", Payload: "a b", Writes: true, After: state.Point{Term: 3, Position: 9}, Term: 4},
-		Values:   []statement.Value{{Name: "n", Data: "d"}, {Name: "m"}},
-		Prepared: &statement.Prepared{Name: "p1", Writes: true, Shape: "q"},
-		Trace:    statement.Trace{TraceID: [16]byte{1, 15: 2}, SpanID: [8]byte{3, 7: 4}},
+		Command:   statement.Command{ID: "1f", Verb: statement.Execute, Name: "p1", Payload: "a b", Writes: true, After: state.Point{Term: 3, Position: 9}, Term: 4},
+		Values:    []statement.Value{{Name: "n", Data: "d"}, {Name: "m"}},
+		Prepared:  &statement.Prepared{Name: "p1", Writes: true, Shape: "q"},
+		Trace:     statement.Trace{TraceID: [16]byte{1, 15: 2}, SpanID: [8]byte{3, 7: 4}},
+		Admission: &statement.Admission{Class: statement.Class{Route: 2, Customer: 1}, Kind: 65535, Objective: 150 * time.Millisecond},
 	}
 	gotStmt, err := DecodeStatement(AppendStatement(nil, stmt))
 	if err != nil || !cmp.Equal(stmt, gotStmt) {
@@ -34,6 +35,10 @@
 	if err != nil || !cmp.Equal(result, gotResult) {
 		t.Errorf("result: %v\n%s", err, cmp.Diff(result, gotResult))
 	}
+	refused := statement.Result{Answer: statement.Refusal(statement.Busy, "t"), RetryAfter: 120 * time.Millisecond}
+	if got, err := DecodeResult(AppendResult(nil, &refused)); err != nil || !cmp.Equal(refused, got) {
+		t.Errorf("refusal: %v\n%s", err, cmp.Diff(refused, got))
+	}
 	pong := Pong{Lent: []catalog.LimitPartition{{Customer: "c", Index: 1}, {Customer: "d"}}, Lease: time.Second, Confirmations: []LeadershipConfirmation{{Group: "g", Server: "s", Point: state.Point{Term: 1, Position: 2}, Age: 3 * time.Millisecond}},
 		Store: &StoreConfirmations{Servers: StoreConfirmation{Revision: 4, Age: 5 * time.Millisecond}, OutOfService: StoreConfirmation{Revision: 6, Age: 7 * time.Millisecond}}}
 	gotPong, err := DecodePong(pong.Append(nil))
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -68,6 +68,7 @@
 	byGroup    map[string]*Group
 	totalRate  float64
 	rateRank   map[string]int
+	classes    bool
 }
 
 // Index builds the lookup tables of a decoded configuration.
@@ -95,6 +96,7 @@
 	for i := range ranked {
 		c.rateRank[ranked[i].Name] = i
 	}
+	c.classes = hasClasses(c)
 	for i := range c.Groups {
 		c.byGroup[c.Groups[i].Name] = &c.Groups[i]
 	}
--- a/state/statement/remote.go
+++ b/state/statement/remote.go
@@ -24,6 +24,7 @@
 	Timeout    time.Duration // from arrival; whole milliseconds
 	Wait       time.Duration // maximum wait for a connection; whole milliseconds
 	Trace      Trace
+	Admission  *Admission // nil if there is one class only, or if the sender is of an earlier build
 }
 
 // Trace identifies the parent span of the statement's next hop. The zero value
@@ -38,6 +39,10 @@
 	Answer           Answer
 	PrimaryConfirmed bool   // the server was the group's primary while the statement ran
 	Tx               uint64 // the open transaction; zero if there is none
+	// RetryAfter says that the statement was not run because there is too little room at
+	// its server, and when to try again; whole milliseconds. It is zero in other results,
+	// and in those of statements without an Admission.
+	RetryAfter time.Duration
 }
 
 // Writes reports whether the statement changes data.
