Classes at the front end and at connection owners

Cause: statements waited for a connection in the order of arrival for a fixed part of their time-out, and those that queued inside a server were not limited by class. Change: with more than one class in the configuration, the front end sends the class, the kind of work and the rest of the operation's objective to VMs that decode it; the wait follows from the objective. Connection owners order waiting statements by class, hold lower classes back while a server is under pressure, and refuse statements that cannot be in time, with the time to retry. A read that found too little room is tried on one other replica. The stand-in's servers can have slots and a queue.

--- a/coordination/classqueue/decide.go
+++ b/coordination/classqueue/decide.go
@@ -72,7 +72,7 @@
 	}
 	hold := time.Duration(holdFraction * float64(r.Admission.Objective))
 	if r.Held || hold < minHold {
-		return p.refuse(r, HeldBack, p.RetryAfter(r.Admission.Class, random()))
+		return p.Refusal(r, HeldBack, random())
 	}
 	return Verdict{Hold: time.Duration(float64(min(hold, maxHoldTime)) * (0.5 + random()))}
 }
@@ -91,6 +91,11 @@
 	return p.refuse(r, TooLate, max(wait+delay, minRetryAfter)/2+time.Duration(random*float64(max(wait+delay, minRetryAfter))))
 }
 
+// Refusal returns the refusal of a statement for the reason.
+func (p *Pressure) Refusal(r Request, why Reason, random float64) Verdict {
+	return p.refuse(r, why, p.RetryAfter(r.Admission.Class, random))
+}
+
 // refuse returns a refusal. A caller that has little time left is told to retry while it
 // still can.
 func (p *Pressure) refuse(r Request, why Reason, after time.Duration) Verdict {
--- a/coordination/classqueue/pressure.go
+++ b/coordination/classqueue/pressure.go
@@ -50,9 +50,10 @@
 	// maxClasses and maxKinds bound the memory that statements can take up here.
 	maxClasses = 32
 	maxKinds   = 256
-	// pressureLevel is the level from which a server counts as under pressure. It ends at
-	// zero.
+	// pressureLevel is the level from which a server counts as under pressure. The pressure
+	// has ended when the level was zero for calmPeriod, which bounds the number of changes.
 	pressureLevel = 0.2
+	calmPeriod    = 3 * time.Second
 	// minRetryAfter and maxRetryAfter are the time to retry at the lowest and the highest
 	// probability of holding back.
 	minRetryAfter = 100 * time.Millisecond
@@ -61,9 +62,10 @@
 
 // Kind identifies statements that take about the same time at an idle server.
 type Kind struct {
-	Route uint16
-	Verb  statement.Verb
-	InTx  bool
+	Route  uint16
+	Verb   statement.Verb
+	Writes bool
+	InTx   bool
 }
 
 // baseline is the least time that statements of a kind have taken.
@@ -92,6 +94,7 @@
 	level      float64
 	adjustedAt time.Duration
 	pressed    bool
+	heldAt     time.Duration // when the level was last above zero
 }
 
 // NewPressure returns the state of a server without pressure.
@@ -138,6 +141,9 @@
 // Shed records that the server refused a statement for lack of room.
 func (p *Pressure) Shed(now time.Duration) { p.observe(max(shedDelay, p.delay), now) }
 
+// Unanswered records that a statement got no answer within the time since it was sent.
+func (p *Pressure) Unanswered(waited, now time.Duration) { p.observe(waited, now) }
+
 func (p *Pressure) observe(delay, now time.Duration) {
 	p.delay += time.Duration(p.weight(now) * float64(min(delay, maxDelay)-p.delay))
 	p.observedAt = now
@@ -192,11 +198,14 @@
 		p.adjust(p.adjustedAt + time.Duration(i+1)*adjustInterval)
 	}
 	p.adjustedAt += time.Duration(steps) * adjustInterval
+	if p.level > 0 {
+		p.heldAt = now
+	}
 	switch {
 	case !p.pressed && p.level >= pressureLevel:
 		p.pressed = true
 		return Began
-	case p.pressed && p.level == 0:
+	case p.pressed && now-p.heldAt >= calmPeriod:
 		p.pressed = false
 		return Ended
 	}
@@ -243,22 +252,26 @@
 	return max(time.Duration(delayFraction*float64(least)), time.Millisecond)
 }
 
+// Pressed reports whether the server is under pressure; see Change.
+func (p *Pressure) Pressed() bool { return p.pressed }
+
+// IsHighest reports whether no higher class than the given one is present.
+func (p *Pressure) IsHighest(class statement.Class) bool {
+	return len(p.classes) == 0 || p.classes[0].class.Compare(class) >= 0
+}
+
 // HoldProbability returns the probability with which statements of the class are held
 // back. It is zero for the highest class present.
 func (p *Pressure) HoldProbability(class statement.Class) float64 {
+	if p.IsHighest(class) {
+		return 0
+	}
 	below := 0 // present classes below this one
-	above := false
 	for _, c := range p.classes {
-		switch order := c.class.Compare(class); {
-		case order < 0:
-			above = true
-		case order > 0:
+		if c.class.Compare(class) > 0 {
 			below++
 		}
 	}
-	if !above {
-		return 0
-	}
 	return maxHold * min(max(p.level-float64(below), 0), 1)
 }
 
--- a/coordination/sqlsession/route.go
+++ b/coordination/sqlsession/route.go
@@ -137,6 +137,15 @@
 		o.replaceCodeInTx(a)
 		return Answer
 	}
+	if r.RetryAfter > 0 {
+		// Another replica may have room. The primary is not tried again: the client is told
+		// when to retry, which costs nothing until then.
+		if o.NeedsPrimary || o.Refused {
+			return Answer
+		}
+		o.Refused = true
+		return Retry
+	}
 	if a.Code.NotRun() {
 		return Retry
 	}
--- a/coordination/sqlsession/session.go
+++ b/coordination/sqlsession/session.go
@@ -94,6 +94,7 @@
 	Prepared     *statement.Prepared
 	LastWrite    state.Point // position of the session's latest commit of a write
 	Failures     int         // number of answers with code Failed
+	Refused      bool        // a server had too little room for it; see statement.Result.RetryAfter
 }
 
 // writes reports whether the statement changes data.
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -42,6 +42,7 @@
 	Codec        Codec
 	Unfenced     bool // a replaced primary goes on, see Options.Unfenced
 	SyncReplicas int  // replicas that must have received a commit before it is acknowledged
+	Capacity     Capacity
 
 	mu   sync.Mutex // guards the fields below and those of the servers
 	term uint64
@@ -94,6 +95,7 @@
 	executions    map[string]int // by statement id
 	// superseded is the log of a replaced primary that goes on, or nil.
 	superseded *supersededLog
+	slots      slots
 	// reaches reports whether the server can connect to another one.
 	reaches func(address string) bool
 }
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -54,6 +54,7 @@
 	// and a replaced primary go on until it is told to step down or can reach its
 	// successor for a second.
 	Unfenced  bool
+	Capacity  Capacity         // of each backend server
 	Bounds    directory.Bounds // that VMs are given
 	OnRequest func(id string)  // called for each client request that a VM has read; nil for none
 	Logger    log.Interface    // nil discards log entries
@@ -143,7 +144,7 @@
 
 func (d *Deployment) startGroup(name string, index int) {
 	g := NewGroup(name, d.MaxConns, d.Lag, Backend{})
-	g.Unfenced, g.SyncReplicas = d.Unfenced, d.SyncReplicas
+	g.Unfenced, g.SyncReplicas, g.Capacity = d.Unfenced, d.SyncReplicas, d.Capacity
 	d.Groups[name] = g
 	d.Store.AddGroup(g)
 	for z := range d.Zones {
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -109,6 +109,11 @@
 		d.Executor.Execute(selfOrigin, w, done)
 		return
 	}
+	if w.Admission != nil && !d.Links.DecodesClasses(vm) {
+		plain := *w
+		plain.Admission = nil
+		w = &plain
+	}
 	sent := d.Links.Call(vm, fleetwire.KindStatement, fleetwire.AppendStatement(nil, w), func(f fleetwire.Frame, ok bool) {
 		if !ok {
 			done(refusal(statement.Lost, "the link to the VM broke"))
--- a/transport/sqlback/conn.go
+++ b/transport/sqlback/conn.go
@@ -43,6 +43,7 @@
 	txReadOnly bool
 	origin     string // link over which the transaction was opened, or this VM; see Execute
 
+	admission     *statement.Admission // of the job, or of the first statement of the transaction
 	job           *job
 	unanswered    []commandKind // commands sent without an answer yet, oldest first
 	internalSince time.Time     // when commands without a job were sent
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -14,12 +14,14 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/classqueue"
 	"github.com/chestnutdyke/chestnutdyke/coordination/fencing"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 	"github.com/chestnutdyke/chestnutdyke/transport/network"
 	"github.com/chestnutdyke/chestnutdyke/transport/outbox"
 	"github.com/chestnutdyke/chestnutdyke/transport/pool"
@@ -74,7 +76,7 @@
 	key      poolKey
 	group    string // of the server
 	conns    []*conn
-	waiting  []*job
+	waiting  classqueue.Queue[*job]
 	failedAt time.Time // latest failed connection attempt; zero after a success
 }
 
@@ -85,6 +87,10 @@
 	done        func(statement.Result)
 	span        trace.Span
 	submittedAt time.Time
+	arrivedAt   time.Duration // reading of clock.Now, as are sentAt and startBy
+	sentAt      time.Duration // when the statement was sent
+	startBy     time.Duration // order among the waiting jobs of a class; zero without a class
+	held        bool          // was held back; see holdBack
 	timer       *time.Timer
 	conn        *conn
 	beginPoint  state.Point // log position that BEGIN returned
@@ -121,6 +127,7 @@
 	drains       []*primaryDrain
 	failingSince map[string]time.Time // server to its first failed connection attempt since a success
 	unreachable  map[string]bool
+	admission    admissionControl
 }
 
 // Options are the dependencies of an Executor.
@@ -152,6 +159,7 @@
 		checkPrimary: o.CheckPrimary,
 		mu:           lockrank.New(lockrank.Backends), pools: make(map[poolKey]*serverPool), txs: make(map[uint64]*conn),
 		failingSince: make(map[string]time.Time), unreachable: make(map[string]bool),
+		admission: newAdmissionControl(o.Scope),
 	}
 }
 
@@ -188,7 +196,7 @@
 // Execute runs a statement and calls done once, on a pool worker. origin
 // identifies the link on which the statement arrived, or this VM.
 func (e *Executor) Execute(origin string, w *statement.RemoteStatement, done func(statement.Result)) {
-	j := &job{stmt: w, origin: origin, done: done, submittedAt: time.Now(), span: e.startSpan(w)}
+	j := &job{stmt: w, origin: origin, done: done, submittedAt: time.Now(), arrivedAt: clock.Now(), span: e.startSpan(w)}
 	e.post(func() { e.submit(j) })
 }
 
@@ -258,7 +266,7 @@
 			starting++
 		}
 	}
-	if starting > len(p.waiting)/jobsPerDial || len(p.conns) >= e.connectionPlan(p.key.customer, server).Limit {
+	if starting > p.waitingCount()/jobsPerDial || len(p.conns) >= e.connectionPlan(p.key.customer, server).Limit {
 		return len(p.conns) > 0
 	}
 	c := &conn{pool: p, prepared: make(map[string]bool)}
@@ -314,24 +322,17 @@
 	if len(p.conns) > 0 {
 		return
 	}
-	for _, j := range p.waiting {
+	for j := p.next(); j != nil; j = p.next() {
 		e.finish(j, statement.Refusal(answer.Code, answer.Text))
 	}
-	p.waiting = nil
 }
 
-// release assigns the oldest waiting job to the connection or marks it idle. The
+// release assigns the next waiting job to the connection or marks it idle. The
 // caller holds mu.
 func (e *Executor) release(c *conn) {
 	c.state, c.idleSince = connIdle, time.Now()
-	p := c.pool
-	for len(p.waiting) > 0 {
-		j := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		if !j.finished {
-			e.assign(c, j)
-			return
-		}
+	if j := c.pool.next(); j != nil {
+		e.assign(c, j)
 	}
 }
 
@@ -376,7 +377,7 @@
 	}
 	p := c.pool
 	p.conns = slices.DeleteFunc(p.conns, func(other *conn) bool { return other == c })
-	if len(p.waiting) > 0 && c.out != nil {
+	if p.waitingCount() > 0 && c.out != nil {
 		if server := e.table.Current().Servers[p.key.server]; server != nil {
 			e.grow(p, server)
 		}
--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -12,7 +12,10 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/classqueue"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
 
 // abortTx rolls back the connection's transaction now, or when its statement
@@ -94,6 +97,12 @@
 		}
 		return
 	}
+	e.place(j, server)
+}
+
+// place assigns a job outside of an open transaction to a connection, or queues, holds
+// back or refuses it. The caller holds mu.
+func (e *Executor) place(j *job, server *catalog.Server) {
 	if server == nil {
 		e.finish(j, statement.Refusal(statement.Unreachable, "the server is not registered here"))
 		return
@@ -102,28 +111,35 @@
 		e.refuseLeft(j)
 		return
 	}
+	if e.holdBack(j) {
+		return
+	}
 	p := e.pool(poolKey{j.stmt.Customer, j.stmt.Server}, server.Group)
 	if c := p.findIdle(j.stmt.Values); c != nil {
-		e.assign(c, j)
+		if !e.refuseIfLate(j, p, true) {
+			e.assign(c, j)
+		}
 		return
 	}
 	if !e.grow(p, server) && len(p.conns) == 0 {
 		e.finish(j, statement.Refusal(statement.Unreachable, "the last opening of a connection failed"))
 		return
 	}
-	if len(p.waiting) >= maxWaitingJobs {
-		e.finish(j, statement.Refusal(statement.Busy, "too many statements wait for a connection"))
+	if e.refuseIfLate(j, p, false) || !e.makeRoom(j, p) {
 		return
 	}
-	p.waiting = append(p.waiting, j)
+	p.enqueue(j)
 	if j.stmt.Wait > 0 && j.stmt.Wait < j.stmt.Timeout {
-		time.AfterFunc(j.stmt.Wait, func() { e.post(func() { e.handleWaitTimeout(j) }) })
+		time.AfterFunc(j.remainingWait(), func() { e.post(func() { e.handleWaitTimeout(j) }) })
 	}
 }
 
 // assign runs the job on the connection. The caller holds mu.
 func (e *Executor) assign(c *conn, j *job) {
 	c.job, j.conn = j, c
+	if j.stmt.Tx == 0 {
+		c.admission = j.stmt.Admission
+	}
 	e.connectionWait.RecordDuration(time.Since(j.submittedAt))
 	c.state = connBusy
 	if e.refuseIfLeft(c) || e.refuseIfNotPrimary(c) {
@@ -152,7 +168,7 @@
 		return
 	}
 	j := c.job
-	j.sent = true
+	j.sent, j.sentAt = true, clock.Now()
 	command := j.stmt.Command
 	if j.stmt.BeginsTx {
 		command.After.Term, command.After.Position = 0, 0
@@ -218,9 +234,14 @@
 // beginRefused ends the job with the refusal of its BEGIN. Its statement was not
 // sent.
 func (e *Executor) beginRefused(c *conn, a statement.Answer) {
+	e.observeAnswer(c, &a)
 	j := c.job
 	c.job = nil
-	e.finish(j, a)
+	r := statement.Result{Answer: a}
+	if a.Code == statement.Busy {
+		r.RetryAfter = e.retryAfterBusy(j)
+	}
+	e.finishResult(j, r)
 	e.releaseOrRollback(c, a.State)
 }
 
@@ -239,6 +260,7 @@
 // handleStatementAnswer ends the job, and keeps the connection for its
 // transaction if that stays open. The caller holds mu.
 func (e *Executor) handleStatementAnswer(c *conn, a statement.Answer) {
+	e.observeAnswer(c, &a)
 	if a.Code == statement.OK && !e.answerCounts(c) {
 		e.closeConn(c, statement.Lost, "the server may have been replaced as the primary")
 		return
@@ -253,6 +275,9 @@
 		a.At = j.beginPoint
 	}
 	r := statement.Result{Answer: a}
+	if a.Code == statement.Busy {
+		r.RetryAfter = e.retryAfterBusy(j)
+	}
 	r.PrimaryConfirmed = ok && w.ConfirmsLeadership()
 	keep := ok && a.State == statement.InTx && (w.BeginsTx || w.Tx != 0) && !j.aborted
 	if !keep {
@@ -285,6 +310,7 @@
 		code := statement.Busy
 		if j.sent {
 			code = statement.Timeout
+			e.observeTimeout(j.conn)
 		}
 		e.closeConn(j.conn, code, "no answer in time")
 	}
@@ -296,16 +322,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !j.finished && j.conn == nil {
-		e.refuseWaiting(j, "all connections are in use")
+		e.refuseWaiting(j, refusalTexts[classqueue.WaitOver])
 	}
 }
 
 // refuseWaiting removes a job from the queue for connections and refuses it. The
 // caller holds mu.
-func (e *Executor) refuseWaiting(j *job, reason string) {
-	p := e.pool(poolKey{j.stmt.Customer, j.stmt.Server}, j.stmt.Group)
-	p.waiting = slices.DeleteFunc(p.waiting, func(other *job) bool { return other == j })
-	e.finish(j, statement.Refusal(statement.Busy, reason))
+func (e *Executor) refuseWaiting(j *job, text string) {
+	e.pool(poolKey{j.stmt.Customer, j.stmt.Server}, j.stmt.Group).removeWaiting(j)
+	e.refuseFor(j, classqueue.WaitOver, text)
 }
 
 func (e *Executor) finish(j *job, a statement.Answer) { e.finishResult(j, statement.Result{Answer: a}) }
--- a/transport/sqlback/leaving.go
+++ b/transport/sqlback/leaving.go
@@ -47,7 +47,7 @@
 // refuseWaitingLeft refuses the jobs that wait for a connection to a server which must get
 // nothing more. The caller holds mu.
 func (e *Executor) refuseWaitingLeft(p *serverPool) {
-	p.waiting = slices.DeleteFunc(p.waiting, func(j *job) bool {
+	p.removeWaitingIf(func(j *job) bool {
 		refused := !e.maySend(j.stmt, p.key.server)
 		if refused && !j.finished {
 			e.refuseLeft(j)
--- a/transport/sqlfront/attempt.go
+++ b/transport/sqlfront/attempt.go
@@ -73,6 +73,9 @@
 	w := target.Statement
 	w.Timeout = ex.deadline - now
 	w.Wait = max(ex.waitUntil-now, time.Millisecond)
+	if ex.admission != nil {
+		w.Admission = ex.admission.at(now)
+	}
 	ex.attempts++
 	ex.runningOn = append(ex.runningOn, w.Server)
 	s.Leadership.With(w.Group, func(g *leadership.Group) { g.StatementSent(w.Server) })
@@ -108,12 +111,15 @@
 			c.server.logAttempt(ex, vm, w, &r)
 		}
 		ex.tried[w.Server] = true
+		if r.RetryAfter > 0 {
+			c.avoidPrimary(ex, r)
+		}
 	}
 	switch {
 	case failed && len(ex.runningOn) > 0:
 		// The other attempt may still succeed.
 	case verdict == sqlsession.Answer:
-		c.finishExecution(ex, r, vm, w.Server)
+		c.finishExecution(ex, withRetryTime(r), vm, w.Server)
 	case clock.Now() < ex.deadline:
 		c.startAttempt(ex)
 	default:
@@ -144,6 +150,10 @@
 // retryOrRefuse starts another attempt after retryDelay, or refuses the operation
 // if it may not wait any longer.
 func (c *session) retryOrRefuse(ex *execution, now time.Duration) {
+	if ex.refusal != nil {
+		c.finishExecution(ex, withRetryTime(*ex.refusal), "", "")
+		return
+	}
 	if now >= ex.waitUntil {
 		text := "no server could run it; retry after " + strconv.FormatInt(busyRetryAfter.Milliseconds(), 10) + " ms"
 		c.finishExecution(ex, statement.Result{Answer: statement.Refusal(statement.Busy, text)}, "", "")
--- a/transport/sqlfront/hop.go
+++ b/transport/sqlfront/hop.go
@@ -104,8 +104,12 @@
 	now := clock.Now()
 	s := c.server
 	server := s.Table.Current().Servers[w.Server]
+	outcome := healthOutcome(r.Answer.Code)
+	if r.RetryAfter > 0 {
+		outcome = leadership.Declined // refused in favour of more urgent statements
+	}
 	s.Leadership.With(w.Group, func(g *leadership.Group) {
-		g.StatementDone(w.Server, healthOutcome(r.Answer.Code), now-sentAt, r.Answer.At, now)
+		g.StatementDone(w.Server, outcome, now-sentAt, r.Answer.At, now)
 		switch r.Answer.Code {
 		case statement.OK:
 			if r.PrimaryConfirmed {
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -43,6 +43,7 @@
 	closed      bool
 	readerDone  bool // the reader has ended, so closing loses no request
 	idleTxTimer *time.Timer
+	txStartedAt time.Duration // when BEGIN of the open transaction arrived
 }
 
 // execution is an operation that is running or waiting to run.
@@ -58,6 +59,8 @@
 	ctx         context.Context // contains span
 	span        trace.Span
 	lastFailure failure // latest failure that was logged
+	admission   *admission
+	refusal     *statement.Result // of an attempt that found too little room; nil if there was none
 }
 
 // failure identifies a failed attempt for logging.
@@ -106,6 +109,7 @@
 	case step.Run != nil:
 		c.start(step.Run)
 	case step.Charge:
+		c.txStartedAt = clock.Now()
 		c.admitTx(r, step)
 	default:
 		if step.Answer.Code != statement.OK {
@@ -155,6 +159,9 @@
 		op: op, startedAt: now, deadline: now + timeout, tried: make(map[string]bool), ctx: ctx, span: span,
 		waitUntil: now + time.Duration(maxWaitFraction*float64(timeout)),
 	}
+	if ex.admission = c.admissionOf(op, now); ex.admission != nil {
+		ex.waitUntil = now + ex.admission.permittedWait(now, timeout, ex.waitUntil-now)
+	}
 	c.current = ex
 	if !op.Charge {
 		c.startAttempt(ex)
