--- a/coordination/classqueue/burst_test.go
+++ b/coordination/classqueue/burst_test.go
@@ -87,7 +87,7 @@
 	running  int
 	inServer []func() // statements that wait for a slot
 	types    [3]tally
-	small    tally     // trades of customers other than the busiest
+	others   tally     // operations of customers other than the busiest
 	after    tally     // rankings after the burst
 	held     []float64 // probability of holding rankings back, every 100 ms
 }
@@ -146,7 +146,7 @@
 		for i := range b.types {
 			sum.types[i].add(&b.types[i])
 		}
-		sum.small.add(&b.small)
+		sum.others.add(&b.others)
 		sum.after.add(&b.after)
 		sum.held = append(append(sum.held, 0), b.held...)
 	}
@@ -245,8 +245,8 @@
 		}
 	case op.startedAt >= burstFrom && op.startedAt < burstUntil:
 		f(&b.types[op.kind])
-		if op.kind == 0 && op.customer != 0 {
-			f(&b.small)
+		if op.customer != 0 {
+			f(&b.others)
 		}
 	}
 }
@@ -321,7 +321,7 @@
 	for i := range b.types {
 		t.Logf("%s: %-8s %v", name, operationTypes[i].name, &b.types[i])
 	}
-	t.Logf("%s: %-8s %v", name, "others'", &b.small)
+	t.Logf("%s: %-8s %v", name, "others'", &b.others)
 	t.Logf("%s: %-8s %v", name, "after", &b.after)
 	t.Logf("%s: worth %.2f", name, b.worth())
 }
@@ -370,8 +370,8 @@
 		playAll(false, 12, factor, true).log(t, fmt.Sprintf("one customer, %.1f times, in order of arrival", factor))
 		b := playAll(true, 12, factor, true)
 		b.log(t, fmt.Sprintf("one customer, %.1f times, by class", factor))
-		if got := b.small.inTime(); got < 0.98 {
-			t.Errorf("%.1f times the load: %.2f of the other customers' trades in time", factor, got)
+		if got := b.others.inTime(); got < 0.98 {
+			t.Errorf("%.1f times the load: %.2f of the other customers' operations in time", factor, got)
 		}
 	}
 }
--- a/coordination/classqueue/pressure.go
+++ b/coordination/classqueue/pressure.go
@@ -45,7 +45,8 @@
 	// maxDelay bounds an observation, so that a suspended VM or a lost answer does not
 	// count for more than a queue can cause.
 	maxDelay = 2 * time.Second
-	// shedDelay is the delay that a refusal by the server for lack of room counts as.
+	// shedDelay is the delay that a refusal by the server for lack of room counts as. It is
+	// shorter than time-outs, so that it does not make CheckDeadline refuse statements.
 	shedDelay = 300 * time.Millisecond
 	// maxClasses and maxKinds bound the memory that statements can take up here.
 	maxClasses = 32
@@ -138,12 +139,10 @@
 	p.statement += time.Duration(p.weight(now) * float64(min(took, maxDelay)-p.statement))
 }
 
-// Shed records that the server refused a statement for lack of room.
+// Shed records that the server refused a statement for lack of room, or did not answer it
+// in time. A server that hangs is not assumed to be slow for longer: its next answers tell.
 func (p *Pressure) Shed(now time.Duration) { p.observe(max(shedDelay, p.delay), now) }
 
-// Unanswered records that a statement got no answer within the time since it was sent.
-func (p *Pressure) Unanswered(waited, now time.Duration) { p.observe(waited, now) }
-
 func (p *Pressure) observe(delay, now time.Duration) {
 	p.delay += time.Duration(p.weight(now) * float64(min(delay, maxDelay)-p.delay))
 	p.observedAt = now
--- a/transport/sqlback/admit.go
+++ b/transport/sqlback/admit.go
@@ -229,7 +229,7 @@
 func (e *Executor) observeTimeout(c *conn) {
 	if c.admission != nil {
 		now := clock.Now()
-		e.pressureAt(c.pool.key.server, now).Unanswered(now-c.job.sentAt, now)
+		e.pressureAt(c.pool.key.server, now).Shed(now)
 	}
 }
 
--- a/transport/sqlfront/admission.go
+++ b/transport/sqlfront/admission.go
@@ -26,7 +26,7 @@
 	if op.Tx.ID != 0 || !config.HasClasses() {
 		return nil
 	}
-	a := &admission{class: statement.Class{Route: op.Route.Priority, Customer: config.CustomerPriority(op.Customer)}, kind: routeKind(op.Route.Name)}
+	a := &admission{class: statement.Class{Route: op.Route.Priority, Customer: config.CustomerPriority(op.Customer)}, kind: kindOfRoute(op.Route.Name)}
 	if op.Route.TargetLatency > 0 {
 		a.objectiveUntil = now + op.Route.TargetLatency
 		if op.BeginsTx {
@@ -36,8 +36,8 @@
 	return a
 }
 
-// routeKind returns a short identifier of the route; see statement.Admission.
-func routeKind(route string) uint16 {
+// kindOfRoute returns a short identifier of the route; see statement.Admission.
+func kindOfRoute(route string) uint16 {
 	h := fnv.New32a()
 	h.Write([]byte(route))
 	return uint16(h.Sum32())
