--- a/standin/managed/classes_test.go
+++ b/standin/managed/classes_test.go
@@ -140,3 +140,37 @@
 		t.Errorf("%.2f of the rankings in time", got)
 	}
 }
+
+// Guards against a refusal of a statement that has run, and against lost commits, when
+// classes compete for servers that are too slow and a connection owner is killed.
+func TestClassesWhenOwnerDies(t *testing.T) {
+	o := smallDeployment
+	o.Capacity = Capacity{Slots: 1, Queue: 10, Work: func(string) time.Duration { return 80 * time.Millisecond }}
+	inDeployment(t, o, func(d *Deployment) {
+		d.Configure(func(c *catalog.Config) {
+			for i := range c.Routes {
+				c.Routes[i].Priority = i % 3
+			}
+			for i := range c.Customers {
+				c.Customers[i].Priority = i
+			}
+		})
+		l := startLoad(t, d)
+		time.Sleep(4 * time.Second)
+		d.VM("vm-0-0").Kill()
+		time.Sleep(3 * time.Second)
+		d.StartVM("vm-0-0", zoneName(0))
+		time.Sleep(4 * time.Second)
+		l.finish()
+		heldBack := 0
+		for reason, n := range l.reasons {
+			if strings.Contains(reason, "more urgent") {
+				heldBack += n
+			}
+		}
+		t.Logf("%d statements succeeded, %d were held back and refused", l.codes[statement.OK], heldBack)
+		if heldBack == 0 || l.codes[statement.OK] == 0 {
+			t.Errorf("%d statements were held back and %d succeeded", heldBack, l.codes[statement.OK])
+		}
+	})
+}
