Refusal at once looks at all statements that wait for the server

Cause: a statement that is late behind those of its own customer may get a connection that another customer of the connection owner does not need. Change: it is refused only if it is late among all that wait here for the server too.

--- a/transport/sqlback/admit.go
+++ b/transport/sqlback/admit.go
@@ -149,7 +149,11 @@
 	if !hasConn {
 		place = classqueue.Place{Ahead: p.waiting.Ahead(j.class()) + 1, Serving: p.servingCount()}
 	}
-	if v := pressure.CheckDeadline(r, place, now, rand.Float64()); v.Refuse {
+	v := pressure.CheckDeadline(r, place, now, rand.Float64())
+	if v.Refuse && !hasConn {
+		v = pressure.CheckDeadline(r, e.placeAt(p.key.server, j.class()), now, rand.Float64())
+	}
+	if v.Refuse {
 		e.refuse(j, v)
 		return true
 	}
@@ -157,6 +161,20 @@
 	return false
 }
 
+// placeAt returns the place of a statement among those of all customers that wait here for
+// a connection to the server. A statement that is late among those of its own customer may
+// get a connection that another customer does not need. The caller holds mu.
+func (e *Executor) placeAt(server string, class statement.Class) classqueue.Place {
+	place := classqueue.Place{Ahead: 1}
+	for key, p := range e.pools {
+		if key.server == server {
+			place.Ahead += p.waiting.Ahead(class)
+			place.Serving += p.servingCount()
+		}
+	}
+	return place
+}
+
 // servingCount returns the number of connections that will be free after a statement.
 // Those with a transaction are not, since its client decides when it ends.
 func (p *serverPool) servingCount() int {
--- a/transport/sqlback/waiting.go
+++ b/transport/sqlback/waiting.go
@@ -33,15 +33,16 @@
 // waitingCount returns the number of jobs that wait for a connection.
 func (p *serverPool) waitingCount() int { return p.waiting.Len() }
 
-// removeWaitingIf removes the waiting jobs for which remove returns true.
-func (p *serverPool) removeWaitingIf(remove func(*job) bool) {
+// removeAllWaiting removes and returns the waiting jobs that match, in order.
+func (p *serverPool) removeAllWaiting(match func(*job) bool) []*job {
 	var removed []*job
 	for j := range p.waiting.All() {
-		if remove(j) {
+		if match(j) {
 			removed = append(removed, j)
 		}
 	}
 	for _, j := range removed {
 		p.waiting.Remove(j)
 	}
+	return removed
 }
