Shorter tests of classes

Cause: the burst test carried its own heap of events. Change: sorted insertion; no change of what is checked.

--- a/coordination/classqueue/burst_test.go
+++ b/coordination/classqueue/burst_test.go
@@ -1,10 +1,10 @@
 package classqueue_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"testing"
 	"time"
 
@@ -45,23 +45,8 @@
 }
 
 type event struct {
-	at     time.Duration
-	number int
-	run    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].number < e[j].number
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
+	at  time.Duration
+	run func()
 }
 
 type owner struct {
@@ -81,8 +66,7 @@
 	classes  bool // otherwise first come, first served
 	random   *rand.Rand
 	now      time.Duration
-	events   events
-	number   int
+	events   []event // in the order of time
 	owners   []owner
 	running  int
 	inServer []func() // statements that wait for a slot
@@ -93,8 +77,9 @@
 }
 
 func (b *burst) schedule(d time.Duration, run func()) {
-	b.number++
-	heap.Push(&b.events, event{b.now + d, b.number, run})
+	at := b.now + d
+	i := sort.Search(len(b.events), func(i int) bool { return b.events[i].at > at })
+	b.events = slices.Insert(b.events, i, event{at, run})
 }
 
 // play runs the burst, in which factor times the usual load arrives. With one large
@@ -131,7 +116,8 @@
 		})
 	}
 	for len(b.events) > 0 {
-		e := heap.Pop(&b.events).(event)
+		e := b.events[0]
+		b.events = b.events[1:]
 		b.now = e.at
 		e.run()
 	}
--- a/transport/sqlback/admit_test.go
+++ b/transport/sqlback/admit_test.go
@@ -78,16 +78,11 @@
 	}}
 	withExecutor(t, s, func(run func(statement.RemoteStatement) statement.Result) {
 		virtualClock(t)
-		trade := func() statement.Result {
-			w := withClass(0, 200*time.Millisecond, "")
-			w.Command.ID = ""
-			return run(w)
-		}
-		ranking := func() statement.Result {
-			w := withClass(2, 100*time.Millisecond, "")
-			w.Command.ID = ""
-			return run(w)
+		read := func(route int, objective time.Duration) statement.Result {
+			return run(withClass(route, objective, ""))
 		}
+		trade := func() statement.Result { return read(0, 200*time.Millisecond) }
+		ranking := func() statement.Result { return read(2, 100*time.Millisecond) }
 		for range 20 {
 			trade()
 			if r := ranking(); r.Answer.Code != statement.OK {
