--- /dev/null
+++ b/transport/sqlback/waiting.go
@@ -0,0 +1,48 @@
+package sqlback
+
+import "github.com/chestnutdyke/chestnutdyke/state/statement"
+
+// class returns the class of the job's operation. A job of a VM of an earlier build is of
+// the highest class.
+func (j *job) class() statement.Class {
+	if a := j.stmt.Admission; a != nil {
+		return a.Class
+	}
+	return statement.Class{}
+}
+
+// enqueue adds a job that waits for a connection.
+func (p *serverPool) enqueue(j *job) { p.waiting.Push(j, j.class(), j.startBy) }
+
+// next removes and returns the waiting job whose turn it is, or nil.
+func (p *serverPool) next() *job {
+	for {
+		j, ok := p.waiting.Pop()
+		if !ok {
+			return nil
+		}
+		if !j.finished {
+			return j
+		}
+	}
+}
+
+// removeWaiting removes a job if it waits.
+func (p *serverPool) removeWaiting(j *job) { p.waiting.Remove(j) }
+
+// waitingCount returns the number of jobs that wait for a connection.
+func (p *serverPool) waitingCount() int { return p.waiting.Len() }
+
+// removeAllWaiting removes and returns the waiting jobs that match, in order.
+func (p *serverPool) removeAllWaiting(match func(*job) bool) []*job {
+	var removed []*job
+	for j := range p.waiting.All() {
+		if match(j) {
+			removed = append(removed, j)
+		}
+	}
+	for _, j := range removed {
+		p.waiting.Remove(j)
+	}
+	return removed
+}
