Store eras: revisions are ordered within an era, and nothing in force goes back

Cause: a store that comes back from an older copy counts its revisions again. VMs kept the document with the higher number, and sent it to each other. Package coordination/restore decides what of a copy is in force. The failover coordinator claims its duty again in a new era, with tokens above those of earlier eras. The stand-ins restore a copy that is some seconds old.

--- a/node.go
+++ b/node.go
@@ -152,7 +152,7 @@
 	n.dispatcher.SetDirectory(n.directory)
 	promotionOptions := promotion.Options{
 		Name: o.Name, Platform: o.Platform, Duties: o.Duties, Runner: n.dispatcher, Reports: o.ServerDialect, Table: n.catalog, Leadership: n.leaders,
-		View: n.links.View, Logger: o.Logger, Scope: o.Scope,
+		View: n.links.View, StoreEra: n.directory.StoreEra, Logger: o.Logger, Scope: o.Scope,
 	}
 	if n.fencer != nil {
 		promotionOptions.Fencer = n.fencer
--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -211,11 +211,17 @@
 // changes that were made up to a time.
 type StoreConfirmation struct {
 	Revision uint64        // of the document; zero if nothing is confirmed
+	Era      uint64        // of the revision; only set if StoreConfirmations.Eras is
 	Age      time.Duration // of that time when encoded; rounded up to whole milliseconds
 }
 
 // StoreConfirmations are those of the documents that say which servers get no new work.
-type StoreConfirmations struct{ Servers, OutOfService StoreConfirmation }
+type StoreConfirmations struct {
+	Servers, OutOfService StoreConfirmation
+	// Eras says that the revisions have their eras. They are only sent to VMs whose Status
+	// has Eras.
+	Eras bool
+}
 
 // Pong is the response to a ping.
 type Pong struct {
@@ -243,6 +249,9 @@
 			age := (c.Age + time.Millisecond - 1).Milliseconds()
 			dst = binary.AppendUvarint(binary.AppendUvarint(dst, c.Revision), uint64(max(age, 0)))
 		}
+		if p.Store.Eras {
+			dst = binary.AppendUvarint(binary.AppendUvarint(dst, p.Store.Servers.Era), p.Store.OutOfService.Era)
+		}
 	}
 	return dst
 }
@@ -261,6 +270,9 @@
 	}
 	if len(d.b) > 0 {
 		p.Store = &StoreConfirmations{Servers: d.storeConfirmation(), OutOfService: d.storeConfirmation()}
+		if len(d.b) > 0 {
+			p.Store.Eras, p.Store.Servers.Era, p.Store.OutOfService.Era = true, d.uvarint(), d.uvarint()
+		}
 	}
 	return p, d.finish("pong")
 }
--- a/protocol/fleetwire/fleetwire_test.go
+++ b/protocol/fleetwire/fleetwire_test.go
@@ -42,6 +42,25 @@
 	}
 }
 
+// Guards against eras that are lost or swapped, and against a pong that VMs of an earlier
+// build cannot decode: they refuse bytes that they do not know.
+func TestPongWithEras(t *testing.T) {
+	pong := Pong{Store: &StoreConfirmations{Servers: StoreConfirmation{Revision: 4, Era: 2}, OutOfService: StoreConfirmation{Revision: 6, Era: 3}}}
+	without := pong.Append(nil)
+	pong.Store.Eras = true
+	with := pong.Append(nil)
+	got, err := DecodePong(with)
+	if err != nil || !cmp.Equal(pong, got) {
+		t.Errorf("pong: %v\n%s", err, cmp.Diff(pong, got))
+	}
+	if !bytes.HasPrefix(with, without) || len(with) != len(without)+2 {
+		t.Errorf("the eras are not at the end: %v, without them %v", with, without)
+	}
+	if got, err = DecodePong(without); err != nil || got.Store.Eras {
+		t.Errorf("pong without eras: %+v, %v", got.Store, err)
+	}
+}
+
 // Guards against designations that are lost or swapped by encoding and decoding.
 func TestFencingRoundTrip(t *testing.T) {
 	state := fencing.State{Claim: 1001, Designations: []fencing.Designation{{Group: "g", Server: "s", Token: 1002}, {Group: "h", Server: "r", Token: 7}}}
--- a/protocol/fleetwire/status.go
+++ b/protocol/fleetwire/status.go
@@ -24,10 +24,13 @@
 	StoreConfirmations bool `json:"store_confirmations,omitempty"`
 	// Eras has the era of the store to which each of Revisions belongs, by kind. A VM of
 	// an earlier build sends none.
-	Eras            map[string]uint64 `json:"eras,omitempty"`
-	Usage           bool              `json:"usage,omitempty"`            // the VM handles KindUsageRequest
-	ConnectionLoans bool              `json:"connection_loans,omitempty"` // the VM handles KindConnectionRequest
-	Classes         bool              `json:"classes,omitempty"`          // the VM decodes the class of a statement
+	Eras map[string]uint64 `json:"eras,omitempty"`
+	// ConfigVersion is the version of the configuration in force at the VM. After a store
+	// came back from an older copy it may be higher than that of its object in the store.
+	ConfigVersion   uint64 `json:"config_version,omitempty"`
+	Usage           bool   `json:"usage,omitempty"`            // the VM handles KindUsageRequest
+	ConnectionLoans bool   `json:"connection_loans,omitempty"` // the VM handles KindConnectionRequest
+	Classes         bool   `json:"classes,omitempty"`          // the VM decodes the class of a statement
 }
 
 // Encode returns the status in JSON.
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -81,9 +81,10 @@
 
 	group    *Group
 	primary  bool
-	received int  // length of the log prefix that a replica has received; see logLength
-	paused   bool // replication to this server is paused
-	draining bool // registered as draining
+	received int    // length of the log prefix that a replica has received; see logLength
+	paused   bool   // replication to this server is paused
+	draining bool   // registered as draining
+	seq      uint64 // of the latest registration
 	down     bool
 	conns    map[net.Conn]bool
 	cancel   context.CancelFunc
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -176,10 +176,17 @@
 }
 
 // Report registers the server in the store, and updates the registration when the
-// server becomes primary or replica, until ctx is done.
+// server becomes primary or replica and when the store has a new era, until ctx is done.
 func Report(ctx context.Context, store *Store, s *Server) {
 	registered, wasPrimary := false, false
+	era, rewriteAt := store.Era(), time.Time{}
 	for ctx.Err() == nil {
+		if now := store.Era(); now != era {
+			era, rewriteAt = now, time.Now().Add(rewriteDelay)
+		}
+		if !rewriteAt.IsZero() && !time.Now().Before(rewriteAt) {
+			registered, rewriteAt = false, time.Time{}
+		}
 		if primary := s.isPrimary(); primary != wasPrimary || !registered {
 			registered, wasPrimary = true, primary
 			register(store, s)
@@ -197,8 +204,9 @@
 // register writes the server's registration to the store.
 func register(store *Store, s *Server) {
 	s.group.mu.Lock()
+	s.seq++
 	entry := catalog.Server{
-		ID: s.ID, Group: s.group.Name, Address: s.Address, DataCentre: s.Zone, Primary: s.primary, Draining: s.draining, Born: 1,
+		ID: s.ID, Group: s.group.Name, Address: s.Address, DataCentre: s.Zone, Primary: s.primary, Draining: s.draining, Born: 1, Seq: s.seq,
 	}
 	s.group.mu.Unlock()
 	store.Put(directory.Servers, directory.Entry{Name: s.ID, Server: &entry})
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/transport/directory"
 	"github.com/chestnutdyke/chestnutdyke/transport/promotion"
 )
@@ -22,6 +23,8 @@
 type Store struct {
 	mu            sync.Mutex // guards the fields below
 	revision      uint64
+	era           uint64           // rises with each call of Restore
+	undo          []undoableChange // the latest changes, see Restore
 	entries       map[directory.Kind]map[string]directory.Entry
 	history       map[directory.Kind][]directory.Entry // changes in order of revision
 	compacted     uint64                               // highest revision of which the history was dropped
@@ -69,6 +72,14 @@
 func (s *Store) Put(kind directory.Kind, e directory.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before, existed := s.entries[kind][e.Name]
+	s.recordUndo(func() {
+		if existed {
+			s.entries[kind][e.Name] = before
+		} else {
+			delete(s.entries[kind], e.Name)
+		}
+	})
 	s.revision++
 	e.Revision = s.revision
 	if e.Server != nil {
@@ -202,7 +213,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b := directory.Batch{AsOf: c.revision}
+	b := directory.Batch{AsOf: c.revision, Era: c.era}
 	for e := range maps.Values(c.entries[kind]) {
 		b.Entries = append(b.Entries, e)
 	}
@@ -224,11 +235,11 @@
 			return directory.Batch{}, ctx.Err()
 		}
 		c.mu.Lock()
-		if after < c.compacted {
+		b := directory.Batch{AsOf: c.revision, Era: c.era}
+		if after < c.compacted || after > c.revision {
 			c.mu.Unlock()
-			return directory.Batch{}, directory.ErrHistoryGone
+			return directory.Batch{Era: b.Era}, directory.ErrHistoryGone
 		}
-		b := directory.Batch{AsOf: c.revision}
 		for _, e := range c.history[kind] {
 			if e.Revision > after {
 				b.Entries = append(b.Entries, e)
@@ -275,7 +286,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	listed := directory.Batch{AsOf: c.revision}
+	listed := directory.Batch{AsOf: c.revision, Era: c.era}
 	for m := range maps.Values(c.members) {
 		if fresh || time.Since(m.since) >= memberListLag {
 			listed.Entries = append(listed.Entries, directory.Entry{Name: m.Name, Revision: m.revision, Member: &m.Member})
@@ -290,6 +301,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordUndoMember(m.Name)
 	c.revision++
 	c.members[m.Name] = member{m, time.Now(), c.revision}
 	return nil
@@ -301,6 +313,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordUndoMember(name)
 	c.revision++
 	delete(c.members, name)
 	return nil
@@ -312,7 +325,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.duty, nil
+	d := c.duty
+	d.Revision.Era = c.era
+	return d, nil
 }
 
 func (c client) WriteDuty(ctx context.Context, d promotion.Duty) error {
@@ -321,12 +336,18 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if d.Revision != c.duty.Revision {
+	// The store compares numbers only, as the platform's does.
+	if d.Revision.Number != c.duty.Revision.Number {
 		return errors.New("duty was changed by another VM")
 	}
+	era, before := d.Revision.Era, c.duty
+	c.recordUndo(func() { c.duty = before })
 	c.revision++
-	d.Revision = c.revision
+	d.Revision = state.Revision{Era: c.era, Number: c.revision}
 	c.duty = d
+	if era != c.era {
+		return errors.New("the store has changed its era")
+	}
 	return nil
 }
 
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -139,6 +139,7 @@
 	Primary    bool // according to the server itself
 	Draining   bool
 	Born       int64  // start time, Unix milliseconds
+	Seq        uint64 // rises with each write of the server since Born; zero if unknown
 	Revision   uint64 // of the registration
 }
 
--- a/transport/directory/confirm.go
+++ b/transport/directory/confirm.go
@@ -4,9 +4,18 @@
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
+	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
 
+// confirmFrom records a response of the store, see confirm, unless the document is of
+// another era.
+func (d *Directory) confirmFrom(kind Kind, era uint64, sentAt time.Duration) {
+	if d.revision(kind).Era == era {
+		d.confirm(kind, sentAt)
+	}
+}
+
 // confirm records that the store has responded to a call for the kind that was sent at
 // sentAt. The documents contain all changes that were made before.
 func (d *Directory) confirm(kind Kind, sentAt time.Duration) {
@@ -38,7 +47,7 @@
 		if at == 0 {
 			return fleetwire.StoreConfirmation{}
 		}
-		return fleetwire.StoreConfirmation{Revision: d.docs[kind].Revision, Age: now - at}
+		return fleetwire.StoreConfirmation{Revision: d.docs[kind].Revision.Number, Era: d.docs[kind].Revision.Era, Age: now - at}
 	}
 	return fleetwire.StoreConfirmations{Servers: of(Servers), OutOfService: of(OutOfService)}
 }
@@ -50,7 +59,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for kind, confirmation := range map[Kind]fleetwire.StoreConfirmation{Servers: c.Servers, OutOfService: c.OutOfService} {
-		if confirmation.Revision > 0 && confirmation.Age >= 0 && confirmation.Revision <= d.docs[kind].Revision {
+		own := d.docs[kind].Revision
+		confirmed := state.Revision{Era: own.Era, Number: confirmation.Revision}
+		if c.Eras {
+			confirmed.Era = confirmation.Era
+		}
+		// The document of a later era may lack changes of an earlier one.
+		if confirmed.Number > 0 && confirmation.Age >= 0 && confirmed.Era == own.Era && !confirmed.After(own) {
 			d.confirmedAt[kind] = max(d.confirmedAt[kind], sentAt-confirmation.Age)
 		}
 	}
--- a/transport/directory/departure.go
+++ b/transport/directory/departure.go
@@ -32,16 +32,16 @@
 // within about 2 s of its recovery.
 const drainMemory = time.Minute
 
-// currentDepartures returns the departures that the documents contain. The caller holds
+// currentDepartures returns the departures that are in force. The caller holds
 // mu.
 func (d *Directory) currentDepartures() map[departure]bool {
 	current := make(map[departure]bool)
-	for name := range d.docs[OutOfService].Entries {
+	for name := range d.out {
 		current[departure{kind: OutOfService, name: name}] = true
 	}
-	for name, e := range d.docs[Servers].Entries {
-		if e.Server != nil && e.Server.Draining {
-			current[departure{Servers, name, e.Server.Born}] = true
+	for name, s := range d.registered {
+		if s.Draining {
+			current[departure{Servers, name, s.Born}] = true
 		}
 	}
 	return current
@@ -79,7 +79,7 @@
 // isBack reports whether the server of a departure is registered and not draining. The
 // caller holds mu.
 func (d *Directory) isBack(p departure) bool {
-	s := d.docs[Servers].Entries[p.name].Server
+	s := d.registered[p.name]
 	return s != nil && !s.Draining
 }
 
@@ -90,7 +90,7 @@
 // holds mu.
 func (d *Directory) leaving(s *catalog.Server) catalog.Leaving {
 	l := catalog.Leaving{OperationsUntil: endOfTime, TransactionsUntil: endOfTime}
-	if _, out := d.docs[OutOfService].Entries[s.DataCentre]; out {
+	if d.out[s.DataCentre] {
 		l.OperationsUntil = d.departures[departure{kind: OutOfService, name: s.DataCentre}].end(d.bounds.OutOfService)
 		l.TransactionsUntil = l.OperationsUntil
 	}
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
+	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
@@ -105,6 +106,7 @@
 	storeFailing      bool                        // the last call to the store failed
 	lastStoreCall     time.Duration               // when the last call to the store ended
 	configConfirmed   bool                        // see ConfigConfirmed
+	eraState
 
 	membersAttempted chan struct{} // closed after the first attempt to read the list of members
 }
@@ -117,7 +119,7 @@
 		metrics: newMetrics(scope),
 		mu:      lockrank.New(lockrank.Sessions), docs: make(map[Kind]document), deregisteredSince: make(map[string]time.Duration),
 		departures: make(map[departure]departureTime), confirmedAt: make(map[Kind]time.Duration),
-		missingSince: make(map[string]time.Duration), encodedUpdates: make(map[string][]byte), membersAttempted: make(chan struct{}),
+		eraState: newEraState(), missingSince: make(map[string]time.Duration), encodedUpdates: make(map[string][]byte), membersAttempted: make(chan struct{}),
 	}
 }
 
@@ -152,31 +154,41 @@
 func (d *Directory) follow(ctx context.Context, kind Kind) {
 	d.waitForPeers(ctx, kind)
 	backoff := minBackoff
-	revision := uint64(0)
-	relist := false // the store has dropped the history that a watch needs, and no list has succeeded since
+	var position state.Revision // of the watch
+	relist := false             // the store has dropped the history that a watch needs, and no list has succeeded since
 	for ctx.Err() == nil {
 		if !d.fleet.View().Watches(string(kind)) && d.loaded(kind) && !d.shouldRecheck(kind) {
 			sleep(ctx, watchCheckInterval)
 			continue
 		}
-		revision = max(revision, d.revision(kind))
-		full := relist || revision == 0 || kind == OutOfService && d.needsConfirmation()
+		if current := d.revision(kind); current.After(position) {
+			position = current
+		}
+		full := relist || position.IsZero() || position.Era != d.StoreEra() || kind == OutOfService && d.needsConfirmation()
 		sentAt := clock.Now()
 		var batch Batch
 		var err error
 		if full {
 			batch, err = d.list(ctx, kind)
 		} else {
-			batch, err = d.watch(ctx, kind, revision)
+			batch, err = d.watch(ctx, kind, position.Number)
+		}
+		if err == nil {
+			err = d.checkEra(batch.Era)
 		}
-		relist = errors.Is(err, ErrHistoryGone)
+		relist = errors.Is(err, ErrHistoryGone) || err == nil && !full && batch.Era != position.Era
 		switch {
+		case err == nil && relist:
+			// The changes are relative to a revision of an earlier era. The list is next.
 		case err == nil:
 			d.applyBatch(kind, batch, full)
-			d.confirm(kind, sentAt)
-			revision = max(revision, batch.AsOf)
+			d.confirmFrom(kind, batch.Era, sentAt)
+			if batch.revision().After(position) {
+				position = batch.revision()
+			}
 			backoff = minBackoff
 		case relist:
+			d.learnEra(batch.Era)
 			d.logger.WithField("kind", string(kind)).Info("directory: the store has dropped the history, listing again.")
 		default:
 			relist = full
@@ -241,14 +253,14 @@
 	view := d.fleet.View()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.docs[Configuration].Revision > 0 && view.Listed && !view.InMinority() {
+	if !d.docs[Configuration].Revision.IsZero() && view.Listed && !view.InMinority() {
 		d.configConfirmed = true
 	}
 	return d.configConfirmed
 }
 
 // revision returns the revision of the store at which the kind last changed.
-func (d *Directory) revision(kind Kind) uint64 {
+func (d *Directory) revision(kind Kind) state.Revision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.docs[kind].Revision
@@ -256,7 +268,7 @@
 
 // loaded reports whether the kind has been listed, by this VM or by another one
 // that sent it.
-func (d *Directory) loaded(kind Kind) bool { return d.revision(kind) > 0 }
+func (d *Directory) loaded(kind Kind) bool { return !d.revision(kind).IsZero() }
 
 // sleepWithJitter waits for a random time between t/2 and t.
 func sleepWithJitter(ctx context.Context, t time.Duration) { sleep(ctx, t/2+rand.N(t/2+1)) }
@@ -279,7 +291,11 @@
 	}
 	d.mu.Lock()
 	old := d.docs[kind]
-	next := old.copyAt(batch.AsOf)
+	if !full && batch.Era != old.Revision.Era {
+		d.mu.Unlock()
+		return
+	}
+	next := old.copyAt(batch.revision())
 	listed := make(map[string]bool, len(batch.Entries))
 	for _, e := range batch.Entries {
 		listed[e.Name] = true
@@ -307,24 +323,27 @@
 // replaceDocument replaces the document of a kind and reports the new revision
 // to other VMs. The caller holds mu, which replaceDocument releases.
 func (d *Directory) replaceDocument(kind Kind, next document) {
-	if next.Revision < d.docs[kind].Revision {
+	old := d.docs[kind]
+	if old.Revision.After(next.Revision) {
 		d.mu.Unlock()
 		return
 	}
+	d.recordChange(kind, &old, &next, clock.Now())
 	d.docs[kind] = next
 	d.docsVersion++
 	clear(d.encodedUpdates)
-	revisions := make(map[string]uint64, len(d.docs))
-	for k, doc := range d.docs {
-		revisions[string(k)] = doc.Revision
-	}
 	if kind == VMs {
 		d.setMembers(next)
 	} else {
-		d.recordDepartures(clock.Now())
 		d.rebuildDeployment()
 	}
+	change := d.statusChange()
 	d.mu.Unlock()
+	d.reportRevisions(kind, change)
+}
+
+// reportRevisions reports a change of a kind to other VMs.
+func (d *Directory) reportRevisions(kind Kind, change func(*fleetwire.Status)) {
 	// Watching VMs report the revision to all VMs, and the relay reports it to its
 	// data centre, whose VMs get their updates from the relay.
 	scope := fleetlink.None
@@ -335,7 +354,7 @@
 	case view.Relays():
 		scope = fleetlink.Near
 	}
-	d.fleet.UpdateStatus(scope, func(s *fleetwire.Status) { s.Revisions = revisions })
+	d.fleet.UpdateStatus(scope, change)
 }
 
 // setMembers passes the list of members to the links. The caller holds mu.
@@ -346,6 +365,7 @@
 			members = append(members, *e.Member)
 		}
 	}
+	members = append(members, d.missingMembers(doc)...)
 	d.fleet.SetMembers(members)
 }
 
@@ -353,10 +373,9 @@
 // mu.
 func (d *Directory) rebuildDeployment() {
 	now := clock.Now()
-	out := make(map[string]bool)
-	for name := range d.docs[OutOfService].Entries {
-		out[name] = true
-	}
+	d.resolve(now)
+	d.recordDepartures(now)
+	out := d.out
 	d.table.Update(func(old catalog.Deployment) catalog.Deployment {
 		next := catalog.Deployment{Config: old.Config, Out: out, Servers: d.currentServers(old.Servers, now), RegisteredAt: old.RegisteredAt}
 		for id := range next.Servers {
@@ -384,13 +403,10 @@
 // disappeared less than deregistrationGrace ago.
 func (d *Directory) currentServers(old map[string]*catalog.Server, now time.Duration) map[string]*catalog.Server {
 	servers := make(map[string]*catalog.Server)
-	for name, e := range d.docs[Servers].Entries {
-		if e.Server == nil {
-			continue
-		}
-		servers[name] = e.Server
+	for name, s := range d.registered {
+		servers[name] = s
 		delete(d.deregisteredSince, name)
-		d.leaders.With(e.Server.Group, func(g *leadership.Group) { g.ResetIfRestarted(name, e.Server.Born) })
+		d.leaders.With(s.Group, func(g *leadership.Group) { g.ResetIfRestarted(name, s.Born) })
 	}
 	for name, s := range old {
 		if servers[name] != nil || s.Draining {
--- a/transport/directory/directory_test.go
+++ b/transport/directory/directory_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/gzip"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
+	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/transport/fleetlink"
 )
@@ -90,12 +90,8 @@
 		// transfer sends the updates that b lacks from a to b and returns their
 		// size in bytes.
 		transfer := func() int {
-			known := map[Kind]uint64{Servers: b.revision(Servers)}
-			request, err := json.Marshal(known)
-			if err != nil {
-				t.Fatal(err)
-			}
-			body := a.EncodeUpdates(request)
+			known := map[Kind]state.Revision{Servers: b.revision(Servers)}
+			body := a.EncodeUpdates(encodeKnown(known, 0))
 			b.applyUpdates("a", body, known)
 			if diff := cmp.Diff(a.docs[Servers].Entries, b.docs[Servers].Entries); diff != "" {
 				t.Fatalf("b differs from a: %s", diff)
--- a/transport/directory/document.go
+++ b/transport/directory/document.go
@@ -1,11 +1,20 @@
 package directory
 
-import "maps"
+import (
+	"maps"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/restore"
+	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+)
 
 // document holds the objects of one kind.
 type document struct {
-	Revision uint64 // revision of the store at the last change
-	Entries  map[string]Entry
+	Revision state.Revision // revision of the store at the last change
+	// Start is when this VM first had a document of the era. All entries are of that era.
+	Start   restore.Start
+	Entries map[string]Entry
 	// Removed maps removed entries to the revisions of their removal. It is
 	// complete from the revision RemovedSince on.
 	Removed      map[string]uint64
@@ -30,14 +39,18 @@
 	delete(doc.Removed, e.Name)
 }
 
-// copyAt returns a copy of the document for changes at a revision of the store.
-func (doc *document) copyAt(revision uint64) document {
-	next := document{Revision: revision, RemovedSince: doc.RemovedSince, Entries: maps.Clone(doc.Entries), Removed: maps.Clone(doc.Removed)}
+// copyAt returns a copy of the document for changes at a revision of the store. For a
+// revision of another era it is empty.
+func (doc *document) copyAt(revision state.Revision) document {
+	if revision.Era != doc.Revision.Era {
+		doc = &document{}
+	}
+	next := document{Revision: revision, Start: doc.Start, RemovedSince: doc.RemovedSince, Entries: maps.Clone(doc.Entries), Removed: maps.Clone(doc.Removed)}
 	if next.Entries == nil {
-		next.Entries, next.RemovedSince = make(map[string]Entry), revision
+		next.Entries, next.RemovedSince = make(map[string]Entry), revision.Number
 	}
 	if next.Removed == nil || len(next.Removed) > maxRemoved {
-		next.Removed, next.RemovedSince = make(map[string]uint64), revision
+		next.Removed, next.RemovedSince = make(map[string]uint64), revision.Number
 	}
 	return next
 }
@@ -45,15 +58,52 @@
 // update is what a VM sends to another one about a kind: the entries that
 // changed after the revision known to the other VM, or all entries.
 type update struct {
-	Revision uint64   `json:"revision"` // of the store when the kind last changed
+	Revision uint64   `json:"revision"`      // of the store when the kind last changed
+	Era      *uint64  `json:"era,omitempty"` // of the revision; nil if the sender is of an earlier build
 	Full     bool     `json:"whole,omitempty"`
 	Entries  []Entry  `json:"entries,omitempty"`
 	Removed  []string `json:"removed,omitempty"`
+	// Newest is the configuration in force at the sender if the document has an earlier
+	// version. The store may come back with one.
+	Newest *catalog.Config `json:"newest,omitempty"`
+	// Missing has the data centres that stay out of service although the store has lost
+	// their entries, with the time in ns that they have left.
+	Missing map[string]time.Duration `json:"missing,omitempty"`
+}
+
+// revision returns the revision of the update. One without an era counts as of the given
+// era, that of the receiver.
+func (u *update) revision(era uint64) state.Revision {
+	if u.Era != nil {
+		era = *u.Era
+	}
+	return state.Revision{Era: era, Number: u.Revision}
 }
 
-// changesSince returns the changes after the known revision.
+// changesFor returns the changes that a VM lacks which knows the revision, or false if it
+// lacks none. A revision of another era is no base for changes. One without an era counts
+// as of the document's era, but the VM that sent it may have a document of another one.
+func (doc *document) changesFor(known state.Revision, hasEra bool) (update, bool) {
+	base := known.Number
+	switch {
+	case !hasEra:
+		known.Era = doc.Revision.Era
+		if known.Era > 0 {
+			base = 0
+		}
+	case known.Era != doc.Revision.Era:
+		base = 0
+	}
+	if !doc.Revision.After(known) {
+		return update{}, false
+	}
+	return doc.changesSince(base), true
+}
+
+// changesSince returns the changes after the known revision of the document's era.
 func (doc *document) changesSince(known uint64) update {
-	u := update{Revision: doc.Revision, Full: known < doc.RemovedSince}
+	era := doc.Revision.Era
+	u := update{Revision: doc.Revision.Number, Era: &era, Full: known < doc.RemovedSince}
 	for _, e := range doc.Entries {
 		if u.Full || e.Revision > known {
 			u.Entries = append(u.Entries, e)
@@ -70,10 +120,11 @@
 // withUpdate returns a copy of the document with an update from another VM
 // applied.
 func (doc *document) withUpdate(u update) document {
+	revision := u.revision(doc.Revision.Era)
 	if u.Full {
-		doc = &document{}
+		doc = &document{Revision: doc.Revision, Start: doc.Start}
 	}
-	next := doc.copyAt(u.Revision)
+	next := doc.copyAt(revision)
 	for _, e := range u.Entries {
 		next.put(e)
 	}
--- a/transport/directory/evacuation_test.go
+++ b/transport/directory/evacuation_test.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +11,7 @@
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
+	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
@@ -104,12 +104,8 @@
 		watching.applyBatch(OutOfService, Batch{AsOf: 1, Entries: []Entry{{Name: "before", Revision: 1}}}, true)
 		watching.confirm(OutOfService, clock.Now())
 		other, otherTable := testDirectory(Bounds{OutOfService: evacuatedWithin})
-		transfer := func(known map[Kind]uint64) {
-			request, err := json.Marshal(known)
-			if err != nil {
-				t.Fatal(err)
-			}
-			other.applyUpdates("watching", watching.EncodeUpdates(request), known)
+		transfer := func(known map[Kind]state.Revision) {
+			other.applyUpdates("watching", watching.EncodeUpdates(encodeKnown(known, 0)), known)
 		}
 		transfer(nil)
 		pingedAt := clock.Now()
@@ -119,7 +115,7 @@
 		time.Sleep(900 * time.Millisecond) // the change is made meanwhile
 		change(watching, OutOfService, Entry{Name: "dc", Revision: 2})
 		time.Sleep(500 * time.Millisecond)
-		transfer(map[Kind]uint64{Servers: 1, OutOfService: 1})
+		transfer(map[Kind]state.Revision{Servers: {Number: 1}, OutOfService: {Number: 1}})
 		checkUsable(t, otherTable, true, "1.5 s after the last response without the change")
 		time.Sleep(time.Second)
 		for _, table := range []*catalog.Table{watchingTable, otherTable} {
--- a/transport/directory/members.go
+++ b/transport/directory/members.go
@@ -52,7 +52,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	_, listed := d.docs[VMs].Entries[d.self.Name]
-	return listed || clock.Now()-d.started < 2*regularMembersInterval
+	return listed || d.mayBeUnlisted(d.docs[VMs].Revision.Era)
 }
 
 func (d *Directory) refreshMembers(ctx context.Context, announced *bool) error {
@@ -60,9 +60,13 @@
 	defer cancel()
 	if !*announced {
 		begin := clock.Now()
+		// The era of the store is known when this VM next finds itself missing, but may have
+		// risen before the call. A second announcement does no harm.
+		era := d.StoreEra()
 		if err := d.recordCall(callAnnounce, "members", begin, d.source.Announce(ctx, d.self)); err != nil {
 			return err
 		}
+		d.recordAnnouncement(era)
 	}
 	// The first list must not come from a cache: if two VMs start together, the
 	// one that lists later has to see the other.
@@ -72,7 +76,10 @@
 	if d.recordCall(callMembers, "members", begin, err) != nil {
 		return err
 	}
-	*announced = true
+	if err := d.checkEra(batch.Era); err != nil {
+		return err
+	}
+	*announced = d.lists(batch, fresh)
 	d.retireMissing(ctx, batch.Entries)
 	if d.membersChanged(batch) {
 		d.applyBatch(VMs, batch, true)
@@ -86,6 +93,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	known := d.docs[VMs]
+	if batch.Era != known.Revision.Era {
+		return true
+	}
 	if len(known.Entries) != len(batch.Entries) {
 		return true
 	}
--- a/transport/directory/metrics.go
+++ b/transport/directory/metrics.go
@@ -24,10 +24,13 @@
 type metrics struct {
 	latency  map[storeCall]tally.Histogram // its count is the number of calls
 	failures map[storeCall]tally.Counter
+	erasSeen tally.Counter
+	storeEra tally.Gauge
 }
 
 func newMetrics(scope tally.Scope) metrics {
-	m := metrics{latency: make(map[storeCall]tally.Histogram), failures: make(map[storeCall]tally.Counter)}
+	m := metrics{latency: make(map[storeCall]tally.Histogram), failures: make(map[storeCall]tally.Counter),
+		erasSeen: scope.Counter("store_eras_seen"), storeEra: scope.Gauge("store_era")}
 	for _, c := range []storeCall{callList, callWatch, callMembers, callAnnounce, callRetire} {
 		tagged := scope.Tagged(map[string]string{"call": string(c)})
 		m.latency[c] = tagged.Histogram("store_call_latency", callBuckets)
--- a/transport/directory/peers.go
+++ b/transport/directory/peers.go
@@ -14,6 +14,7 @@
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
+	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
 
@@ -24,8 +25,8 @@
 // EncodeUpdates returns the encoded changes to the documents after the encoded
 // revisions that the requesting VM knows.
 func (d *Directory) EncodeUpdates(request []byte) []byte {
-	var known map[Kind]uint64
-	if err := json.Unmarshal(request, &known); err != nil {
+	known, err := decodeKnown(request)
+	if err != nil {
 		d.logger.WithError(err).Error("directory: another VM's request cannot be decoded.")
 	}
 	newer := make(map[Kind]update)
@@ -36,10 +37,12 @@
 	}
 	version := d.docsVersion
 	for kind, doc := range d.docs {
-		if doc.Revision > known[kind] {
-			newer[kind] = doc.changesSince(known[kind])
+		if u, lacking := doc.changesFor(known.revisions[kind], known.hasEras); lacking {
+			newer[kind] = u
 		}
 	}
+	d.addNewestConfig(newer, known)
+	cacheable := !d.addMissing(newer)
 	d.mu.Unlock()
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
@@ -49,7 +52,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.docsVersion == version && len(d.encodedUpdates) < maxEncodedUpdates {
+	if cacheable && d.docsVersion == version && len(d.encodedUpdates) < maxEncodedUpdates {
 		d.encodedUpdates[string(request)] = b.Bytes()
 	}
 	return b.Bytes()
@@ -69,14 +72,16 @@
 	}
 }
 
-// HandleRevisions handles the revisions that another VM reported. It requests
-// updates if one of them is newer than this VM's.
-func (d *Directory) HandleRevisions(revisions map[string]uint64) {
-	newer := false
+// HandleStatus handles the status that another VM reported. It requests updates if the
+// other VM has newer documents.
+func (d *Directory) HandleStatus(s *fleetwire.Status) {
+	era := uint64(0)
+	for _, e := range s.Eras {
+		era = max(era, e)
+	}
+	d.learnEra(era)
 	d.mu.Lock()
-	for kind, revision := range revisions {
-		newer = newer || revision > d.docs[Kind(kind)].Revision
-	}
+	newer := d.hasNewer(s)
 	d.mu.Unlock()
 	if newer {
 		d.requestUpdates()
@@ -96,15 +101,12 @@
 		return
 	}
 	d.requestDeadline = now + peerRequestTimeout
-	known := make(map[Kind]uint64, len(d.docs))
+	known := make(map[Kind]state.Revision, len(d.docs))
 	for kind, doc := range d.docs {
 		known[kind] = doc.Revision
 	}
+	request := encodeKnown(known, d.configVersion())
 	d.mu.Unlock()
-	request, err := json.Marshal(known)
-	if err != nil {
-		panic("directory: revisions cannot be encoded: " + err.Error())
-	}
 	d.fleet.Call(vm, fleetwire.KindSnapshot, request, func(f fleetwire.Frame, ok bool) {
 		if ok {
 			d.applyUpdates(vm, f.Body, known)
@@ -121,15 +123,13 @@
 func (d *Directory) newerPeer(peers []fleetwire.Status, view *placement.View) string {
 	near, far := "", ""
 	for i := range peers {
-		for kind, revision := range peers[i].Revisions {
-			if revision <= d.docs[Kind(kind)].Revision {
-				continue
-			}
-			if view.InSameDataCentre(peers[i].Name) {
-				near = peers[i].Name
-			} else {
-				far = peers[i].Name
-			}
+		if !d.hasNewer(&peers[i]) {
+			continue
+		}
+		if view.InSameDataCentre(peers[i].Name) {
+			near = peers[i].Name
+		} else {
+			far = peers[i].Name
 		}
 	}
 	now := clock.Now()
@@ -164,7 +164,7 @@
 
 // applyUpdates applies another VM's response to a request that listed the known
 // revisions.
-func (d *Directory) applyUpdates(vm string, body []byte, known map[Kind]uint64) {
+func (d *Directory) applyUpdates(vm string, body []byte, known map[Kind]state.Revision) {
 	updates, err := decodeUpdates(body)
 	if err != nil {
 		d.logger.WithError(err).WithField("vm", vm).Error("directory: another VM's documents cannot be decoded.")
@@ -176,13 +176,30 @@
 				e.Config.Index()
 			}
 		}
+		if u.Newest != nil {
+			u.Newest.Index()
+		}
 		d.mu.Lock()
+		adopted, change := d.adoptConfig(u.Newest), func(*fleetwire.Status) {}
+		if adopted {
+			change = d.statusChange()
+		}
 		old := d.docs[kind]
-		if u.Revision <= old.Revision || !u.Full && old.Revision < known[kind] {
+		revision := u.revision(old.Revision.Era)
+		// Changes relative to a revision of one era say nothing about a document of another.
+		fits := u.Full || revision.Era == old.Revision.Era && revision.Era == known[kind].Era && !known[kind].After(old.Revision)
+		if !revision.After(old.Revision) || !fits {
 			d.mu.Unlock()
+			if adopted {
+				d.reportRevisions(kind, change)
+			}
 			continue
 		}
-		d.logger.WithFields(log.Fields{"kind": string(kind), "vm": vm, "revision": u.Revision}).Info("directory: updated from another VM.")
+		d.noteEra(revision.Era)
+		if kind == OutOfService && old.Revision.IsZero() {
+			d.adoptMissing(u.Missing)
+		}
+		d.logger.WithFields(log.Fields{"kind": string(kind), "vm": vm, "revision": u.Revision, "era": revision.Era}).Info("directory: updated from another VM.")
 		d.replaceDocument(kind, old.withUpdate(u))
 	}
 }
--- a/transport/directory/source.go
+++ b/transport/directory/source.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
+	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 )
 
@@ -37,14 +38,19 @@
 type Batch struct {
 	Entries []Entry
 	AsOf    uint64 // revision of the store
+	Era     uint64 // of the store when it answered; zero if it does not report eras
 	Unnamed int    // objects whose name cannot be read; they are skipped
 }
 
+// revision returns the revision of the store with its era.
+func (b *Batch) revision() state.Revision { return state.Revision{Era: b.Era, Number: b.AsOf} }
+
 // Member is a VM in the store's list of members.
 type Member = placement.Member
 
 // ErrHistoryGone is returned by a watch that starts at a revision which the
-// store has already dropped.
+// store has already dropped, or does not have yet. The batch that is returned with it
+// has the era of the answer.
 var ErrHistoryGone = eris.New("the store has dropped this part of its history")
 
 // Source is the store of the platform.
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -93,7 +93,7 @@
 // their revisions.
 type Directory interface {
 	EncodeUpdates(known []byte) []byte
-	HandleRevisions(revisions map[string]uint64)
+	HandleStatus(s *fleetwire.Status)
 	Confirmations() fleetwire.StoreConfirmations
 	RecordConfirmations(c fleetwire.StoreConfirmations, sentAt time.Duration)
 }
@@ -179,7 +179,7 @@
 }
 
 // HandleStatus implements fleetlink.Handler.
-func (d *Dispatcher) HandleStatus(s *fleetwire.Status) { d.directory.HandleRevisions(s.Revisions) }
+func (d *Dispatcher) HandleStatus(s *fleetwire.Status) { d.directory.HandleStatus(s) }
 
 // PingBody implements fleetlink.Handler. It returns the partitions whose quota
 // coordinator this VM is. Shares of all other partitions that were lent to this
@@ -207,6 +207,7 @@
 	var p fleetwire.Pong
 	if from.StoreConfirmations {
 		confirmations := d.directory.Confirmations()
+		confirmations.Eras = len(from.Eras) > 0
 		p.Store = &confirmations
 	}
 	config := d.Table.Current().Config
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
+	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
@@ -93,14 +94,16 @@
 type Duty struct {
 	Holder   string
 	NextFree uint64 // lowest fencing token that is not reserved
-	Revision uint64 // of the record; zero if it does not exist yet
+	// Revision is that of the record. Its number is zero if the record does not exist yet.
+	Revision state.Revision
 }
 
 // Duties stores the record.
 type Duties interface {
 	// ReadDuty returns the current record.
 	ReadDuty(ctx context.Context) (Duty, error)
-	// WriteDuty replaces the record if its revision still is d.Revision.
+	// WriteDuty replaces the record if its revision still is d.Revision. It fails if the
+	// store has another era: the same number may belong to another change there.
 	WriteDuty(ctx context.Context, d Duty) error
 }
 
@@ -120,6 +123,7 @@
 	Leadership *leadership.Table
 	Fencer     Fencer // nil if the platform enforces fencing
 	View       func() *placement.View
+	StoreEra   func() uint64 // highest era of the store that this VM has learned of; nil if there are no eras
 	Logger     log.Interface
 	Scope      tally.Scope
 }
@@ -137,6 +141,8 @@
 	firstToken uint64         // first of the reserved fencing tokens
 	nextToken  uint64         // next unused fencing token of the reserved ones
 	endToken   uint64         // end of the reserved fencing tokens, exclusive
+	tokenEra   uint64         // era of the store in which they were reserved
+	lostDuty   bool           // the store has a new era, and this VM has not claimed the duty in it
 	exclusive  bool           // no earlier coordinator can send an order
 	groups     map[string]*groupState
 }
@@ -245,6 +251,7 @@
 	if superseded > c.firstToken {
 		c.dropTokens()
 	}
+	c.checkEra()
 	return c.nextToken < c.endToken
 }
 
@@ -261,12 +268,16 @@
 	defer cancel()
 	duty, err := c.Duties.ReadDuty(callCtx)
 	if err == nil {
+		if c.claimedByOther(duty) {
+			return false
+		}
 		duty.Holder = c.Name
-		first := max(duty.NextFree, 1)
+		first := max(duty.NextFree, fencing.FirstToken(duty.Revision.Era))
 		duty.NextFree = first + tokensPerClaim
 		if err = c.Duties.WriteDuty(callCtx, duty); err == nil {
 			c.mu.Lock()
 			c.firstToken, c.nextToken, c.endToken = first, first, duty.NextFree
+			c.tokenEra, c.lostDuty = duty.Revision.Era, false
 			c.exclusive = c.Fencer == nil
 			c.mu.Unlock()
 			c.Logger.WithFields(log.Fields{"token": first}).Info("promotion: this VM is the failover coordinator.")
@@ -309,6 +320,7 @@
 func (c *Coordinator) nextFencingToken() (uint64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.checkEra()
 	if c.nextToken >= c.endToken {
 		return 0, false
 	}
