Store eras: lock order, VMs that start after a restore, and a fault of the soak

Cause: promotion read the era with its own lock held, against the lock order (found by -lockorder). A VM that starts after a restore knows nothing of what was in force before. The soak knew no such fault. Change: the era is read without a lock. Updates for VMs without documents have the registrations that differ from the store's, and a VM is not ready while another one has a later configuration in force. The soak restores the store beside a tenth of the faults, with random numbers of its own so that known seeds play the same other faults; the stand-in serves the configuration of the restored version. Answers of an earlier era are logged.

--- a/cmd/chestnutsoak/soak/soak.go
+++ b/cmd/chestnutsoak/soak/soak.go
@@ -166,23 +166,46 @@
 	{"lost-history", func(tb *testbed, _ *rand.Rand) func() { tb.store.CompactHistory(); return func() {} }},
 }
 
+// restoreFault makes the store come back from a copy that is up to maxCopyAge old. The
+// operator writes the configuration again when the fault ends.
+var restoreFault = fault{"store-restored", func(tb *testbed, rng *rand.Rand) func() {
+	tb.store.Restore(time.Duration(rng.Int64N(int64(maxCopyAge))))
+	return tb.publishConfig
+}}
+
+const (
+	maxCopyAge = 8 * time.Second
+	// restoreShare is the share of faults beside which the store is restored.
+	restoreShare = 0.1
+)
+
 // injectFaults starts random faults, which may overlap, for the time in the options.
 // It returns when all of them have ended.
 func (tb *testbed) injectFaults(r *Report) {
 	rng := rand.New(rand.NewPCG(tb.options.Seed, 1))
+	// Restores have random numbers of their own, so that seeds that once failed still play
+	// the same other faults.
+	restores := rand.New(rand.NewPCG(tb.options.Seed, 2))
 	end := time.Now().Add(tb.options.Time)
 	var wg sync.WaitGroup
 	for time.Now().Before(end) {
-		f := faults[rng.IntN(len(faults))]
-		r.Faults = append(r.Faults, f.name)
-		stop := f.start(tb, rng)
-		length := 200*time.Millisecond + rand.N(3*time.Second)
-		wg.Go(func() { time.Sleep(length); stop() })
+		tb.inject(faults[rng.IntN(len(faults))], rng, r, &wg)
+		if restores.Float64() < restoreShare {
+			tb.inject(restoreFault, restores, r, &wg)
+		}
 		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
 	}
 	wg.Wait()
 }
 
+// inject starts the fault. It ends within a few seconds, which wg waits for.
+func (tb *testbed) inject(f fault, rng *rand.Rand, r *Report, wg *sync.WaitGroup) {
+	r.Faults = append(r.Faults, f.name)
+	stop := f.start(tb, rng)
+	length := 200*time.Millisecond + rand.N(3*time.Second)
+	wg.Go(func() { time.Sleep(length); stop() })
+}
+
 func (tb *testbed) randomVM(rng *rand.Rand) *vm { return tb.vms[rng.IntN(len(tb.vms))] }
 
 func (tb *testbed) randomGroup(rng *rand.Rand) *managed.Group {
--- a/cmd/chestnutsoak/soak/testbed.go
+++ b/cmd/chestnutsoak/soak/testbed.go
@@ -46,8 +46,9 @@
 	serverProxies map[string]*proxy // by server; between the VMs and the server
 	vms           []*vm
 
-	mu     sync.Mutex // guards config
-	config standin.Config
+	mu      sync.Mutex // guards the fields below
+	config  standin.Config
+	configs map[uint64]standin.Config // by version
 }
 
 // vm is a VM that runs as a process.
@@ -97,7 +98,7 @@
 		return nil, eris.Wrap(err, "create folder for settings")
 	}
 	tb := &testbed{
-		options: o, dir: dir, ctx: ctx, store: managed.NewStore(), groups: make(map[string]*managed.Group),
+		options: o, dir: dir, ctx: ctx, store: managed.NewStore(), groups: make(map[string]*managed.Group), configs: make(map[uint64]standin.Config),
 		storeProxies: make(map[string]*proxy), clientProxies: make(map[string]*proxy), serverProxies: make(map[string]*proxy),
 	}
 	for g := range groupCount {
@@ -116,7 +117,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for the store")
 	}
-	store := standin.NewStore(tb.store, tb.currentConfig, func(id string) string { return tb.serverProxies[id].address() })
+	store := standin.NewStore(tb.store, tb.configVersion, func(id string) string { return tb.serverProxies[id].address() })
 	go func() {
 		if err := store.Serve(ctx, listener); err != nil {
 			panic(err)
@@ -147,10 +148,12 @@
 
 func zoneName(z int) string { return fmt.Sprintf("zone-%d", z) }
 
-func (tb *testbed) currentConfig() *standin.Config {
+// configVersion returns a version of the configuration. The store may go back to an
+// earlier one.
+func (tb *testbed) configVersion(version uint64) *standin.Config {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	c := tb.config
+	c := tb.configs[version]
 	return &c
 }
 
@@ -173,7 +176,7 @@
 	for n := range customerCount {
 		c.Customers = append(c.Customers, standin.Customer{Name: managed.CustomerName(n), Keys: []string{managed.Key(n)}, Rate: customerRate, Burst: customerRate})
 	}
-	tb.config = c
+	tb.config, tb.configs[c.Version] = c, c
 	tb.mu.Unlock()
 	tb.store.Put(directory.Configuration, directory.Entry{Name: "main", Config: &catalog.Config{Version: c.Version}})
 }
--- a/coordination/restore/restore.go
+++ b/coordination/restore/restore.go
@@ -94,6 +94,36 @@
 	}
 }
 
+// Override is a registration that is in force in place of that of the store, or that had
+// been removed before the store came back with it.
+type Override struct {
+	Latest  *catalog.Server
+	Removed bool `json:",omitempty"`
+}
+
+// Overrides returns the overrides of the listed registrations.
+func (t *Servers) Overrides(listed []*catalog.Server, era Start, now time.Duration) []Override {
+	var overrides []Override
+	for _, s := range listed {
+		if t.InForce(s, era, now) != s {
+			k := t.known[s.ID]
+			overrides = append(overrides, Override{k.latest, k.removed})
+		}
+	}
+	return overrides
+}
+
+// Adopt takes over the overrides of another VM, for a VM that has started since the
+// restore. It must precede InForce of the registrations.
+func (t *Servers) Adopt(overrides []Override, now time.Duration) {
+	for _, o := range overrides {
+		if o.Latest != nil {
+			t.accept(o.Latest, 0, now)
+			t.known[o.Latest.ID].removed = o.Removed
+		}
+	}
+}
+
 // Expire forgets servers that have not been registered for long. It must follow InForce of
 // all registrations at the same time.
 func (t *Servers) Expire(now time.Duration) {
--- a/transport/directory/directory.go
+++ b/transport/directory/directory.go
@@ -14,6 +14,7 @@
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
+	"github.com/chestnutdyke/chestnutdyke/coordination/restore"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
@@ -119,7 +120,7 @@
 		metrics: newMetrics(scope),
 		mu:      lockrank.New(lockrank.Sessions), docs: make(map[Kind]document), deregisteredSince: make(map[string]time.Duration),
 		departures: make(map[departure]departureTime), confirmedAt: make(map[Kind]time.Duration),
-		eraState: newEraState(), missingSince: make(map[string]time.Duration), encodedUpdates: make(map[string][]byte), membersAttempted: make(chan struct{}),
+		eraState: eraState{outMarks: restore.NewMarks(), members: make(map[string]missingMember)}, missingSince: make(map[string]time.Duration), encodedUpdates: make(map[string][]byte), membersAttempted: make(chan struct{}),
 	}
 }
 
@@ -248,9 +249,13 @@
 // ConfigConfirmed reports whether this VM's configuration is known to have been current
 // at some time since the VM started: the store sent it, or the VM had it while it reached
 // a majority of the listed VMs. The few VMs that a new VM reaches during an outage of the
-// store may have been cut off when a key was withdrawn.
+// store may have been cut off when a key was withdrawn. A configuration is not current
+// while another VM has a later one.
 func (d *Directory) ConfigConfirmed() bool {
 	view := d.fleet.View()
+	if d.peersAreAhead() {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.docs[Configuration].Revision.IsZero() && view.Listed && !view.InMinority() {
--- a/transport/directory/document.go
+++ b/transport/directory/document.go
@@ -69,6 +69,8 @@
 	// Missing has the data centres that stay out of service although the store has lost
 	// their entries, with the time in ns that they have left.
 	Missing map[string]time.Duration `json:"missing,omitempty"`
+	// Overrides has the registrations that are not in force as the store has them.
+	Overrides []restore.Override `json:"overrides,omitempty"`
 }
 
 // revision returns the revision of the update. One without an era counts as of the given
--- a/transport/directory/era.go
+++ b/transport/directory/era.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -18,7 +19,10 @@
 // eraState is what a Directory records to keep in force what a store that comes back from
 // an older copy has lost. It is guarded by the directory's mu.
 type eraState struct {
-	era          uint64 // highest era of the store that this VM has learned of
+	// era is the highest era of the store that this VM has learned of. It is written with mu
+	// held and read without, also by holders of locks of a higher rank.
+	era          atomic.Uint64
+	refusing     bool   // the last answer of the store was of an earlier era
 	announcedEra uint64 // that era when this VM last announced itself
 	servers      restore.Servers
 	outMarks     *restore.Marks
@@ -36,20 +40,12 @@
 	until time.Duration
 }
 
-func newEraState() eraState {
-	return eraState{outMarks: restore.NewMarks(), members: make(map[string]missingMember)}
-}
-
 // errEarlierEra is the error of an answer that belongs to an earlier era than one that is
 // already known, such as one that was delayed.
 var errEarlierEra = eris.New("the answer of the store is of an earlier era")
 
 // StoreEra returns the highest era of the store that this VM has learned of.
-func (d *Directory) StoreEra() uint64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.era
-}
+func (d *Directory) StoreEra() uint64 { return d.era.Load() }
 
 // learnEra records an era that the store or another VM reported.
 func (d *Directory) learnEra(era uint64) {
@@ -60,11 +56,12 @@
 
 // noteEra is learnEra for callers that hold mu.
 func (d *Directory) noteEra(era uint64) {
-	if era <= d.era {
+	previous := d.era.Load()
+	if era <= previous {
 		return
 	}
-	d.logger.WithFields(log.Fields{"era": era, "previous": d.era}).Warn("directory: the store has a new era.")
-	d.era = era
+	d.logger.WithFields(log.Fields{"era": era, "previous_era": previous}).Warn("directory: the store has a new era.")
+	d.era.Store(era)
 	d.erasSeen.Inc(1)
 	d.storeEra.Update(float64(era))
 }
@@ -75,7 +72,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.noteEra(era)
-	if era < d.era {
+	refused := era < d.StoreEra()
+	if refused && !d.refusing {
+		d.logger.WithFields(log.Fields{"era": era, "previous_era": d.StoreEra()}).Warn("directory: answers of the store are of an earlier era and not used.")
+	}
+	d.refusing = refused
+	if refused {
 		return errEarlierEra
 	}
 	return nil
@@ -256,6 +258,24 @@
 	return true
 }
 
+// addOverrides adds the registrations that are not in force as the store has them to the
+// updates. The caller holds mu.
+func (d *Directory) addOverrides(updates map[Kind]update) {
+	u, changed := updates[Servers]
+	doc := d.docs[Servers]
+	if !changed || !u.Full || doc.Revision.Era == 0 {
+		return
+	}
+	var listed []*catalog.Server
+	for _, e := range doc.Entries {
+		if e.Server != nil {
+			listed = append(listed, e.Server)
+		}
+	}
+	u.Overrides = d.servers.Overrides(listed, doc.Start, clock.Now())
+	updates[Servers] = u
+}
+
 // adoptMissing keeps data centres out of service that the store has lost, on a VM that has
 // started since. The caller holds mu.
 func (d *Directory) adoptMissing(missing map[string]time.Duration) {
@@ -301,6 +321,18 @@
 	return 0
 }
 
+// peersAreAhead reports whether another VM has a later configuration in force. The store
+// may have come back without it.
+func (d *Directory) peersAreAhead() bool {
+	version := d.configVersion()
+	for _, s := range d.fleet.Peers() {
+		if s.ConfigVersion > version {
+			return true
+		}
+	}
+	return false
+}
+
 // adoptConfig puts a configuration of another VM in force if its version is higher than
 // that of the present one, and reports whether it did. The caller holds mu.
 func (d *Directory) adoptConfig(c *catalog.Config) bool {
--- a/transport/directory/era_test.go
+++ b/transport/directory/era_test.go
@@ -212,12 +212,16 @@
 		d.applyBatch(Servers, listOf(1, 100, entry("draining", 5, 95, true), Entry{Name: "removed", Revision: 96, Deleted: true}), false)
 		time.Sleep(time.Minute)
 		d.applyBatch(Servers, listOf(2, 90, entry("draining", 4, 80, false), entry("removed", 4, 81, false)), true)
-		servers := table.Current().Servers
-		if s := servers["draining"]; s == nil || !s.Draining {
-			t.Errorf("the draining server is registered as %+v", s)
-		}
-		if servers["removed"] != nil {
-			t.Error("the removed server is used")
+		fresh, freshTable := testDirectory(Bounds{}) // a VM that starts
+		transferAll(d, fresh)
+		for name, table := range map[string]*catalog.Table{"old": table, "fresh": freshTable} {
+			servers := table.Current().Servers
+			if s := servers["draining"]; s == nil || !s.Draining {
+				t.Errorf("%s: the draining server is registered as %+v", name, s)
+			}
+			if servers["removed"] != nil {
+				t.Errorf("%s: the removed server is used", name)
+			}
 		}
 		time.Sleep(deregistrationGrace - time.Millisecond)
 		if table.Current().Servers["missing"] == nil {
@@ -228,9 +232,12 @@
 			t.Error("a server that did not register again is used")
 		}
 		d.applyBatch(Servers, listOf(2, 92, entry("draining", 6, 91, false), entry("removed", 5, 92, false)), false)
+		transferAll(d, fresh)
 		for _, name := range []string{"draining", "removed"} {
-			if s := table.Current().Servers[name]; s == nil || s.Draining {
-				t.Errorf("%s: registered again, and known as %+v", name, s)
+			for vm, table := range map[string]*catalog.Table{"old": table, "fresh": freshTable} {
+				if s := table.Current().Servers[name]; s == nil || s.Draining {
+					t.Errorf("%s: %s registered again, and is known as %+v", vm, name, s)
+				}
 			}
 		}
 	})
--- a/transport/directory/peers.go
+++ b/transport/directory/peers.go
@@ -43,6 +43,7 @@
 	}
 	d.addNewestConfig(newer, known)
 	cacheable := !d.addMissing(newer)
+	d.addOverrides(newer)
 	d.mu.Unlock()
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
@@ -196,8 +197,9 @@
 			continue
 		}
 		d.noteEra(revision.Era)
-		if kind == OutOfService && old.Revision.IsZero() {
+		if old.Revision.IsZero() {
 			d.adoptMissing(u.Missing)
+			d.servers.Adopt(u.Overrides, clock.Now())
 		}
 		d.logger.WithFields(log.Fields{"kind": string(kind), "vm": vm, "revision": u.Revision, "era": revision.Era}).Info("directory: updated from another VM.")
 		d.replaceDocument(kind, old.withUpdate(u))
--- a/transport/promotion/era.go
+++ b/transport/promotion/era.go
@@ -32,12 +32,11 @@
 // record that the store restored has no tokens of the present era.
 func (c *Coordinator) claimedByOther(d Duty) bool {
 	c.mu.Lock()
-	lost := c.lostDuty
-	c.lostDuty = false
-	c.mu.Unlock()
-	if !lost || d.Holder == c.Name || d.Revision.Era == 0 || d.NextFree <= fencing.FirstToken(d.Revision.Era) {
+	defer c.mu.Unlock()
+	if !c.lostDuty || d.Holder == c.Name || d.Revision.Era == 0 || d.NextFree <= fencing.FirstToken(d.Revision.Era) {
 		return false
 	}
+	c.lostDuty = false
 	c.selectedSince = clock.Now() + reclaimDelay - claimDelay
 	c.Logger.WithFields(log.Fields{"era": d.Revision.Era, "holder": d.Holder}).Info("promotion: another VM has claimed the coordinator role in the new era.")
 	return true
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -223,6 +223,7 @@
 		c.mu.Lock()
 		c.groups = make(map[string]*groupState)
 		c.dropTokens()
+		c.lostDuty = false
 		c.mu.Unlock()
 		return false
 	}
