Store eras: log what of a copy is not in force; a restore during a promotion

Cause: the log did not say which objects the VMs treat differently from the store, and no test restored the store in the middle of a promotion. Change: up to 20 lines per kind after a restore; a test that restores the store at six moments of a switchover and of a failover, with and without fencing.

--- a/standin/managed/restore_test.go
+++ b/standin/managed/restore_test.go
@@ -191,6 +191,39 @@
 	}
 }
 
+// Guards against a group without a primary because the store is restored at any moment of
+// a switchover or a failover.
+func TestRestoreDuringPromotion(t *testing.T) {
+	const replacedWithin = 7 * time.Second
+	for _, unfenced := range []bool{false, true} {
+		for after := time.Duration(0); after < 3*time.Second; after += 500 * time.Millisecond {
+			for name, lose := range map[string]func(*Deployment, *Server){
+				"switchover": func(d *Deployment, s *Server) { Drain(d.Store, s) },
+				"failover":   func(_ *Deployment, s *Server) { s.Crash() },
+			} {
+				t.Run(fmt.Sprint(name, unfenced, after), func(t *testing.T) {
+					o := smallDeployment
+					o.Unfenced = unfenced
+					inDeployment(t, o, func(d *Deployment) {
+						l := startLoad(t, d)
+						time.Sleep(2 * time.Second)
+						g := d.Groups[GroupName(0)]
+						old := g.Primary()
+						lose(d, old)
+						time.Sleep(after)
+						d.Store.Restore(20 * time.Second)
+						time.Sleep(replacedWithin - after)
+						if p := g.Primary(); p == nil || p == old {
+							t.Errorf("the primary was not replaced within %v", replacedWithin)
+						}
+						l.finish()
+					})
+				})
+			}
+		}
+	}
+}
+
 // Guards against VMs that are missing from the list of members because the store lost
 // their announcements, and against VMs that are not reached meanwhile.
 func TestMembersAreListedAgainAfterRestore(t *testing.T) {
--- a/transport/directory/era.go
+++ b/transport/directory/era.go
@@ -136,11 +136,48 @@
 	case VMs:
 		expires, refresh = d.recordMissingMembers(old, next, restored, now), d.refreshMemberList
 	}
+	if restored {
+		d.logDifferences(kind, next, now)
+	}
 	if expires {
 		time.AfterFunc(restore.HoldFor, refresh)
 	}
 }
 
+// maxDifferencesLogged limits the lines about objects of one kind after a restore.
+const maxDifferencesLogged = 20
+
+// logDifferences logs which objects of the first document of an era are not in force as the
+// store has them. The caller holds mu.
+func (d *Directory) logDifferences(kind Kind, doc *document, now time.Duration) {
+	left := maxDifferencesLogged
+	report := func(name, message string) {
+		if left--; left >= 0 {
+			d.logger.WithFields(log.Fields{"kind": string(kind), "name": name, "era": doc.Revision.Era}).Warn(message)
+		}
+	}
+	switch kind {
+	case Servers:
+		for name, e := range doc.Entries {
+			if e.Server != nil && d.servers.InForce(e.Server, doc.Start, now) != e.Server {
+				report(name, "directory: a restored registration is not used until the server writes again.")
+			}
+		}
+	case OutOfService:
+		inForce := d.outMarks.InForce(revisionsOf(doc.Entries), now)
+		for name := range inForce {
+			if _, listed := doc.Entries[name]; !listed {
+				report(name, "directory: a data centre stays out of service although the store has lost its entry.")
+			}
+		}
+		for name := range doc.Entries {
+			if !inForce[name] {
+				report(name, "directory: a data centre stays in service although its removed entry has come back.")
+			}
+		}
+	}
+}
+
 // recordMissingMembers keeps the members that are missing from the first list of an era,
 // and reports whether there are any. The caller holds mu.
 func (d *Directory) recordMissingMembers(old, next *document, restored bool, now time.Duration) bool {
