Usage reports: counting, collection, duty and the calls

Cause: the platform asks for the operations of each customer by window of true time, reported once, by one VM. Change: coordination/usage decides (windows, counts, true time, which report may be sent), transport/usagereport collects over the links and sends, platform/usage.go has the calls, the stand-ins accept them. Statements are counted by a hook of sqlback. Enabled by reportWindowS and the duty usage_report.

--- /dev/null
+++ b/coordination/usage/duty.go
@@ -0,0 +1,228 @@
+package usage
+
+import (
+	"maps"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state"
+)
+
+const (
+	// tokensPerClaim is the number of fencing tokens that a claim reserves. All calls of a
+	// holder have the first one, so that a call that is carried out late is not refused
+	// because of a newer one of the same holder.
+	tokensPerClaim = 1000
+	// eraTokenBits is the number of bits of a fencing token below the era of the store.
+	eraTokenBits = 32
+	// minWait is the time after the end of a window in which no report is sent, so that
+	// statements that a server refused are no longer counted.
+	minWait = 500 * time.Millisecond
+	// settleTime is how long a report waits for VMs that do not answer. If the holder is
+	// lost then, the next one still reports the window within 10 s.
+	settleTime = 3 * time.Second
+	// minCollecting is how long a VM that was suspended, or has just been selected, asks the
+	// others before it reports without the answers of some.
+	minCollecting = 2 * time.Second
+	// leaseMargin is added to the lease for the time that calls are on their way.
+	leaseMargin = 250 * time.Millisecond
+	// contestedLeases is the number of leases after which a VM claims the duty again that
+	// another VM took from it. VMs with different views would otherwise claim it in turns
+	// without a report.
+	contestedLeases = 3
+)
+
+// firstToken returns the lowest fencing token of an era of the store. It is higher than
+// all tokens of earlier eras.
+func firstToken(era uint64) uint64 { return max(era<<eraTokenBits, 1) }
+
+// Record is the object in the store that names the holder of the duty. It contains the
+// last report that was sent or is about to be sent, so that a new holder can repeat it.
+type Record struct {
+	Holder   string
+	Token    uint64        // fencing token of the holder
+	NextFree uint64        // lowest fencing token that is not reserved
+	Era      uint64        // of the store when the record was written
+	Length   time.Duration // of windows
+	Window   int64         // windows up to this one may have been reported
+	Counts   Counts        // of Window; nil if its report is not known
+	// Stored is the revision of the object, with the era of the answer that contained it;
+	// zero if it does not exist yet.
+	Stored state.Revision
+}
+
+// HasReport reports whether the record contains a report.
+func (r *Record) HasReport() bool { return r.Counts != nil }
+
+// Duty is the part of a VM in the duty to report usage. Its methods decide; the caller
+// reads and writes the record and sends the reports. It is not safe for concurrent use.
+type Duty struct {
+	Name     string
+	Settings Settings
+
+	record    Record        // last record that this VM wrote; Holder is empty if there is none
+	held      bool          // this VM holds the duty, as far as it knows
+	notBefore time.Duration // clock reading before which this VM sends no report
+	repeat    bool          // the report of record has not been accepted yet
+	fromStart bool          // the record did not exist before: no operation is older than the VMs
+}
+
+// Held reports whether this VM holds the duty, as far as it knows.
+func (d *Duty) Held() bool { return d.held }
+
+// Token returns the fencing token of this VM.
+func (d *Duty) Token() uint64 { return d.record.Token }
+
+// Drop makes this VM claim the duty again before its next report.
+func (d *Duty) Drop() { d.held = false }
+
+// Check drops the duty if another VM claimed it, as token, the highest fencing token that
+// any VM knows, shows, or if the store has a new era.
+func (d *Duty) Check(token, era uint64) {
+	if token > d.record.Token || era > d.record.Era {
+		d.held = false
+	}
+}
+
+// PrepareClaim returns the record that claims the duty, given the present one. known is
+// the highest fencing token that any VM knows, now the true time.
+//
+// The present record is valid if it was written in the present era of the store. Then all
+// reports of later windows have yet to be sent, since each one is recorded before it is
+// sent. If the store lost the record, this VM knows as much if it wrote the last one.
+// Otherwise no window that has ended may be reported.
+func (d *Duty) PrepareClaim(present Record, known uint64, now Time) Record {
+	era := present.Stored.Era
+	next := Record{
+		Holder: d.Name, Era: era, Length: d.Settings.Window, Window: d.Settings.WindowAt(now) - 1, Stored: present.Stored,
+		Token: max(present.NextFree, firstToken(era), known+1),
+	}
+	if d.usable(&present) && present.Era == era {
+		next.Window, next.Counts = present.Window, present.Counts
+	} else if d.usable(&d.record) && d.record.Era < era && known <= d.record.Token {
+		next.Window, next.Counts = d.record.Window, d.record.Counts
+	}
+	next.NextFree = next.Token + tokensPerClaim
+	return next
+}
+
+// usable reports whether the record exists and has windows of the present length.
+func (d *Duty) usable(r *Record) bool { return r.Holder != "" && r.Length == d.Settings.Window }
+
+// Claimed records that the claim was written over the present record. stored is the
+// revision of the claim. It reports false if the store had a new era when it was written;
+// the duty is then to be claimed again.
+//
+// If another VM held the duty, or may have, this VM sends nothing for the duration of the
+// lease: calls of the former holder have ended then, and the duty never moves from a VM to
+// another one and back within that time.
+func (d *Duty) Claimed(present, claim Record, stored state.Revision, now time.Duration) bool {
+	if stored.Era != claim.Era {
+		return false
+	}
+	first := present.Holder == "" && claim.Era == 0
+	ours := present.Holder == d.Name && present.Token == d.record.Token && present.Era == claim.Era
+	if !first && !ours {
+		d.notBefore = max(d.notBefore, now+d.Settings.Lease+leaseMargin)
+	}
+	d.fromStart = first || d.fromStart && ours
+	d.record, d.held = claim, true
+	d.record.Stored = stored
+	d.repeat = claim.HasReport()
+	return true
+}
+
+// Step is what the holder of the duty has to do next.
+type Step uint8
+
+// Values of Step.
+const (
+	Wait  Step = iota
+	Write      // write the record of the next window, then call Recorded
+	Send       // send the recorded report, then call Answered
+)
+
+// NextWindow returns the earliest window that has not been recorded.
+func (d *Duty) NextWindow() int64 { return d.record.Window + 1 }
+
+// Next returns the next step. collecting is how long this VM has been asking all VMs for
+// their counts, and answered reports whether all have answered since a true time.
+func (d *Duty) Next(clock time.Duration, now Time, collecting time.Duration, answered func(Time) bool) Step {
+	switch {
+	case !d.held || clock < d.notBefore:
+		return Wait
+	case d.repeat:
+		return Send
+	}
+	end := d.Settings.End(d.NextWindow())
+	late := now.Sub(end)
+	if late >= minWait && (answered(end) || late >= settleTime && collecting >= minCollecting) {
+		return Write
+	}
+	return Wait
+}
+
+// Skip skips the windows whose counts are not known, because they are too old or because
+// all VMs have started since, and returns their number. coveredFrom is the true time from
+// which on operations were counted.
+func (d *Duty) Skip(now, coveredFrom Time) int64 {
+	earliest := d.Settings.WindowAt(now.Add(-Retention)) + 1
+	if !d.fromStart {
+		earliest = max(earliest, d.Settings.WindowAt(coveredFrom.Add(d.Settings.Window-1)))
+	}
+	if d.repeat && now.Sub(d.Settings.End(d.record.Window)) >= Retention {
+		d.repeat = false
+	}
+	skipped := max(min(earliest, d.Settings.WindowAt(now))-d.NextWindow(), 0)
+	if skipped > 0 && !d.repeat {
+		d.record.Window += skipped
+		d.record.Counts = nil
+		return skipped
+	}
+	return 0
+}
+
+// PrepareReport returns the record of the next window with the counts.
+func (d *Duty) PrepareReport(counts Counts) Record {
+	next := d.record
+	next.Window, next.Counts = d.NextWindow(), maps.Clone(counts)
+	if next.Counts == nil {
+		next.Counts = make(Counts)
+	}
+	return next
+}
+
+// Recorded records that the record was written with the revision. The report may be sent
+// only if it reports true: the record is in the present era of the store.
+func (d *Duty) Recorded(r Record, stored state.Revision) bool {
+	if stored.Era != r.Era {
+		d.held = false
+		return false
+	}
+	d.record, d.repeat = r, true
+	d.record.Stored = stored
+	return true
+}
+
+// Report returns the recorded report.
+func (d *Duty) Report() (window int64, counts Counts, token uint64) {
+	return d.record.Window, d.record.Counts, d.record.Token
+}
+
+// Answered records that the platform accepted the recorded report, or that it is not sent
+// again.
+func (d *Duty) Answered() { d.repeat = false }
+
+// Refused records that the platform refused the recorded report because it has seen a
+// higher fencing token. Another VM may have acted, so this one waits for the lease.
+func (d *Duty) Refused(now time.Duration) {
+	d.held, d.notBefore = false, now+d.Settings.Lease+leaseMargin
+}
+
+// Contested returns the delay of the next claim if the present record shows that another VM
+// took the duty from this one, and otherwise zero.
+func (d *Duty) Contested(present Record) time.Duration {
+	if d.record.Token > 0 && present.Holder != d.Name && present.Token > d.record.Token {
+		return contestedLeases * d.Settings.Lease
+	}
+	return 0
+}
--- a/node.go
+++ b/node.go
@@ -15,8 +15,10 @@
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/coordination/quota"
+	"github.com/chestnutdyke/chestnutdyke/coordination/usage"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
 	"github.com/chestnutdyke/chestnutdyke/transport/admin"
 	"github.com/chestnutdyke/chestnutdyke/transport/admission"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
@@ -29,6 +31,7 @@
 	"github.com/chestnutdyke/chestnutdyke/transport/promotion"
 	"github.com/chestnutdyke/chestnutdyke/transport/sqlback"
 	"github.com/chestnutdyke/chestnutdyke/transport/sqlfront"
+	"github.com/chestnutdyke/chestnutdyke/transport/usagereport"
 )
 
 // NodeOptions configure a VM whose deployment is declared in a platform's store.
@@ -57,6 +60,12 @@
 	// the platform refuses orders with outdated fencing tokens. Otherwise the VMs
 	// stop using a primary before another server is promoted; see package fencing.
 	PlatformEnforcesFencing bool
+	// Usage says whether and how usage is reported. UsageStore and UsagePlatform are used
+	// only if it is.
+	Usage         usage.Settings
+	UsageStore    usagereport.Store
+	UsagePlatform usagereport.Platform
+	TimeOfDay     func() time.Time // nil means time.Now
 
 	Logger  log.Interface
 	Scope   tally.Scope
@@ -103,7 +112,8 @@
 	frontend            *sqlfront.Server
 	directory           *directory.Directory
 	failoverCoordinator *promotion.Coordinator
-	fencer              *fencer.Fencer // nil if the platform enforces fencing
+	fencer              *fencer.Fencer        // nil if the platform enforces fencing
+	usage               *usagereport.Reporter // nil if usage is not reported
 	started             time.Duration
 
 	warmedUp        atomic.Bool // warmUpTime has passed since the start
@@ -117,10 +127,17 @@
 func NewNode(ctx context.Context, o NodeOptions) *Node {
 	n := &Node{options: o, ctx: ctx, started: clock.Now(), pool: pool.New(o.Workers), catalog: catalog.NewTable(), leaders: leadership.NewTable()}
 	n.quota = quota.NewTable(n.started)
+	incarnation := time.Now().UnixNano()
 	n.links = fleetlink.New(ctx, o.Network, n.pool, fleetwire.Status{
-		Name: o.Name, Address: o.LinkAddress, DataCentre: o.DataCentre, Weight: o.Weight, Incarnation: time.Now().UnixNano(),
-		Fencing: !o.PlatformEnforcesFencing, NoLease: !o.PlatformEnforcesFencing, StoreConfirmations: true,
+		Name: o.Name, Address: o.LinkAddress, DataCentre: o.DataCentre, Weight: o.Weight, Incarnation: incarnation,
+		Fencing: !o.PlatformEnforcesFencing, NoLease: !o.PlatformEnforcesFencing, StoreConfirmations: true, Usage: o.Usage.Enabled(),
 	}, o.Logger)
+	if o.Usage.Enabled() {
+		n.usage = usagereport.New(usagereport.Options{
+			Name: o.Name, Incarnation: incarnation, Settings: o.Usage, Links: n.links, Store: o.UsageStore, Platform: o.UsagePlatform,
+			TimeOfDay: o.TimeOfDay, Logger: o.Logger, Scope: o.Scope,
+		})
+	}
 	n.executor = sqlback.New(sqlback.Options{
 		Network: o.Network, Dialect: o.ServerDialect, Pool: n.pool, Table: n.catalog, Logger: o.Logger, Scope: o.Scope, Tracer: o.Tracer,
 		HoldsConnections: func(customer string, s *catalog.Server) bool {
@@ -130,7 +147,8 @@
 		ReportUnreachable: func(unreachable []string) {
 			n.links.UpdateStatus(fleetlink.All, func(s *fleetwire.Status) { s.Unreachable = unreachable })
 		},
-		CheckPrimary: n.checkPrimary,
+		CheckPrimary:   n.checkPrimary,
+		CountStatement: n.countStatement,
 	})
 	if !o.PlatformEnforcesFencing {
 		n.fencer = fencer.New(fencer.Options{Links: n.links, Executor: n.executor, Leadership: n.leaders, Logger: o.Logger})
@@ -142,6 +160,9 @@
 	if n.fencer != nil {
 		dispatchOptions.Fencer = n.fencer
 	}
+	if n.usage != nil {
+		dispatchOptions.Usage = n.usage
+	}
 	n.dispatcher = dispatch.New(dispatchOptions)
 	n.frontend = sqlfront.New(sqlfront.Options{
 		Network: o.Network, Address: o.ClientAddress, DataCentre: o.DataCentre, Dialect: o.ClientDialect, Pool: n.pool, Table: n.catalog,
@@ -169,6 +190,14 @@
 	return n.fencer.Check(group, server)
 }
 
+// countStatement counts a statement that was sent to a server, or with -1 one that the
+// server refused without running it.
+func (n *Node) countStatement(w *statement.RemoteStatement, sentAt time.Duration, count int64) {
+	if n.usage != nil && usage.Operation(w) {
+		n.usage.CountOperation(w.Customer, sentAt, count)
+	}
+}
+
 // Run serves until the context passed to NewNode is done. It returns an error if
 // the VM cannot listen on one of its addresses.
 func (n *Node) Run() error {
@@ -183,6 +212,9 @@
 	}
 	g.Go(func() error { return n.directory.Run(ctx) })
 	g.Go(func() error { return n.failoverCoordinator.Run(ctx) })
+	if n.usage != nil {
+		g.Go(func() error { return n.usage.Run(ctx) })
+	}
 	g.Go(func() error { return n.frontend.Run(ctx) })
 	g.Go(func() error { return n.watchIsolation(ctx) })
 	for _, address := range []string{n.options.ReadyAddress, n.options.AdminAddress} {
@@ -281,8 +313,11 @@
 // and after half of the grace period rolls back each open transaction as soon as
 // none of its statements is running. It returns when no session is open and no
 // statement runs, but not before deregistrationDelay, or when the grace period is
-// about to end.
+// about to end. At the end the VM hands over its usage counts.
 func (n *Node) Drain() {
+	if n.usage != nil {
+		defer n.usage.HandOver()
+	}
 	start := clock.Now()
 	n.draining.Store(true)
 	n.drainStartedAt.Store(int64(start))
--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -43,7 +43,7 @@
 	KindRenewal                           // digest of the sender's fencing.State; asks the receiver to renew its lease; only sent to VMs whose Status has Fencing
 	KindRenewed                           // a Renewed, the response to KindRenewal
 	KindUsageRequest                      // asks for the usage counts of recent windows; only sent to VMs whose Status has Usage
-	KindUsageReply                        // the sender's usage counts, the response to KindUsageRequest
+	KindUsageReply                        // the sender's usage counts, the response to KindUsageRequest; also sent by edges and VMs that leave, and then answered by a KindUsageRequest
 	KindConnectionRequest                 // asks the receiver to lend connections to a backend server; only sent to VMs whose Status has ConnectionLoans
 	KindConnectionGrant                   // the connections lent, the response to KindConnectionRequest
 )
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/chestnutdyke/chestnutdyke"
+	"github.com/chestnutdyke/chestnutdyke/coordination/usage"
 	"github.com/chestnutdyke/chestnutdyke/standin/memnet"
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
@@ -53,11 +54,14 @@
 	// Unfenced makes the platform execute orders regardless of their fencing tokens,
 	// and a replaced primary go on until it is told to step down or can reach its
 	// successor for a second.
-	Unfenced  bool
-	Bounds    directory.Bounds // that VMs are given
-	OnRequest func(id string)  // called for each client request that a VM has read; nil for none
-	Logger    log.Interface    // nil discards log entries
-	Tracer    trace.Tracer     // nil discards spans
+	Unfenced bool
+	Bounds   directory.Bounds // that VMs are given
+	Usage    usage.Settings   // that VMs are given
+	// TimeOfDay returns the time of day of a VM; nil means the virtual time.
+	TimeOfDay func(vm string) time.Time
+	OnRequest func(id string) // called for each client request that a VM has read; nil for none
+	Logger    log.Interface   // nil discards log entries
+	Tracer    trace.Tracer    // nil discards spans
 }
 
 // Deployment is a fleet of VMs with its simulated platform, in virtual time.
@@ -368,6 +372,10 @@
 	host := d.Net.Host(name, zone)
 	ctx, cancel := context.WithCancel(d.ctx)
 	c := client{Store: d.Store, vm: name}
+	timeOfDay := time.Now
+	if d.TimeOfDay != nil {
+		timeOfDay = func() time.Time { return d.TimeOfDay(name) }
+	}
 	vm := &VM{Name: name, Zone: zone, deployment: d, host: host, cancel: cancel, done: make(chan struct{})}
 	vm.Node = chestnutdyke.NewNode(ctx, chestnutdyke.NodeOptions{
 		Name: name, DataCentre: zone, Weight: 1, Workers: 2, Grace: 6 * time.Second, Bounds: d.Bounds,
@@ -375,6 +383,7 @@
 		ReadyAddress:            fmt.Sprintf("%s:%d", name, readyPort),
 		PlatformEnforcesFencing: !d.Unfenced,
 		Network:                 host, ClientDialect: Clients{onRequest: d.OnRequest}, ServerDialect: Servers{}, Source: c, Duties: c, Platform: c,
+		Usage: d.Usage, UsageStore: c, UsagePlatform: c, TimeOfDay: timeOfDay,
 		Logger: d.Logger.WithField("vm", name), Scope: tally.NoopScope, Tracer: d.Tracer,
 	})
 	d.mu.Lock()
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -9,6 +9,7 @@
 
 	"github.com/chestnutdyke/chestnutdyke/transport/directory"
 	"github.com/chestnutdyke/chestnutdyke/transport/promotion"
+	"github.com/chestnutdyke/chestnutdyke/transport/usagereport"
 )
 
 // ErrStoreUnavailable is the error of calls to a store that refuses them.
@@ -29,6 +30,7 @@
 	watchesLost   int                                  // number of calls of LoseWatches
 	members       map[string]member
 	duty          promotion.Duty
+	usage         usageState
 	fencingTokens map[string]uint64 // highest one seen, by group
 	groups        map[string]*Group
 	outages       map[string]Outage // by name of the VM that is affected; "" affects all
@@ -178,6 +180,8 @@
 	directory.Source
 	promotion.Duties
 	promotion.Platform
+	usagereport.Store
+	usagereport.Platform
 }
 
 // Client returns the access of the named VM, for outages that affect only it.
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -54,9 +54,15 @@
 	Leadership *leadership.Table
 	Table      *catalog.Table
 	Fencer     Fencer // nil if the platform enforces fencing
+	Usage      Usage  // nil if usage is not reported
 	Logger     log.Interface
 }
 
+// Usage responds to VMs that collect usage counts.
+type Usage interface {
+	Handle(kind fleetwire.Kind, body []byte, reply func(fleetwire.Kind, []byte)) error
+}
+
 // Fencer responds to the failover coordinator and to lease renewals of other VMs.
 type Fencer interface {
 	HandleFence(body []byte, reply func([]byte)) error
@@ -178,6 +184,14 @@
 	return err
 }
 
+// HandleUsage implements fleetlink.Handler. It ignores the calls if usage is not reported.
+func (d *Dispatcher) HandleUsage(kind fleetwire.Kind, body []byte, reply func(fleetwire.Kind, []byte)) error {
+	if d.Usage == nil {
+		return nil
+	}
+	return d.Usage.Handle(kind, body, reply)
+}
+
 // HandleStatus implements fleetlink.Handler.
 func (d *Dispatcher) HandleStatus(s *fleetwire.Status) { d.directory.HandleRevisions(s.Revisions) }
 
--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -181,6 +181,8 @@
 		reply(fleetwire.KindSnapshotReply, l.handler.UpdatesSince(f.Body))
 	case fleetwire.KindFence, fleetwire.KindRenewal:
 		err = l.handler.HandleFencing(f.Kind, f.Body, reply)
+	case fleetwire.KindUsageRequest, fleetwire.KindUsageReply:
+		err = l.handler.HandleUsage(f.Kind, f.Body, reply)
 	}
 	if err != nil {
 		l.logger.WithError(err).WithField("vm", from.Name).Error("fleet: a call cannot be decoded.")
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -68,6 +68,9 @@
 	// HandleFencing handles a call of the kind KindFence or KindRenewal, and calls
 	// reply at most once. An error closes the link.
 	HandleFencing(kind fleetwire.Kind, body []byte, reply func(fleetwire.Kind, []byte)) error
+	// HandleUsage handles a call of the kind KindUsageRequest or KindUsageReply, and calls
+	// reply at most once. An error closes the link.
+	HandleUsage(kind fleetwire.Kind, body []byte, reply func(fleetwire.Kind, []byte)) error
 }
 
 // Links manages the links of a VM.
--- a/transport/fleetlink/fleetlink_test.go
+++ b/transport/fleetlink/fleetlink_test.go
@@ -40,6 +40,9 @@
 func (idleHandler) HandleFencing(fleetwire.Kind, []byte, func(fleetwire.Kind, []byte)) error {
 	return nil
 }
+func (idleHandler) HandleUsage(fleetwire.Kind, []byte, func(fleetwire.Kind, []byte)) error {
+	return nil
+}
 
 // testFleet is the environment in which the VMs of a test run.
 type testFleet struct {
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -87,8 +87,9 @@
 	submittedAt time.Time
 	timer       *time.Timer
 	conn        *conn
-	beginPoint  state.Point // log position that BEGIN returned
-	sent        bool        // the statement was sent, at least in part, and may have run
+	beginPoint  state.Point   // log position that BEGIN returned
+	sent        bool          // the statement was sent, at least in part, and may have run
+	sentAt      time.Duration // clock reading when it was sent
 	finished    bool
 	draining    bool // the server is no longer the designated primary, but its answer still counts
 	aborted     bool // AbortTx or AbortLink was called: end the transaction after the statement
@@ -110,6 +111,7 @@
 	// reportUnreachable tells the other VMs which servers this VM cannot reach.
 	reportUnreachable func(unreachable []string)
 	checkPrimary      func(group, server string) fencing.Verdict
+	countStatement    func(w *statement.RemoteStatement, sentAt time.Duration, n int64)
 
 	lastProbe time.Time // used by Run only
 
@@ -138,10 +140,17 @@
 	// group; nil allows all servers. It must not take locks of a rank up to
 	// lockrank.Backends.
 	CheckPrimary func(group, server string) fencing.Verdict
+	// CountStatement records that the statement was sent to a server at the given time (n
+	// is 1), or that the server refused it without running it (n is -1). It must not take
+	// locks of a rank up to lockrank.Backends. Nil records nothing.
+	CountStatement func(w *statement.RemoteStatement, sentAt time.Duration, n int64)
 }
 
 // New returns an executor. Run must be called to maintain its connections.
 func New(o Options) *Executor {
+	if o.CountStatement == nil {
+		o.CountStatement = func(*statement.RemoteStatement, time.Duration, int64) {}
+	}
 	if o.CheckPrimary == nil {
 		o.CheckPrimary = func(string, string) fencing.Verdict { return fencing.Allowed }
 	}
@@ -149,8 +158,8 @@
 		net: o.Network, dialect: o.Dialect, queue: o.Pool.NewQueue(queueLimit), table: o.Table, logger: o.Logger,
 		connectionsOpened: o.Scope.Counter("server_connections_opened"), connectionWait: o.Scope.Histogram("connection_wait", connectionWaitBuckets),
 		tracer: o.Tracer, holdsConnections: o.HoldsConnections, reportUnreachable: o.ReportUnreachable,
-		checkPrimary: o.CheckPrimary,
-		mu:           lockrank.New(lockrank.Backends), pools: make(map[poolKey]*serverPool), txs: make(map[uint64]*conn),
+		checkPrimary: o.CheckPrimary, countStatement: o.CountStatement,
+		mu: lockrank.New(lockrank.Backends), pools: make(map[poolKey]*serverPool), txs: make(map[uint64]*conn),
 		failingSince: make(map[string]time.Time), unreachable: make(map[string]bool),
 	}
 }
--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
 
 // abortTx rolls back the connection's transaction now, or when its statement
@@ -152,7 +153,8 @@
 		return
 	}
 	j := c.job
-	j.sent = true
+	j.sent, j.sentAt = true, clock.Now()
+	e.countStatement(j.stmt, j.sentAt, 1)
 	command := j.stmt.Command
 	if j.stmt.BeginsTx {
 		command.After.Term, command.After.Position = 0, 0
@@ -247,6 +249,9 @@
 	c.job = nil
 	w := j.stmt
 	ok := a.Code == statement.OK
+	if a.Code.NotRun() {
+		e.countStatement(w, j.sentAt, -1)
+	}
 	if w.Command.Verb == statement.Rollback {
 		// BEGIN confirmed that the server was the primary. It may have lost that role
 		// since, so the confirmation holds for the log position at BEGIN only.
