--- a/coordination/usage/duty.go
+++ b/coordination/usage/duty.go
@@ -17,12 +17,20 @@
 	// minWait is the time after the end of a window in which no report is sent, so that
 	// statements that a server refused are no longer counted.
 	minWait = 500 * time.Millisecond
-	// settleTime is how long a report waits for VMs that do not answer. If the holder is
-	// lost then, the next one still reports the window within 10 s.
-	settleTime = 3 * time.Second
+	// settleShare is how long a report waits for VMs that do not answer, as a part of the
+	// permitted delay. Many VMs that are suspended or cut off answer again within 6 s.
+	settleShare = 0.6
 	// minCollecting is how long a VM that was suspended, or has just been selected, asks the
 	// others before it reports without the answers of some.
 	minCollecting = 2 * time.Second
+	// CallTimeout limits calls to the store and to the platform.
+	CallTimeout = time.Second
+	// maxUnverified is how long ago the store must have been asked for the record when a
+	// report is sent. The record shows whether another VM has claimed the duty.
+	maxUnverified = time.Second
+	// takeOverDelay is the time after a claim in which the last call of the former holder
+	// ends: it was sent up to maxUnverified after the claim.
+	takeOverDelay = maxUnverified + CallTimeout + 250*time.Millisecond
 	// leaseMargin is added to the lease for the time that calls are on their way.
 	leaseMargin = 250 * time.Millisecond
 	// contestedLeases is the number of leases after which a VM claims the duty again that
@@ -58,10 +66,15 @@
 type Duty struct {
 	Name     string
 	Settings Settings
+	Started  time.Duration // clock reading at the start of the process
 
 	record    Record        // last record that this VM wrote; Holder is empty if there is none
 	held      bool          // this VM holds the duty, as far as it knows
+	refused   bool          // the platform refused the token of record
 	notBefore time.Duration // clock reading before which this VM sends no report
+	verified  time.Duration // clock reading when the store was last asked for record and had it
+	lastCall  time.Duration // clock reading of the latest call to the platform
+	lostAt    time.Duration // clock reading when another VM took the duty; zero if none did
 	repeat    bool          // the report of record has not been accepted yet
 	fromStart bool          // the record did not exist before: no operation is older than the VMs
 }
@@ -72,13 +85,19 @@
 // Token returns the fencing token of this VM.
 func (d *Duty) Token() uint64 { return d.record.Token }
 
-// Drop makes this VM claim the duty again before its next report.
-func (d *Duty) Drop() { d.held = false }
+// Drop gives up the duty because another VM is selected.
+func (d *Duty) Drop() { d.held, d.lostAt = false, 0 }
+
+// WriteFailed makes this VM claim the duty again because a write of the record failed.
+func (d *Duty) WriteFailed(now time.Duration) { d.lose(now) }
 
 // Check drops the duty if another VM claimed it, as token, the highest fencing token that
 // any VM knows, shows, or if the store has a new era.
-func (d *Duty) Check(token, era uint64) {
-	if token > d.record.Token || era > d.record.Era {
+func (d *Duty) Check(token, era uint64, now time.Duration) {
+	switch {
+	case token > d.record.Token:
+		d.lose(now)
+	case era > d.record.Era:
 		d.held = false
 	}
 }
@@ -112,20 +131,20 @@
 // revision of the claim. It reports false if the store had a new era when it was written;
 // the duty is then to be claimed again.
 //
-// If another VM held the duty, or may have, this VM sends nothing for the duration of the
-// lease: calls of the former holder have ended then, and the duty never moves from a VM to
-// another one and back within that time.
-func (d *Duty) Claimed(present, claim Record, stored state.Revision, now time.Duration) bool {
+// If another VM held the duty, or may have, this VM sends nothing until the calls of the
+// former holder have ended. If it held the duty before, it also waits for the lease, so
+// that the duty does not move from it to another VM and back within that time.
+func (d *Duty) Claimed(present, claim Record, stored state.Revision, sentAt, now time.Duration) bool {
 	if stored.Era != claim.Era {
 		return false
 	}
 	first := present.Holder == "" && claim.Era == 0
-	ours := present.Holder == d.Name && present.Token == d.record.Token && present.Era == claim.Era
+	ours := present.Holder == d.Name && present.Token == d.record.Token && present.Era == claim.Era && !d.refused
 	if !first && !ours {
-		d.notBefore = max(d.notBefore, now+d.Settings.Lease+leaseMargin)
+		d.notBefore = max(now+takeOverDelay, max(d.lastCall, d.Started)+d.Settings.Lease+leaseMargin)
 	}
 	d.fromStart = first || d.fromStart && ours
-	d.record, d.held = claim, true
+	d.record, d.held, d.refused, d.verified, d.lostAt = claim, true, false, sentAt, 0
 	d.record.Stored = stored
 	d.repeat = claim.HasReport()
 	return true
@@ -136,9 +155,10 @@
 
 // Values of Step.
 const (
-	Wait  Step = iota
-	Write      // write the record of the next window, then call Recorded
-	Send       // send the recorded report, then call Answered
+	Wait   Step = iota
+	Write       // write the record of the next window, then call Recorded
+	Verify      // read the record, then call Verified
+	Send        // send the recorded report, then call Answered or Refused
 )
 
 // NextWindow returns the earliest window that has not been recorded.
@@ -150,17 +170,23 @@
 	switch {
 	case !d.held || clock < d.notBefore:
 		return Wait
+	case d.repeat && clock-d.verified > maxUnverified:
+		return Verify
 	case d.repeat:
 		return Send
 	}
 	end := d.Settings.End(d.NextWindow())
 	late := now.Sub(end)
-	if late >= minWait && (answered(end) || late >= settleTime && collecting >= minCollecting) {
+	if late >= minWait && (answered(end) || late >= d.settleTime() && collecting >= minCollecting) {
 		return Write
 	}
 	return Wait
 }
 
+func (d *Duty) settleTime() time.Duration {
+	return time.Duration(settleShare * float64(d.Settings.Delay))
+}
+
 // Skip skips the windows whose counts are not known, because they are too old or because
 // all VMs have started since, and returns their number. coveredFrom is the true time from
 // which on operations were counted.
@@ -191,20 +217,36 @@
 	return next
 }
 
-// Recorded records that the record was written with the revision. The report may be sent
-// only if it reports true: the record is in the present era of the store.
-func (d *Duty) Recorded(r Record, stored state.Revision) bool {
+// Recorded records that the record was written with the revision by a call that was sent at
+// sentAt. The report may be sent only if it reports true: the record is in the present era
+// of the store.
+func (d *Duty) Recorded(r Record, stored state.Revision, sentAt time.Duration) bool {
 	if stored.Era != r.Era {
 		d.held = false
 		return false
 	}
-	d.record, d.repeat = r, true
+	d.record, d.repeat, d.verified = r, true, sentAt
 	d.record.Stored = stored
 	return true
 }
 
-// Report returns the recorded report.
-func (d *Duty) Report() (window int64, counts Counts, token uint64) {
+// Verified records the present record, which the store was asked for at sentAt. It reports
+// false if this VM no longer holds the duty.
+func (d *Duty) Verified(present Record, sentAt, now time.Duration) bool {
+	if present.Holder != d.Name || present.Token != d.record.Token || present.Window != d.record.Window || present.Stored.Era != d.record.Era {
+		d.lose(now)
+		return false
+	}
+	d.record.Stored, d.verified = present.Stored, sentAt
+	return true
+}
+
+// lose makes this VM claim the duty again because another one may have taken it.
+func (d *Duty) lose(now time.Duration) { d.held, d.lostAt = false, now }
+
+// Report returns the recorded report, which is sent at the given time.
+func (d *Duty) Report(now time.Duration) (window int64, counts Counts, token uint64) {
+	d.lastCall = now
 	return d.record.Window, d.record.Counts, d.record.Token
 }
 
@@ -213,16 +255,14 @@
 func (d *Duty) Answered() { d.repeat = false }
 
 // Refused records that the platform refused the recorded report because it has seen a
-// higher fencing token. Another VM may have acted, so this one waits for the lease.
-func (d *Duty) Refused(now time.Duration) {
-	d.held, d.notBefore = false, now+d.Settings.Lease+leaseMargin
-}
+// higher fencing token. Another VM may have acted.
+func (d *Duty) Refused() { d.held, d.refused = false, true }
 
-// Contested returns the delay of the next claim if the present record shows that another VM
-// took the duty from this one, and otherwise zero.
-func (d *Duty) Contested(present Record) time.Duration {
-	if d.record.Token > 0 && present.Holder != d.Name && present.Token > d.record.Token {
-		return contestedLeases * d.Settings.Lease
-	}
-	return 0
+// MayClaim reports whether this VM may claim the duty over the present record. reached says
+// whether the holder in it is alive in the view of this VM. If a holder that is not reached
+// took the duty from this VM, it waits: VMs with different views would otherwise claim the
+// duty in turns without a report.
+func (d *Duty) MayClaim(present Record, reached bool, now time.Duration) bool {
+	taken := d.lostAt != 0 && present.Holder != d.Name && present.Token > d.record.Token
+	return !taken || reached || now-d.lostAt >= contestedLeases*d.Settings.Lease
 }
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -64,6 +64,7 @@
 	Server, Customer string // of the connection
 	ID               string
 	Transaction      int // unique in the group; zero outside of transactions
+	At               time.Time
 }
 
 // Runs returns the clients' statements that the group's servers executed, in order.
--- a/standin/managed/database_session.go
+++ b/standin/managed/database_session.go
@@ -163,7 +163,7 @@
 // recordRun records that the server executes a client's statement.
 func (sess *session) recordRun(c *statement.Command) {
 	g := sess.server.group
-	g.runs = append(g.runs, Run{Server: sess.server.ID, Customer: sess.customer, ID: c.ID, Transaction: sess.transaction})
+	g.runs = append(g.runs, Run{Server: sess.server.ID, Customer: sess.customer, ID: c.ID, Transaction: sess.transaction, At: time.Now()})
 }
 
 func (sess *session) readOrWrite(c *statement.Command, write bool) (statement.Answer, bool) {
--- a/transport/usagereport/collect.go
+++ b/transport/usagereport/collect.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// collectInterval is how often the holder asks each VM for its counts. The counts since
-	// the last answer of a VM that is killed are lost.
-	collectInterval = time.Second
-	// collectIntervalSmall is the same in a fleet of up to smallFleet VMs.
-	collectIntervalSmall = 500 * time.Millisecond
-	smallFleet           = 24
+	// collectSpacing times the number of cores is the interval at which the holder asks each
+	// core for its counts, within the limits below. A short interval loses fewer counts with
+	// a VM that is killed; a fleet of up to 25 cores sends at most 25 answers a second.
+	collectSpacing     = 40 * time.Millisecond
+	minCollectInterval = 250 * time.Millisecond
+	maxCollectInterval = time.Second
 	// maxClockAge is how long the clock readings of a VM are used.
 	maxClockAge = 5 * time.Second
 	// maxRoundTrip limits the error of clock readings, which is at most half of it.
@@ -75,10 +75,7 @@
 }
 
 func (r *Reporter) collectInterval() time.Duration {
-	if r.Links.View().Members <= smallFleet {
-		return collectIntervalSmall
-	}
-	return collectInterval
+	return min(max(time.Duration(r.Links.View().Members)*collectSpacing, minCollectInterval), maxCollectInterval)
 }
 
 // nextCoordinator returns the VM that is selected if the present coordinator is lost.
--- a/transport/usagereport/reporter.go
+++ b/transport/usagereport/reporter.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -28,9 +29,6 @@
 	claimDelay = 700 * time.Millisecond
 	// retryDelay separates attempts of calls that failed.
 	retryDelay = time.Second
-	// callTimeout limits calls to the store and to the platform. It is shorter than the
-	// lease, so that calls of a former holder have ended when the next one begins.
-	callTimeout = time.Second
 	// minCallSpacing separates reports when several are due.
 	minCallSpacing = 250 * time.Millisecond
 	// callShare is the part of the permitted rate of calls that reports may use. The rest
@@ -136,7 +134,7 @@
 	}
 	r := &Reporter{
 		Options: o, counter: usage.NewCounter(o.Settings), collection: usage.NewCollection(o.Settings), started: clock.Now(),
-		outcomes: make(map[outcome]tally.Counter), duty: usage.Duty{Name: o.Name, Settings: o.Settings},
+		outcomes: make(map[outcome]tally.Counter), duty: usage.Duty{Name: o.Name, Settings: o.Settings, Started: clock.Now()},
 		mu: lockrank.New(lockrank.Counters), peers: make(map[usage.Source]peerClock),
 	}
 	for _, name := range []outcome{outcomeReported, outcomeLate, outcomeSkipped, outcomeRefused} {
@@ -213,17 +211,21 @@
 		return
 	}
 	if r.duty.Held() {
-		r.duty.Check(r.counter.Token(), r.Era())
+		r.duty.Check(r.counter.Token(), r.Era(), clock.Now())
 	}
-	if !r.duty.Held() && !r.claim(ctx, now) {
+	if !r.duty.Held() && !r.claim(ctx) {
 		return
 	}
 	r.skip(now)
-	switch r.duty.Next(clock.Now(), now, r.collectingFor(), r.answeredSince) {
+	switch r.next(now) {
 	case usage.Write:
 		if clock.Now() >= r.nextCall {
 			r.write(ctx)
 		}
+	case usage.Verify:
+		if clock.Now() >= r.nextCall {
+			r.verify(ctx)
+		}
 	case usage.Send:
 		if clock.Now() >= r.nextCall {
 			r.send(ctx)
@@ -231,13 +233,18 @@
 	}
 }
 
+// next returns the next step of the duty.
+func (r *Reporter) next(now usage.Time) usage.Step {
+	return r.duty.Next(clock.Now(), now, r.collectingFor(), r.answeredSince)
+}
+
 // claim claims the duty and reports whether this VM holds it.
-func (r *Reporter) claim(ctx context.Context, now usage.Time) bool {
+func (r *Reporter) claim(ctx context.Context) bool {
 	if clock.Now() < r.nextClaim {
 		return false
 	}
 	r.nextClaim = clock.Now() + retryDelay
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, usage.CallTimeout)
 	defer cancel()
 	present, err := r.Store.ReadUsage(ctx)
 	if err != nil {
@@ -245,16 +252,19 @@
 		return false
 	}
 	r.counter.RecordToken(present.Token)
-	if delay := r.duty.Contested(present); delay > 0 && clock.Now()-r.selectedSince < delay {
+	reached := slices.ContainsFunc(r.Links.View().VMs, func(vm placement.VM) bool { return vm.Alive && vm.Name == present.Holder })
+	if !r.duty.MayClaim(present, reached, clock.Now()) {
 		return false
 	}
+	sentAt := clock.Now()
+	now, _ := r.trueTime()
 	claim := r.duty.PrepareClaim(present, r.counter.Token(), now)
 	stored, err := r.Store.WriteUsage(ctx, claim)
 	if err != nil {
 		r.Logger.WithError(err).Warn("usage: the duty to report usage cannot be claimed.")
 		return false
 	}
-	if !r.duty.Claimed(present, claim, stored, clock.Now()) {
+	if !r.duty.Claimed(present, claim, stored, sentAt, clock.Now()) {
 		r.Logger.WithField("era", stored.Era).Warn("usage: the store has a new era, the duty is claimed again.")
 		return false
 	}
@@ -299,27 +309,47 @@
 // write records the report of the next window in the store, and then sends it.
 func (r *Reporter) write(ctx context.Context) {
 	record := r.duty.PrepareReport(r.collection.Total(r.duty.NextWindow()))
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, usage.CallTimeout)
 	defer cancel()
+	sentAt := clock.Now()
 	stored, err := r.Store.WriteUsage(callCtx, record)
 	if err != nil {
 		// The record may have been written, by this VM or by another one.
-		r.duty.Drop()
+		r.duty.WriteFailed(clock.Now())
 		r.nextClaim = clock.Now() + retryDelay
 		r.Logger.WithError(err).WithField("window", record.Window).Warn("usage: a report cannot be recorded.")
 		return
 	}
-	if !r.duty.Recorded(record, stored) {
+	if !r.duty.Recorded(record, stored, sentAt) {
 		r.Logger.WithFields(log.Fields{"window": record.Window, "era": stored.Era}).Warn("usage: the store has a new era, the duty is claimed again.")
 		return
 	}
-	r.send(ctx)
+	if now, _ := r.trueTime(); r.next(now) == usage.Send {
+		r.send(ctx)
+	}
+}
+
+// verify reads the record before its report is repeated.
+func (r *Reporter) verify(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, usage.CallTimeout)
+	defer cancel()
+	sentAt := clock.Now()
+	present, err := r.Store.ReadUsage(ctx)
+	if err != nil {
+		r.nextCall = clock.Now() + retryDelay
+		r.Logger.WithError(err).Warn("usage: the record of reports cannot be read.")
+		return
+	}
+	r.counter.RecordToken(present.Token)
+	if !r.duty.Verified(present, sentAt, clock.Now()) {
+		r.Logger.WithFields(log.Fields{"holder": present.Holder, "token": present.Token}).Warn("usage: another VM has taken the duty, or the store has a new era.")
+	}
 }
 
 // send sends the recorded report.
 func (r *Reporter) send(ctx context.Context) {
-	window, counts, token := r.duty.Report()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	window, counts, token := r.duty.Report(clock.Now())
+	ctx, cancel := context.WithTimeout(ctx, usage.CallTimeout)
 	defer cancel()
 	r.nextCall = clock.Now() + r.callSpacing()
 	err := r.Platform.ReportUsage(ctx, window, counts, r.Name, token)
@@ -330,7 +360,7 @@
 		r.countAccepted(window)
 	case errors.Is(err, ErrRefused):
 		r.outcomes[outcomeRefused].Inc(1)
-		r.duty.Refused(clock.Now())
+		r.duty.Refused()
 		r.nextClaim = clock.Now() + r.Settings.Lease
 		entry.Warn("usage: the platform refused a report, the duty is claimed again.")
 	case errors.Is(err, ErrInvalid):
