--- a/coordination/usage/collection.go
+++ b/coordination/usage/collection.go
@@ -150,13 +150,14 @@
 	return list
 }
 
-// Expire drops the windows that are older than Retention, and sources without any.
+// Expire drops the windows that are older than Retention, and sources without any. It also
+// drops windows far in the future: a VM with another window length numbers them otherwise.
 func (c *Collection) Expire(now Time) {
-	earliest := c.settings.WindowAt(now.Add(-Retention))
+	earliest, latest := c.settings.WindowAt(now.Add(-Retention)), c.settings.WindowAt(now.Add(Retention))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	maps.DeleteFunc(c.sources, func(_ Source, known *collected) bool {
-		maps.DeleteFunc(known.windows, func(window int64, _ Counts) bool { return window < earliest })
+		maps.DeleteFunc(known.windows, func(window int64, _ Counts) bool { return window < earliest || window > latest })
 		return len(known.windows) == 0 && known.answeredAt < now.Add(-Retention)
 	})
 }
--- a/coordination/usage/counter.go
+++ b/coordination/usage/counter.go
@@ -105,7 +105,7 @@
 	if token < c.token {
 		return
 	}
-	c.offset, c.synced = offset, true
+	c.token, c.offset, c.synced = token, offset, true
 	for key, n := range c.pending {
 		c.add(key.customer, key.at+pendingResolution/2, n)
 	}
--- a/transport/sqlback/executor_test.go
+++ b/transport/sqlback/executor_test.go
@@ -42,6 +42,7 @@
 	reportUnreachable func([]string) // receives the unreachable servers
 	keepAlive         atomic.Pointer[net.KeepAliveConfig]
 	table             *catalog.Table // of the executor; set by withExecutor
+	counted           atomic.Int64   // statements that were counted
 
 	mu       sync.Mutex // guards commands
 	commands []statement.Verb
@@ -146,6 +147,7 @@
 					s.reportUnreachable(unreachable)
 				}
 			},
+			CountStatement: func(_ *statement.RemoteStatement, _ time.Duration, n int64) { s.counted.Add(n) },
 		})
 		running.Go(func() { _ = e.Run(ctx) })
 		test(func(w statement.RemoteStatement) statement.Result {
--- a/transport/usagereport/collect.go
+++ b/transport/usagereport/collect.go
@@ -38,18 +38,16 @@
 func (r *Reporter) runCollect(ctx context.Context) error {
 	timer := time.NewTimer(r.collectInterval())
 	defer timer.Stop()
-	lastRound := clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
 		}
-		interval := r.collectInterval()
-		timer.Reset(interval)
+		timer.Reset(r.collectInterval())
 		now := clock.Now()
-		gap := now-lastRound > maxMissedRounds*interval // this VM was suspended
-		lastRound = now
+		gap := r.missedRounds(now)
+		r.lastRound.Store(int64(now))
 		view := r.Links.View()
 		coordinator := view.FailoverCoordinator()
 		switch {
--- a/transport/usagereport/reporter.go
+++ b/transport/usagereport/reporter.go
@@ -94,6 +94,7 @@
 	heldToken  atomic.Uint64 // fencing token while this VM holds the duty, otherwise zero
 	pushed     atomic.Uint64 // number of the latest change that the coordinator has from this VM
 	collecting atomic.Int64  // clock reading in ns since which this VM asks all others without a gap; zero if it does not
+	lastRound  atomic.Int64  // clock reading in ns of the latest round of requests
 	outcomes   map[outcome]tally.Counter
 
 	// The fields below are used by the goroutine of report only.
@@ -290,10 +291,17 @@
 // collectingFor returns how long this VM has been asking all others for their counts.
 func (r *Reporter) collectingFor() time.Duration {
 	since := time.Duration(r.collecting.Load())
-	if since == 0 {
+	now := clock.Now()
+	if since == 0 || r.missedRounds(now) {
 		return 0
 	}
-	return clock.Now() - since
+	return now - since
+}
+
+// missedRounds reports whether rounds of requests are missing because this VM was
+// suspended.
+func (r *Reporter) missedRounds(now time.Duration) bool {
+	return now-time.Duration(r.lastRound.Load()) > maxMissedRounds*r.collectInterval()
 }
 
 // answeredSince reports whether all VMs that count have answered since the true time.
