Usage reports: nothing from a minority, the first windows of a fleet

Cause: a VM that reaches few VMs but the store claimed the duty and would have reported their operations only; the window in which a fleet starts was skipped if it ended before the first claim. Change: the duty is held in contact with a majority only, and claimed once the list of VMs is known. A claim without a record reports the windows since the start of the oldest process if no VM knows of a holder. Test of edges.

--- a/coordination/usage/duty.go
+++ b/coordination/usage/duty.go
@@ -76,6 +76,7 @@
 	lastCall  time.Duration // clock reading of the latest call to the platform
 	lostAt    time.Duration // clock reading when another VM took the duty; zero if none did
 	repeat    bool          // the report of record has not been accepted yet
+	first     bool          // the prepared claim is that of the first holder
 	fromStart bool          // the record did not exist before: no operation is older than the VMs
 }
 
@@ -103,22 +104,28 @@
 }
 
 // PrepareClaim returns the record that claims the duty, given the present one. known is
-// the highest fencing token that any VM knows, now the true time.
+// the highest fencing token that any VM knows, now the true time, and oldest that of the
+// start of the oldest process whose counts were collected.
 //
 // The present record is valid if it was written in the present era of the store. Then all
 // reports of later windows have yet to be sent, since each one is recorded before it is
-// sent. If the store lost the record, this VM knows as much if it wrote the last one.
-// Otherwise no window that has ended may be reported.
-func (d *Duty) PrepareClaim(present Record, known uint64, now Time) Record {
+// sent. If the store lost the record, this VM knows as much if it wrote the last one. If no
+// VM knows of a holder, none was there since the oldest process started. Otherwise no
+// window that has ended may be reported.
+func (d *Duty) PrepareClaim(present Record, known uint64, now, oldest Time) Record {
 	era := present.Stored.Era
 	next := Record{
 		Holder: d.Name, Era: era, Length: d.Settings.Window, Window: d.Settings.WindowAt(now) - 1, Stored: present.Stored,
 		Token: max(present.NextFree, firstToken(era), known+1),
 	}
-	if d.usable(&present) && present.Era == era {
+	d.first = present.Holder == "" && known == 0
+	switch {
+	case d.usable(&present) && present.Era == era:
 		next.Window, next.Counts = present.Window, present.Counts
-	} else if d.usable(&d.record) && d.record.Era < era && known <= d.record.Token {
+	case d.usable(&d.record) && d.record.Era < era && known <= d.record.Token:
 		next.Window, next.Counts = d.record.Window, d.record.Counts
+	case d.first:
+		next.Window = d.Settings.WindowAt(min(oldest, now)) - 1
 	}
 	next.NextFree = next.Token + tokensPerClaim
 	return next
@@ -138,12 +145,11 @@
 	if stored.Era != claim.Era {
 		return false
 	}
-	first := present.Holder == "" && claim.Era == 0
 	ours := present.Holder == d.Name && present.Token == d.record.Token && present.Era == claim.Era && !d.refused
-	if !first && !ours {
+	if !d.first && !ours {
 		d.notBefore = max(now+takeOverDelay, max(d.lastCall, d.Started)+d.Settings.Lease+leaseMargin)
 	}
-	d.fromStart = first || d.fromStart && ours
+	d.fromStart = d.first || d.fromStart && ours
 	d.record, d.held, d.refused, d.verified, d.lostAt = claim, true, false, sentAt, 0
 	d.record.Stored = stored
 	d.repeat = claim.HasReport()
--- a/coordination/usage/usage_test.go
+++ b/coordination/usage/usage_test.go
@@ -127,7 +127,7 @@
 func claimed(t *testing.T, name string, present Record, now Time) *Duty {
 	t.Helper()
 	d := &Duty{Name: name, Settings: testSettings}
-	claim := d.PrepareClaim(present, 0, now)
+	claim := d.PrepareClaim(present, 0, now, now.Add(-7*time.Second))
 	if !d.Claimed(present, claim, state.Revision{Era: claim.Era, Number: present.Stored.Number + 1}, time.Minute, time.Minute) {
 		t.Fatal("not claimed")
 	}
@@ -146,12 +146,12 @@
 		repeats bool
 		next    int64
 	}{
-		"recorded report":          {stored(record, 0, 4), true, 991},
-		"no record":                {Record{}, false, 1000},
-		"record of an earlier era": {stored(record, 1, 4), false, 1000},
-		"no record in a later era": {stored(Record{}, 1, 0), false, 1000},
-		"other length of windows":  {stored(other, 0, 4), false, 1000},
-		"claimed without a report": {stored(Record{Holder: "a", Token: 1, NextFree: 1001, Length: testSettings.Window, Window: 995}, 0, 4), false, 996},
+		"recorded report":                     {stored(record, 0, 4), true, 991},
+		"no record and no former holder":      {Record{}, false, 998},
+		"record of an earlier era":            {stored(record, 1, 4), false, 1000},
+		"no record in a later era, no holder": {stored(Record{}, 1, 0), false, 998},
+		"other length of windows":             {stored(other, 0, 4), false, 1000},
+		"claimed without a report":            {stored(Record{Holder: "a", Token: 1, NextFree: 1001, Length: testSettings.Window, Window: 995}, 0, 4), false, 996},
 	} {
 		d := claimed(t, "b", c.present, start)
 		if d.repeat != c.repeats || d.NextWindow() != c.next || d.Token() < c.present.NextFree {
@@ -170,10 +170,14 @@
 	r := d.PrepareReport(Counts{"x": 1})
 	d.Recorded(r, state.Revision{Number: 3}, time.Minute)
 	older := stored(Record{}, 1, 0)
-	if got := d.PrepareClaim(older, d.Token(), start.Add(20*time.Second)); got.Window != 1000 || !got.HasReport() || got.Token < firstToken(1) {
+	if got := d.PrepareClaim(older, d.Token(), start.Add(20*time.Second), start); got.Window != 998 || !got.HasReport() || got.Token < firstToken(1) {
 		t.Errorf("the only holder does not write its record again: %+v", got)
 	}
-	if got := d.PrepareClaim(older, d.Token()+1000, start.Add(20*time.Second)); got.Window != 1003 || got.HasReport() {
+	fresh := &Duty{Name: "b", Settings: testSettings}
+	if got := fresh.PrepareClaim(older, d.Token(), start.Add(20*time.Second), start); got.Window != 1003 || got.HasReport() {
+		t.Errorf("another VM without the record: %+v", got)
+	}
+	if got := d.PrepareClaim(older, d.Token()+1000, start.Add(20*time.Second), start); got.Window != 1003 || got.HasReport() {
 		t.Errorf("after another holder: %+v", got)
 	}
 	if d.Recorded(d.PrepareReport(Counts{}), state.Revision{Era: 1, Number: 9}, time.Minute) || d.Held() {
@@ -225,7 +229,7 @@
 	if d.Verified(taken, 2*time.Minute, 2*time.Minute) || d.MayClaim(taken, false, 2*time.Minute+time.Second) || !d.MayClaim(taken, true, 2*time.Minute+time.Second) {
 		t.Error("the VM goes on, or claims the duty at once from a VM that it does not reach")
 	}
-	claim := d.PrepareClaim(taken, 0, end)
+	claim := d.PrepareClaim(taken, 0, end, start)
 	d.Claimed(taken, claim, state.Revision{Number: 10}, 2*time.Minute, 2*time.Minute)
 	if got := d.Next(2*time.Minute+testSettings.Lease, end, 0, answered); got != Wait {
 		t.Errorf("acts again within the lease: step %d", got)
--- a/standin/managed/usage_test.go
+++ b/standin/managed/usage_test.go
@@ -32,7 +32,7 @@
 }
 
 // underUsageLoad runs a test on a deployment that reports usage, and then checks that all
-// windows from the second one after its start were reported in time, with counts that are
+// windows since its start were reported in time, with counts that are
 // correct, and in accordance with the platform's rules.
 func underUsageLoad(t *testing.T, change func(*Options), test func(u *usageRun)) {
 	t.Helper()
@@ -49,7 +49,7 @@
 		u.l.finish()
 		time.Sleep(usageSettings.Delay + time.Second)
 		u.checkRules()
-		u.checkCounts(windowOf(begin)+1, windowOf(end))
+		u.checkCounts(windowOf(begin.Add(-2*time.Second)), windowOf(end))
 	})
 }
 
--- a/transport/usagereport/reporter.go
+++ b/transport/usagereport/reporter.go
@@ -184,15 +184,16 @@
 }
 
 // selected reports whether this VM has been selected to report for claimDelay. While no VM
-// can reach the store, the holder keeps the duty.
+// can reach the store, the holder keeps the duty. A VM that reaches no majority of the VMs
+// would report a part of the operations only.
 func (r *Reporter) selected() bool {
 	view := r.Links.View()
 	if !view.StoreReached() {
 		return r.duty.Held()
 	}
-	if view.FailoverCoordinator() != r.Name {
+	if view.FailoverCoordinator() != r.Name || view.InMinority() {
 		if r.duty.Held() {
-			r.Logger.Info("usage: another VM reports usage.")
+			r.Logger.Info("usage: this VM no longer reports usage.")
 		}
 		r.duty.Drop()
 		r.selectedSince = 0
@@ -241,7 +242,7 @@
 
 // claim claims the duty and reports whether this VM holds it.
 func (r *Reporter) claim(ctx context.Context) bool {
-	if clock.Now() < r.nextClaim {
+	if clock.Now() < r.nextClaim || !r.Links.View().Listed {
 		return false
 	}
 	r.nextClaim = clock.Now() + retryDelay
@@ -259,7 +260,11 @@
 	}
 	sentAt := clock.Now()
 	now, _ := r.trueTime()
-	claim := r.duty.PrepareClaim(present, r.counter.Token(), now)
+	oldest, known := r.collection.CoveredFrom()
+	if !known {
+		return false // no VM has answered yet
+	}
+	claim := r.duty.PrepareClaim(present, r.counter.Token(), now, oldest)
 	stored, err := r.Store.WriteUsage(ctx, claim)
 	if err != nil {
 		r.Logger.WithError(err).Warn("usage: the duty to report usage cannot be claimed.")
