Soak: usage reports

Cause: the calls of the adapter for usage reports ran in unit tests only. Change: the VMs of the soak report usage in windows of 2 s; two different reports of a window and a token of two VMs are violations.

--- a/cmd/chestnutsoak/soak/soak.go
+++ b/cmd/chestnutsoak/soak/soak.go
@@ -45,12 +45,13 @@
 	Served     int64    // successful statements
 	Refused    int64    // statements that failed with a known outcome
 	Unknown    int64    // statements whose outcome the client does not know
+	UsageCalls int      // calls to report usage that were carried out
 	Violations []string // violated guarantees; empty if the run passed
 }
 
 func (r *Report) String() string {
-	return fmt.Sprintf("seed %d: %d served, %d refused, %d unknown, %d violations; faults: %s\n%s",
-		r.Seed, r.Served, r.Refused, r.Unknown, len(r.Violations), strings.Join(r.Faults, ", "), strings.Join(r.Violations, "\n"))
+	return fmt.Sprintf("seed %d: %d served, %d refused, %d unknown, %d usage reports, %d violations; faults: %s\n%s",
+		r.Seed, r.Served, r.Refused, r.Unknown, r.UsageCalls, len(r.Violations), strings.Join(r.Faults, ", "), strings.Join(r.Violations, "\n"))
 }
 
 const (
@@ -102,6 +103,8 @@
 	wg.Wait()
 	r.Served, r.Refused, r.Unknown = w.served.Load(), w.refused.Load(), w.unknown.Load()
 	r.Violations = append(r.Violations, w.checker.Violations(tb.groups)...)
+	r.Violations = append(r.Violations, tb.store.UsageViolations()...)
+	r.UsageCalls = len(tb.store.UsageCalls())
 	return r, nil
 }
 
--- a/cmd/chestnutsoak/soak/testbed.go
+++ b/cmd/chestnutsoak/soak/testbed.go
@@ -186,9 +186,9 @@
 internalPorts: [7004]
 seeds: []
 limits: {cpuShare: 1, cores: 1, memoryMb: 256}
-bounds: {graceS: 6, requireFencing: %[5]v}
+bounds: {graceS: 6, requireFencing: %[5]v, reportWindowS: 2, usageDelayS: 10, leaseMs: 3000, dutyPerS: 10}
 platform: {address: %[4]q}
-cloudApi: {address: %[4]q}
+cloudApi: {address: %[4]q, duties: [promotion, usage_report]}
 `
 
 func (tb *testbed) addVM(n int, store string) error {
--- a/standin/managed/usage.go
+++ b/standin/managed/usage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"time"
 
@@ -56,6 +57,24 @@
 	return append([]UsageCall(nil), s.usage.calls...)
 }
 
+// UsageViolations returns the calls to report usage that break a rule of the platform
+// whatever fails: two reports of a window with different counts, and a token that two VMs
+// sent.
+func (s *Store) UsageViolations() []string {
+	var violations []string
+	holders := make(map[uint64]string)
+	for _, c := range s.UsageCalls() {
+		if c.Differs {
+			violations = append(violations, fmt.Sprintf("two usage reports of window %d have different counts", c.Window))
+		}
+		if other, known := holders[c.Token]; known && other != c.Holder {
+			violations = append(violations, fmt.Sprintf("%s and %s sent usage reports with the token %d", other, c.Holder, c.Token))
+		}
+		holders[c.Token] = c.Holder
+	}
+	return violations
+}
+
 // UsageRecord returns the record of the duty to report usage.
 func (s *Store) UsageRecord() usage.Record {
 	s.mu.Lock()
--- a/standin/managed/usage_test.go
+++ b/standin/managed/usage_test.go
@@ -79,18 +79,10 @@
 // checkRules checks the rules of the platform for calls.
 func (u *usageRun) checkRules() {
 	u.t.Helper()
-	holders := make(map[uint64]string)
-	var acts []UsageCall // the first call of each holder in succession, and the last one before it
-	for _, c := range u.Store.UsageCalls() {
-		if c.Differs {
-			u.t.Errorf("two reports of window %d with different counts", c.Window)
-		}
-		if other, known := holders[c.Token]; known && other != c.Holder {
-			u.t.Errorf("%s and %s sent the token %d", other, c.Holder, c.Token)
-		}
-		holders[c.Token] = c.Holder
-		acts = append(acts, c)
+	for _, v := range u.Store.UsageViolations() {
+		u.t.Error(v)
 	}
+	acts := u.Store.UsageCalls()
 	for i, first := range acts {
 		other := false
 		for _, c := range acts[i:] {
