--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -169,6 +169,7 @@
 	}
 	j := c.job
 	j.sent, j.sentAt = true, clock.Now()
+	e.countStatement(j.stmt, j.sentAt, 1)
 	command := j.stmt.Command
 	if j.stmt.BeginsTx {
 		command.After.Term, command.After.Position = 0, 0
@@ -269,6 +270,9 @@
 	c.job = nil
 	w := j.stmt
 	ok := a.Code == statement.OK
+	if a.Code.NotRun() {
+		e.countStatement(w, j.sentAt, -1)
+	}
 	if w.Command.Verb == statement.Rollback {
 		// BEGIN confirmed that the server was the primary. It may have lost that role
 		// since, so the confirmation holds for the log position at BEGIN only.
