Waiting statements of a connection pool behind small methods

Cause: the budget of connections and the order of waiting statements are developed side by side and both touch serverPool.waiting. Measured: go test -race ./transport/sqlback passes.

--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -258,7 +258,7 @@
 			starting++
 		}
 	}
-	if starting > len(p.waiting)/jobsPerDial || len(p.conns) >= e.connectionPlan(p.key.customer, server).Limit {
+	if starting > p.waitingCount()/jobsPerDial || len(p.conns) >= e.connectionPlan(p.key.customer, server).Limit {
 		return len(p.conns) > 0
 	}
 	c := &conn{pool: p, prepared: make(map[string]bool)}
@@ -314,24 +314,17 @@
 	if len(p.conns) > 0 {
 		return
 	}
-	for _, j := range p.waiting {
+	for _, j := range p.removeAllWaiting(func(*job) bool { return true }) {
 		e.finish(j, statement.Refusal(answer.Code, answer.Text))
 	}
-	p.waiting = nil
 }
 
-// release assigns the oldest waiting job to the connection or marks it idle. The
+// release assigns the next waiting job to the connection or marks it idle. The
 // caller holds mu.
 func (e *Executor) release(c *conn) {
 	c.state, c.idleSince = connIdle, time.Now()
-	p := c.pool
-	for len(p.waiting) > 0 {
-		j := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		if !j.finished {
-			e.assign(c, j)
-			return
-		}
+	if j := c.pool.next(); j != nil {
+		e.assign(c, j)
 	}
 }
 
@@ -376,7 +369,7 @@
 	}
 	p := c.pool
 	p.conns = slices.DeleteFunc(p.conns, func(other *conn) bool { return other == c })
-	if len(p.waiting) > 0 && c.out != nil {
+	if p.waitingCount() > 0 && c.out != nil {
 		if server := e.table.Current().Servers[p.key.server]; server != nil {
 			e.grow(p, server)
 		}
--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -111,11 +111,11 @@
 		e.finish(j, statement.Refusal(statement.Unreachable, "the last opening of a connection failed"))
 		return
 	}
-	if len(p.waiting) >= maxWaitingJobs {
+	if p.waitingCount() >= maxWaitingJobs {
 		e.finish(j, statement.Refusal(statement.Busy, "too many statements wait for a connection"))
 		return
 	}
-	p.waiting = append(p.waiting, j)
+	p.enqueue(j)
 	if j.stmt.Wait > 0 && j.stmt.Wait < j.stmt.Timeout {
 		time.AfterFunc(j.stmt.Wait, func() { e.post(func() { e.handleWaitTimeout(j) }) })
 	}
@@ -304,7 +304,7 @@
 // caller holds mu.
 func (e *Executor) refuseWaiting(j *job, reason string) {
 	p := e.pool(poolKey{j.stmt.Customer, j.stmt.Server}, j.stmt.Group)
-	p.waiting = slices.DeleteFunc(p.waiting, func(other *job) bool { return other == j })
+	p.removeWaiting(j)
 	e.finish(j, statement.Refusal(statement.Busy, reason))
 }
 
--- a/transport/sqlback/leaving.go
+++ b/transport/sqlback/leaving.go
@@ -47,13 +47,11 @@
 // refuseWaitingLeft refuses the jobs that wait for a connection to a server which must get
 // nothing more. The caller holds mu.
 func (e *Executor) refuseWaitingLeft(p *serverPool) {
-	p.waiting = slices.DeleteFunc(p.waiting, func(j *job) bool {
-		refused := !e.maySend(j.stmt, p.key.server)
-		if refused && !j.finished {
+	for _, j := range p.removeAllWaiting(func(j *job) bool { return !e.maySend(j.stmt, p.key.server) }) {
+		if !j.finished {
 			e.refuseLeft(j)
 		}
-		return refused
-	})
+	}
 }
 
 // leaveServers ends the transactions that are open on servers which must get nothing more,
--- a/transport/sqlback/maintenance.go
+++ b/transport/sqlback/maintenance.go
@@ -77,7 +77,7 @@
 	e.closeUnanswered()
 	var idle []*conn
 	for key, p := range e.pools {
-		if len(p.conns) == 0 && len(p.waiting) == 0 {
+		if len(p.conns) == 0 && p.waitingCount() == 0 {
 			delete(e.pools, key)
 		}
 		for _, c := range p.conns {
