Connection owners use their share of connections where statements wait

Cause: each customer had one connection to a server where there are more customers than connections. The largest customer, with 29 % of the load, waited for its one connection while those of others were idle. Change: placement.PlanConnections divides the connections of a server among the owners in proportion to the expected use of their customers, and keeps each customer's former limit where there is a connection for each. Inside its share, an owner opens connections for whichever customer has statements waiting, closes idle ones of others for it, and orders waiting customers by start-time fair queueing (coordination/connbudget). A share that rises is used 0.5 s later, one that falls at once.

--- a/node.go
+++ b/node.go
@@ -130,7 +130,7 @@
 		ReportUnreachable: func(unreachable []string) {
 			n.links.UpdateStatus(fleetlink.All, func(s *fleetwire.Status) { s.Unreachable = unreachable })
 		},
-		CheckPrimary: n.checkPrimary,
+		CheckPrimary: n.checkPrimary, View: n.links.View,
 	})
 	if !o.PlatformEnforcesFencing {
 		n.fencer = fencer.New(fencer.Options{Links: n.links, Executor: n.executor, Leadership: n.leaders, Logger: o.Logger})
--- a/transport/sqlback/conn.go
+++ b/transport/sqlback/conn.go
@@ -36,6 +36,7 @@
 	values    []statement.Value // session variables set on the server
 	prepared  map[string]bool   // names of prepared statements on the server
 	idleSince time.Time
+	usedSince time.Time // start of its present use, in statements or a transaction; zero if it is idle
 
 	// The transaction that is open (state connIdleInTx), or that the job opens or
 	// uses. Both fields are zero without a transaction.
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/connbudget"
 	"github.com/chestnutdyke/chestnutdyke/coordination/fencing"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/state"
@@ -32,11 +33,6 @@
 	// internalTimeout bounds the answer to a command that no job waits for, such as
 	// a rollback. Such commands take no slot on the server.
 	internalTimeout = 700 * time.Millisecond
-	// jobsPerDial is the number of waiting jobs for each further connection that is
-	// opened at the same time. A handshake takes a slot on the server for about as
-	// long as a statement, so more at once delay statements, and after a restart
-	// they use up the server's connections before other customers have theirs.
-	jobsPerDial = 4
 	// redialDelay is the minimum time between a failed connection attempt and the
 	// next one.
 	redialDelay = 200 * time.Millisecond
@@ -54,9 +50,6 @@
 	// abandonedTxMargin is added to the configured idle time of transactions, so
 	// that the VM of the client ends them first.
 	abandonedTxMargin = time.Second
-	// transientIdleTimeout closes idle connections of customers that have no
-	// permanent connection, see placement.PlanConnections.
-	transientIdleTimeout = 150 * time.Millisecond
 	// unreachableAfter is how long connection attempts must fail before the server
 	// is reported as unreachable to the other VMs.
 	unreachableAfter = 250 * time.Millisecond
@@ -73,6 +66,8 @@
 type serverPool struct {
 	key      poolKey
 	group    string // of the server
+	budget   *serverBudget
+	account  connbudget.Account
 	conns    []*conn
 	waiting  []*job
 	failedAt time.Time // latest failed connection attempt; zero after a success
@@ -110,17 +105,21 @@
 	// reportUnreachable tells the other VMs which servers this VM cannot reach.
 	reportUnreachable func(unreachable []string)
 	checkPrimary      func(group, server string) fencing.Verdict
+	view              func() *placement.View
+	metrics           budgetMetrics
 
 	lastProbe time.Time // used by Run only
 
-	mu           lockrank.Mutex // guards the fields below
-	pools        map[poolKey]*serverPool
-	txs          map[uint64]*conn // by transaction ID, see newTxID
-	runningJobs  int              // jobs without a result
-	callbacks    []func()         // run after the current event, without mu
-	drains       []*primaryDrain
-	failingSince map[string]time.Time // server to its first failed connection attempt since a success
-	unreachable  map[string]bool
+	mu            lockrank.Mutex // guards the fields below
+	pools         map[poolKey]*serverPool
+	budgets       map[string]*serverBudget // by server
+	changedShares int                      // plans that changed this VM's share, since the last line of the log
+	txs           map[uint64]*conn         // by transaction ID, see newTxID
+	runningJobs   int                      // jobs without a result
+	callbacks     []func()                 // run after the current event, without mu
+	drains        []*primaryDrain
+	failingSince  map[string]time.Time // server to its first failed connection attempt since a success
+	unreachable   map[string]bool
 }
 
 // Options are the dependencies of an Executor.
@@ -134,6 +133,9 @@
 	Tracer            trace.Tracer
 	HoldsConnections  func(customer string, s *catalog.Server) bool // this VM holds the customer's connections to the server
 	ReportUnreachable func(unreachable []string)                    // called after each change, with all unreachable servers in order
+	// View returns the present view, from which the VM's shares of connections follow;
+	// nil has this VM only. It is called without locks.
+	View func() *placement.View
 	// CheckPrimary reports whether this VM may use the server as the primary of the
 	// group; nil allows all servers. It must not take locks of a rank up to
 	// lockrank.Backends.
@@ -145,12 +147,15 @@
 	if o.CheckPrimary == nil {
 		o.CheckPrimary = func(string, string) fencing.Verdict { return fencing.Allowed }
 	}
+	if o.View == nil {
+		o.View = func() *placement.View { return nil }
+	}
 	return &Executor{
 		net: o.Network, dialect: o.Dialect, queue: o.Pool.NewQueue(queueLimit), table: o.Table, logger: o.Logger,
 		connectionsOpened: o.Scope.Counter("server_connections_opened"), connectionWait: o.Scope.Histogram("connection_wait", connectionWaitBuckets),
 		tracer: o.Tracer, holdsConnections: o.HoldsConnections, reportUnreachable: o.ReportUnreachable,
-		checkPrimary: o.CheckPrimary,
-		mu:           lockrank.New(lockrank.Backends), pools: make(map[poolKey]*serverPool), txs: make(map[uint64]*conn),
+		checkPrimary: o.CheckPrimary, view: o.View, metrics: newBudgetMetrics(o.Scope), budgets: make(map[string]*serverBudget),
+		mu: lockrank.New(lockrank.Backends), pools: make(map[poolKey]*serverPool), txs: make(map[uint64]*conn),
 		failingSince: make(map[string]time.Time), unreachable: make(map[string]bool),
 	}
 }
@@ -221,8 +226,9 @@
 func (e *Executor) pool(key poolKey, group string) *serverPool {
 	p := e.pools[key]
 	if p == nil {
-		p = &serverPool{key: key, group: group}
+		p = &serverPool{key: key, group: group, budget: e.budget(key.server)}
 		e.pools[key] = p
+		p.budget.pools = append(p.budget.pools, p)
 	}
 	return p
 }
@@ -245,38 +251,6 @@
 	return best
 }
 
-// grow opens a connection if waiting jobs need one and the limit allows it. It
-// reports whether the pool has a connection to wait for; after a failed attempt it
-// reports false until redialDelay has passed. The caller holds mu.
-func (e *Executor) grow(p *serverPool, server *catalog.Server) bool {
-	if time.Since(p.failedAt) < redialDelay {
-		return false
-	}
-	starting := 0
-	for _, c := range p.conns {
-		if c.state == connStarting {
-			starting++
-		}
-	}
-	if starting > p.waitingCount()/jobsPerDial || len(p.conns) >= e.connectionPlan(p.key.customer, server).Limit {
-		return len(p.conns) > 0
-	}
-	c := &conn{pool: p, prepared: make(map[string]bool)}
-	p.conns = append(p.conns, c)
-	e.connectionsOpened.Inc(1)
-	go e.connect(c, server.Address, server.Group)
-	return true
-}
-
-// connectionPlan returns the connections that the customer may have to the server.
-func (e *Executor) connectionPlan(customer string, server *catalog.Server) placement.Connections {
-	config := e.table.Current().Config
-	if config == nil {
-		return placement.Connections{Limit: 1}
-	}
-	return placement.PlanConnections(config, customer, server.Group)
-}
-
 // connected makes a newly opened connection available to jobs.
 func (e *Executor) connected(c *conn, out *outbox.Outbox) {
 	e.mu.Lock()
@@ -289,7 +263,7 @@
 	c.pool.failedAt = time.Time{}
 	delete(e.failingSince, c.pool.key.server)
 	e.setReachable(c.pool.key.server, true)
-	e.release(c)
+	e.serveNext(c)
 }
 
 // connectFailed removes a connection that could not be opened, and refuses the
@@ -311,6 +285,7 @@
 			e.setReachable(server, false)
 		}
 	}
+	defer e.balance(p.budget)
 	if len(p.conns) > 0 {
 		return
 	}
@@ -319,13 +294,15 @@
 	}
 }
 
-// release assigns the next waiting job to the connection or marks it idle. The
-// caller holds mu.
+// release assigns the next waiting job to the connection or marks it idle, unless
+// another customer needs the connection more. The caller holds mu.
 func (e *Executor) release(c *conn) {
+	e.endUse(c)
 	c.state, c.idleSince = connIdle, time.Now()
-	if j := c.pool.next(); j != nil {
-		e.assign(c, j)
+	if e.yield(c) {
+		return
 	}
+	e.serveNext(c)
 }
 
 // connectionBroken handles a read error. A job whose statement was sent ends with
@@ -361,17 +338,16 @@
 }
 
 // removeConn closes the connection and removes it from its pool. If it had been
-// connected and jobs wait, it opens another one. The caller holds mu.
+// connected, jobs that wait may open another one. The caller holds mu.
 func (e *Executor) removeConn(c *conn) {
+	e.endUse(c)
 	c.state = connClosed
 	if c.out != nil {
 		c.out.CloseNow()
 	}
 	p := c.pool
 	p.conns = slices.DeleteFunc(p.conns, func(other *conn) bool { return other == c })
-	if p.waitingCount() > 0 && c.out != nil {
-		if server := e.table.Current().Servers[p.key.server]; server != nil {
-			e.grow(p, server)
-		}
+	if c.out != nil {
+		e.balance(p.budget)
 	}
 }
--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -81,7 +81,11 @@
 
 // submit assigns the job to a connection or queues it until one is idle.
 func (e *Executor) submit(j *job) {
-	server := e.table.Current().Servers[j.stmt.Server]
+	d := e.table.Current()
+	server := d.Servers[j.stmt.Server]
+	if server != nil && j.stmt.Tx == 0 {
+		e.refreshPlan(d, server, planInterval)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runningJobs++
@@ -107,7 +111,7 @@
 		e.assign(c, j)
 		return
 	}
-	if !e.grow(p, server) && len(p.conns) == 0 {
+	if len(p.conns) == 0 && time.Since(p.failedAt) < redialDelay {
 		e.finish(j, statement.Refusal(statement.Unreachable, "the last opening of a connection failed"))
 		return
 	}
@@ -116,6 +120,8 @@
 		return
 	}
 	p.enqueue(j)
+	p.budget.fair.Wait(&p.account)
+	e.balance(p.budget)
 	if j.stmt.Wait > 0 && j.stmt.Wait < j.stmt.Timeout {
 		time.AfterFunc(j.stmt.Wait, func() { e.post(func() { e.handleWaitTimeout(j) }) })
 	}
@@ -126,6 +132,7 @@
 	c.job, j.conn = j, c
 	e.connectionWait.RecordDuration(time.Since(j.submittedAt))
 	c.state = connBusy
+	e.beginUse(c)
 	if e.refuseIfLeft(c) || e.refuseIfNotPrimary(c) {
 		return
 	}
--- a/transport/sqlback/maintenance.go
+++ b/transport/sqlback/maintenance.go
@@ -78,7 +78,7 @@
 	var idle []*conn
 	for key, p := range e.pools {
 		if len(p.conns) == 0 && p.waitingCount() == 0 {
-			delete(e.pools, key)
+			e.removePool(key, p)
 		}
 		for _, c := range p.conns {
 			if c.state == connIdle {
@@ -90,18 +90,15 @@
 	for _, c := range idle {
 		server := d.Servers[c.pool.key.server]
 		usable := server != nil && d.Usable(server)
-		timeout := idleTimeout
-		if usable && !e.connectionPlan(c.pool.key.customer, server).Permanent {
-			timeout = transientIdleTimeout
-		}
 		assigned := usable && e.holdsConnections(c.pool.key.customer, server)
 		e.mu.Lock()
 		idleFor := time.Since(c.idleSince)
-		if c.state == connIdle && (!usable || !assigned && idleFor > reassignedIdleTimeout || idleFor > timeout) {
+		if c.state == connIdle && (!usable || !assigned && idleFor > reassignedIdleTimeout || idleFor > idleTimeout) {
 			e.closeConn(c, statement.Unreachable, "not needed")
 		}
 		e.mu.Unlock()
 	}
+	e.sweepBudgets(d)
 }
 
 // rollbackAbandoned rolls back transactions that were idle for longer than VMs
--- a/transport/sqlback/waiting.go
+++ b/transport/sqlback/waiting.go
@@ -1,6 +1,9 @@
 package sqlback
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // enqueue appends a job to those that wait for a connection.
 func (p *serverPool) enqueue(j *job) { p.waiting = append(p.waiting, j) }
@@ -37,3 +40,15 @@
 
 // waitingCount returns the number of jobs that wait.
 func (p *serverPool) waitingCount() int { return len(p.waiting) }
+
+// waitingSince returns the arrival of the job that has waited for the longest time; zero
+// if none waits.
+func (p *serverPool) waitingSince() time.Time {
+	var oldest time.Time
+	for _, j := range p.waiting {
+		if oldest.IsZero() || j.submittedAt.Before(oldest) {
+			oldest = j.submittedAt
+		}
+	}
+	return oldest
+}
