Connection owners lend connections to each other

Cause: shares follow the rates of the configuration. In a data centre with many owners one has about three connections to a server, which do not suffice for a customer that sends more than expected while the connections of others are idle. Change: an owner with waiting work asks the others of the server's data centre in turn (KindConnectionRequest, KindConnectionGrant; status connection_loans). A lender gives what it does not use, at most half of its share, subtracts it for 4 s before it answers, and the borrower uses it for 2 s from its request and renews it while it is in use. A VM that starts does without the part that it may have lent for 4 s. At a loan's end or a lower share, connections close when their statement or transaction ends.

--- a/coordination/connbudget/connbudget.go
+++ b/coordination/connbudget/connbudget.go
@@ -145,9 +145,11 @@
 	Kind     Kind
 	Customer int
 	Victim   int
-	// At is when a step may become possible without another event; zero if it will not.
-	// It is set for Nothing only.
-	At time.Time
+	// At is when a step may become possible without another event, zero if it will not,
+	// and Missing the number of customers that wait for a connection of others. They are
+	// set for Nothing only.
+	At      time.Time
+	Missing int
 }
 
 // totals are sums over the customers of a server.
@@ -184,7 +186,7 @@
 // Next returns the next step for the customers of a server.
 func Next(l Limits, customers []Customer, now time.Time) Action {
 	t := sum(customers)
-	if t.open > l.Share+min(t.foreign, l.Reserve) {
+	if l.exceeded(t) {
 		if victim, _ := leastRecentlyUsed(customers, -1, now, 0, 0); victim >= 0 {
 			return Action{Kind: Close, Victim: victim}
 		}
@@ -193,11 +195,13 @@
 		return Action{}
 	}
 	var next time.Time
+	missing := 0
 	for _, i := range waitingOrder(customers) {
 		c := &customers[i]
 		if l.permits(c, t) {
 			return Action{Kind: Open, Customer: i}
 		}
+		missing++
 		if t.open > l.Share {
 			continue // closing one connection does not make room for another
 		}
@@ -216,7 +220,16 @@
 		}
 		next = earlier(next, at)
 	}
-	return Action{At: next}
+	return Action{At: next, Missing: missing}
+}
+
+// exceeded reports whether more connections are open than permitted.
+func (l Limits) exceeded(t totals) bool { return t.open > l.Share+min(t.foreign, l.Reserve) }
+
+// Exceeds reports whether a connection that the customer released has just finished using
+// is closed because the share fell or a loan ended.
+func Exceeds(l Limits, customers []Customer, released int) bool {
+	return l.exceeded(sum(customers)) && customers[released].Open > customers[released].Floor
 }
 
 // waitingOrder returns the indexes of the customers that want a connection, in the order
--- a/coordination/connbudget/load_test.go
+++ b/coordination/connbudget/load_test.go
@@ -392,9 +392,9 @@
 		"spare before last": {3, []Customer{late, {Account: &account, Weight: 1, Open: 1, Idle: 1, IdleSince: idle(400 * time.Millisecond)},
 			{Account: &account, Weight: 1, Open: 2, Idle: 1, IdleSince: idle(0)}}, Action{Kind: Reclaim, Victim: 2}},
 		"minimum idle time": {2, []Customer{waiting, {Account: &account, Weight: 1, Open: 2, Idle: 2, IdleSince: idle(0)}},
-			Action{At: now.Add(patience)}},
-		"floor":        {2, []Customer{late, {Account: &account, Weight: 1, Floor: 2, Open: 2, Idle: 2, IdleSince: idle(time.Minute)}}, Action{}},
-		"unused floor": {2, []Customer{late, {Account: &account, Weight: 1, Floor: 2, Open: 1, Idle: 1, IdleSince: idle(time.Minute)}}, Action{}},
+			Action{At: now.Add(patience), Missing: 1}},
+		"floor":        {2, []Customer{late, {Account: &account, Weight: 1, Floor: 2, Open: 2, Idle: 2, IdleSince: idle(time.Minute)}}, Action{Missing: 1}},
+		"unused floor": {2, []Customer{late, {Account: &account, Weight: 1, Floor: 2, Open: 1, Idle: 1, IdleSince: idle(time.Minute)}}, Action{Missing: 1}},
 		"share fell":   {1, []Customer{{Account: &account, Weight: 1, Open: 2, Idle: 1, IdleSince: idle(0)}}, Action{Kind: Close}},
 	} {
 		if got := Next(Limits{Share: tt.share}, tt.customers, now); got != tt.want {
--- a/coordination/placement/connections.go
+++ b/coordination/placement/connections.go
@@ -24,6 +24,7 @@
 // ConnectionPlan is a connection owner's part of the connections to one server.
 type ConnectionPlan struct {
 	Share   int // connections for the customers that the owner holds
+	Floors  int // sum of the floors of Customers
 	Reserve int // connections to the server that no owner is given
 	// Customers has the customers that the owner holds.
 	Customers map[string]CustomerConnections
@@ -77,6 +78,7 @@
 		weights += c.Weight
 		if owner == self {
 			plan.Customers[customer] = c
+			plan.Floors += c.Floor
 		}
 	}
 	all := make([]connbudget.Demand, 0, len(demands))
--- a/node.go
+++ b/node.go
@@ -119,7 +119,7 @@
 	n.quota = quota.NewTable(n.started)
 	n.links = fleetlink.New(ctx, o.Network, n.pool, fleetwire.Status{
 		Name: o.Name, Address: o.LinkAddress, DataCentre: o.DataCentre, Weight: o.Weight, Incarnation: time.Now().UnixNano(),
-		Fencing: !o.PlatformEnforcesFencing, NoLease: !o.PlatformEnforcesFencing, StoreConfirmations: true,
+		Fencing: !o.PlatformEnforcesFencing, NoLease: !o.PlatformEnforcesFencing, StoreConfirmations: true, ConnectionLoans: true,
 	}, o.Logger)
 	n.executor = sqlback.New(sqlback.Options{
 		Network: o.Network, Dialect: o.ServerDialect, Pool: n.pool, Table: n.catalog, Logger: o.Logger, Scope: o.Scope, Tracer: o.Tracer,
@@ -130,7 +130,7 @@
 		ReportUnreachable: func(unreachable []string) {
 			n.links.UpdateStatus(fleetlink.All, func(s *fleetwire.Status) { s.Unreachable = unreachable })
 		},
-		CheckPrimary: n.checkPrimary, View: n.links.View,
+		CheckPrimary: n.checkPrimary, View: n.links.View, Lending: dispatch.Lending{Links: n.links},
 	})
 	if !o.PlatformEnforcesFencing {
 		n.fencer = fencer.New(fencer.Options{Links: n.links, Executor: n.executor, Leadership: n.leaders, Logger: o.Logger})
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -57,6 +57,8 @@
 	supersededCommits map[string]bool
 	runs              []Run
 	transactions      int // that were begun
+	// connectionsRefused counts the connections beyond MaxConns.
+	connectionsRefused int
 }
 
 // Run is a client's statement that a server executed.
@@ -197,6 +199,13 @@
 	return s
 }
 
+// ConnectionsRefused returns how many connections its servers refused beyond MaxConns.
+func (g *Group) ConnectionsRefused() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.connectionsRefused
+}
+
 // Term returns the group's term, which each promotion increases by one.
 func (g *Group) Term() uint64 {
 	g.mu.Lock()
--- a/standin/managed/database_session.go
+++ b/standin/managed/database_session.go
@@ -44,6 +44,7 @@
 		refusal = statement.WrongServer
 	case len(s.conns) >= g.MaxConns:
 		refusal = statement.ConnectionLimit
+		g.connectionsRefused++
 	default:
 		s.conns[c] = true
 	}
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -159,6 +159,11 @@
 // GrantTokens implements fleetlink.Handler.
 func (d *Dispatcher) GrantTokens(p catalog.LimitPartition, n int) int { return d.Admission.Grant(p, n) }
 
+// LendConnections implements fleetlink.Handler.
+func (d *Dispatcher) LendConnections(borrower, server string, n int, reply func(lent int)) {
+	d.Executor.LendConnections(borrower, server, n, reply)
+}
+
 // UpdatesSince implements fleetlink.Handler.
 func (d *Dispatcher) UpdatesSince(known []byte) []byte { return d.directory.EncodeUpdates(known) }
 
--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -177,6 +177,14 @@
 		if partition, n, err = fleetwire.DecodeTokenRequest(f.Body); err == nil {
 			reply(fleetwire.KindTokenGrant, fleetwire.AppendNumber(nil, uint64(l.handler.GrantTokens(partition, n))))
 		}
+	case fleetwire.KindConnectionRequest:
+		var server string
+		var n int
+		if server, n, err = fleetwire.DecodeConnectionRequest(f.Body); err == nil {
+			l.handler.LendConnections(from.Name, server, n, func(lent int) {
+				reply(fleetwire.KindConnectionGrant, fleetwire.AppendNumber(nil, uint64(lent)))
+			})
+		}
 	case fleetwire.KindSnapshot:
 		reply(fleetwire.KindSnapshotReply, l.handler.UpdatesSince(f.Body))
 	case fleetwire.KindFence, fleetwire.KindRenewal:
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -62,6 +62,9 @@
 	HandlePong(from string, p fleetwire.Pong, sentAt time.Duration)
 	// HandleStatus handles the status of another VM.
 	HandleStatus(s *fleetwire.Status)
+	// LendConnections lends up to n connections to the server to the borrower and calls
+	// reply once with their number.
+	LendConnections(borrower, server string, n int, reply func(lent int))
 	// UpdatesSince returns the encoded updates from the store after the encoded
 	// revisions that the requesting VM knows.
 	UpdatesSince(known []byte) []byte
--- a/transport/fleetlink/fleetlink_test.go
+++ b/transport/fleetlink/fleetlink_test.go
@@ -29,6 +29,7 @@
 func (idleHandler) AbortTx(string, uint64)                                             {}
 func (idleHandler) LinkClosed(string)                                                  {}
 func (idleHandler) GrantTokens(catalog.LimitPartition, int) int                        { return 0 }
+func (idleHandler) LendConnections(string, string, int, func(int))                     {}
 func (idleHandler) VMLost(string)                                                      {}
 func (idleHandler) PingBody() []byte                                                   { return nil }
 func (idleHandler) HandlePing(*fleetwire.Status, string, []byte) fleetwire.Pong {
--- a/transport/sqlback/budget.go
+++ b/transport/sqlback/budget.go
@@ -1,6 +1,7 @@
 package sqlback
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -35,9 +36,13 @@
 	pools  []*serverPool // of the server's customers
 	fair   connbudget.Server
 	share  connbudget.Share
+	loans  connbudget.Loans
+	lender uint32 // which lender is asked next; moves on when one lends no more
 	plan   placement.ConnectionPlan
-	timer  *time.Timer // runs balance when idle connections may be taken
-	timing time.Time   // when timer runs; zero if it is stopped
+	// heldUntil is when the loans of a previous process of this VM have ended.
+	heldUntil time.Time
+	timer     *time.Timer // runs balance when idle connections may be taken
+	timing    time.Time   // when timer runs; zero if it is stopped
 	// scratch is the result of state, which is used only until the next call.
 	scratch []connbudget.Customer
 
@@ -52,12 +57,18 @@
 	reclaimed tally.Counter // idle connections closed for another customer
 	yielded   tally.Counter // connections closed after a statement, for a customer that waited for long
 	shed      tally.Counter // connections closed because the share fell
+	// refusedWait is the time that statements waited which got no connection.
+	refusedWait tally.Histogram
+	lent        tally.Counter // connections lent to other VMs
+	borrowed    tally.Counter // connections borrowed from other VMs
 }
 
 func newBudgetMetrics(scope tally.Scope) budgetMetrics {
 	return budgetMetrics{
 		open: scope.Gauge("server_connections_open"), reclaimed: scope.Counter("server_connections_reclaimed"),
 		yielded: scope.Counter("server_connections_yielded"), shed: scope.Counter("server_connections_shed"),
+		refusedWait: scope.Histogram("connection_wait_refused", connectionWaitBuckets),
+		lent:        scope.Counter("server_connections_lent"), borrowed: scope.Counter("server_connections_borrowed"),
 	}
 }
 
@@ -65,7 +76,10 @@
 func (e *Executor) budget(server string) *serverBudget {
 	b := e.budgets[server]
 	if b == nil {
-		b = &serverBudget{server: server}
+		b = &serverBudget{server: server, lender: rand.Uint32()}
+		if e.lending != nil {
+			b.heldUntil = e.startedAt.Add(connbudget.LoanHold)
+		}
 		b.timer = time.AfterFunc(time.Hour, func() { e.post(func() { e.handleBudgetTimer(b) }) })
 		b.timer.Stop()
 		e.budgets[server] = b
@@ -133,7 +147,7 @@
 			}
 		}
 	}
-	return connbudget.Limits{Share: b.share.At(now), Reserve: b.plan.Reserve}, customers
+	return connbudget.Limits{Share: b.adjustedShare(now), Reserve: b.plan.Reserve}, customers
 }
 
 // balance opens and closes connections to the server as its waiting jobs need them. The
@@ -153,7 +167,11 @@
 		a := connbudget.Next(limits, customers, now)
 		switch a.Kind {
 		case connbudget.Nothing:
-			b.wakeAt(a.At, now)
+			at := e.askForLoan(b, a.Missing, now)
+			if at.IsZero() || !a.At.IsZero() && a.At.Before(at) {
+				at = a.At
+			}
+			b.wakeAt(at, now)
 			return
 		case connbudget.Open:
 			e.open(b.pools[a.Customer], server, 0)
@@ -168,6 +186,11 @@
 	}
 }
 
+// adjustedShare returns the share with the loans.
+func (b *serverBudget) adjustedShare(now time.Time) int {
+	return b.loans.Adjust(b.share.At(now), b.plan.Floors, now.Before(b.heldUntil), now)
+}
+
 // needsBalance reports whether jobs wait or the share is exceeded.
 func (b *serverBudget) needsBalance(now time.Time) bool {
 	open := 0
@@ -177,7 +200,7 @@
 		}
 		open += len(p.conns)
 	}
-	return open > b.share.At(now)
+	return open > b.adjustedShare(now)
 }
 
 // wakeAt makes the budget's timer run at the time; zero stops it.
@@ -210,16 +233,22 @@
 	e.balance(c.pool.budget)
 }
 
-// yield closes a connection that was just released if another customer needs it more than
-// its own. The caller holds mu.
+// yield closes a connection that was just released if the share is exceeded or if another
+// customer needs it more than its own. The caller holds mu.
 func (e *Executor) yield(c *conn) bool {
 	b := c.pool.budget
 	server := e.table.Current().Servers[b.server]
-	if server == nil || !b.othersWait(c.pool) {
+	now := time.Now()
+	if server == nil || !b.needsBalance(now) {
 		return false
 	}
-	now := time.Now()
 	limits, customers := b.state(now)
+	if connbudget.Exceeds(limits, customers, slices.Index(b.pools, c.pool)) {
+		e.metrics.shed.Inc(1)
+		e.dropIdle(c)
+		e.balance(b)
+		return true
+	}
 	i := connbudget.Yield(limits, customers, slices.Index(b.pools, c.pool), now)
 	if i < 0 {
 		return false
@@ -231,11 +260,6 @@
 	return true
 }
 
-// othersWait reports whether jobs of other customers than the pool's wait.
-func (b *serverBudget) othersWait(p *serverPool) bool {
-	return slices.ContainsFunc(b.pools, func(other *serverPool) bool { return other != p && other.waitingCount() > 0 })
-}
-
 // open starts to open a connection after the delay. The caller holds mu.
 func (e *Executor) open(p *serverPool, server *catalog.Server, delay time.Duration) {
 	c := &conn{pool: p, prepared: make(map[string]bool)}
@@ -321,6 +345,7 @@
 	}
 	open := 0
 	for _, b := range e.budgets {
+		e.renewLoan(b, time.Now())
 		e.balance(b)
 		for _, p := range b.pools {
 			open += len(p.conns)
--- a/transport/sqlback/executor.go
+++ b/transport/sqlback/executor.go
@@ -107,6 +107,8 @@
 	checkPrimary      func(group, server string) fencing.Verdict
 	view              func() *placement.View
 	metrics           budgetMetrics
+	lending           Lending
+	startedAt         time.Time
 
 	lastProbe time.Time // used by Run only
 
@@ -114,6 +116,7 @@
 	pools         map[poolKey]*serverPool
 	budgets       map[string]*serverBudget // by server
 	changedShares int                      // plans that changed this VM's share, since the last line of the log
+	askAt         time.Time                // of the next request for a loan at the earliest
 	txs           map[uint64]*conn         // by transaction ID, see newTxID
 	runningJobs   int                      // jobs without a result
 	callbacks     []func()                 // run after the current event, without mu
@@ -133,6 +136,8 @@
 	Tracer            trace.Tracer
 	HoldsConnections  func(customer string, s *catalog.Server) bool // this VM holds the customer's connections to the server
 	ReportUnreachable func(unreachable []string)                    // called after each change, with all unreachable servers in order
+	// Lending sends requests for loans of connections; nil disables loans.
+	Lending Lending
 	// View returns the present view, from which the VM's shares of connections follow;
 	// nil has this VM only. It is called without locks.
 	View func() *placement.View
@@ -154,7 +159,7 @@
 		net: o.Network, dialect: o.Dialect, queue: o.Pool.NewQueue(queueLimit), table: o.Table, logger: o.Logger,
 		connectionsOpened: o.Scope.Counter("server_connections_opened"), connectionWait: o.Scope.Histogram("connection_wait", connectionWaitBuckets),
 		tracer: o.Tracer, holdsConnections: o.HoldsConnections, reportUnreachable: o.ReportUnreachable,
-		checkPrimary: o.CheckPrimary, view: o.View, metrics: newBudgetMetrics(o.Scope), budgets: make(map[string]*serverBudget),
+		checkPrimary: o.CheckPrimary, view: o.View, metrics: newBudgetMetrics(o.Scope), lending: o.Lending, startedAt: time.Now(), budgets: make(map[string]*serverBudget),
 		mu: lockrank.New(lockrank.Backends), pools: make(map[poolKey]*serverPool), txs: make(map[uint64]*conn),
 		failingSince: make(map[string]time.Time), unreachable: make(map[string]bool),
 	}
--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -312,6 +312,7 @@
 func (e *Executor) refuseWaiting(j *job, reason string) {
 	p := e.pool(poolKey{j.stmt.Customer, j.stmt.Server}, j.stmt.Group)
 	p.removeWaiting(j)
+	e.metrics.refusedWait.RecordDuration(time.Since(j.submittedAt))
 	e.finish(j, statement.Refusal(statement.Busy, reason))
 }
 
