--- a/node.go
+++ b/node.go
@@ -130,7 +130,7 @@
 	incarnation := time.Now().UnixNano()
 	n.links = fleetlink.New(ctx, o.Network, n.pool, fleetwire.Status{
 		Name: o.Name, Address: o.LinkAddress, DataCentre: o.DataCentre, Weight: o.Weight, Incarnation: incarnation,
-		Fencing: !o.PlatformEnforcesFencing, NoLease: !o.PlatformEnforcesFencing, StoreConfirmations: true, Classes: true, Usage: o.Usage.Enabled(),
+		Fencing: !o.PlatformEnforcesFencing, NoLease: !o.PlatformEnforcesFencing, StoreConfirmations: true, Classes: true, ConnectionLoans: true, Usage: o.Usage.Enabled(),
 	}, o.Logger)
 	if o.Usage.Enabled() {
 		n.usage = usagereport.New(usagereport.Options{
@@ -147,8 +147,7 @@
 		ReportUnreachable: func(unreachable []string) {
 			n.links.UpdateStatus(fleetlink.All, func(s *fleetwire.Status) { s.Unreachable = unreachable })
 		},
-		CheckPrimary:   n.checkPrimary,
-		CountStatement: n.countStatement,
+		CheckPrimary: n.checkPrimary, CountStatement: n.countStatement, View: n.links.View, Lending: dispatch.Lending{Links: n.links},
 	})
 	if !o.PlatformEnforcesFencing {
 		n.fencer = fencer.New(fencer.Options{Links: n.links, Executor: n.executor, Leadership: n.leaders, Logger: o.Logger})
--- a/transport/sqlback/admit.go
+++ b/transport/sqlback/admit.go
@@ -166,12 +166,15 @@
 // get a connection that another customer does not need. The caller holds mu.
 func (e *Executor) placeAt(server string, class statement.Class) classqueue.Place {
 	place := classqueue.Place{Ahead: 1}
-	for key, p := range e.pools {
-		if key.server == server {
-			place.Ahead += p.waiting.Ahead(class)
-			place.Serving += p.servingCount()
-		}
+	b := e.budget(server)
+	open := 0
+	for _, p := range b.pools {
+		place.Ahead += p.waiting.Ahead(class)
+		place.Serving += p.servingCount()
+		open += len(p.conns)
 	}
+	// Connections that may still be opened serve waiting statements too.
+	place.Serving += max(b.adjustedShare(time.Now())-open, 0)
 	return place
 }
 
--- a/transport/sqlback/admit_test.go
+++ b/transport/sqlback/admit_test.go
@@ -35,7 +35,7 @@
 			time.Sleep(20 * time.Millisecond)
 			return statement.Answer{}
 		}}
-		withExecutor(t, s, func(run func(statement.RemoteStatement) statement.Result) {
+		withConnectionLimit(t, s, 1, func(run func(statement.RemoteStatement) statement.Result) {
 			virtualClock(t)
 			var clients sync.WaitGroup
 			for _, w := range []statement.RemoteStatement{
--- a/transport/sqlback/executor_test.go
+++ b/transport/sqlback/executor_test.go
@@ -44,8 +44,23 @@
 	table             *catalog.Table // of the executor; set by withExecutor
 	counted           atomic.Int64   // statements that were counted
 
-	mu       sync.Mutex // guards commands
-	commands []statement.Verb
+	mu         sync.Mutex // guards the fields below
+	commands   []statement.Verb
+	open, most int // connections now, and most at the same time
+}
+
+func (s *scriptedServer) countOpen(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open += change
+	s.most = max(s.most, s.open)
+}
+
+// openCounts returns the number of open connections, and the most at the same time.
+func (s *scriptedServer) openCounts() (open, most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open, s.most
 }
 
 // Listen implements network.Network.
@@ -57,7 +72,11 @@
 		return nil, errors.New("no route")
 	}
 	near, far := net.Pipe()
-	go s.serve(far)
+	s.countOpen(1)
+	go func() {
+		s.serve(far)
+		s.countOpen(-1)
+	}()
 	return &keepAliveConn{Conn: near, keepAlive: &s.keepAlive}, nil
 }
 
@@ -119,6 +138,13 @@
 
 // withExecutor runs a test in virtual time with an executor for the server.
 func withExecutor(t *testing.T, s *scriptedServer, test func(run func(statement.RemoteStatement) statement.Result)) {
+	t.Helper()
+	withConnectionLimit(t, s, 4, test)
+}
+
+// withConnectionLimit is withExecutor for a server that accepts the given number of
+// connections.
+func withConnectionLimit(t *testing.T, s *scriptedServer, limit int, test func(run func(statement.RemoteStatement) statement.Result)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -128,7 +154,7 @@
 		table := catalog.NewTable()
 		s.table = table
 		config := &catalog.Config{
-			TxIdle: txIdle, Groups: []catalog.Group{{Name: group, MaxConnections: 4}},
+			TxIdle: txIdle, Groups: []catalog.Group{{Name: group, MaxConnections: limit}},
 			Customers: []catalog.Customer{{Name: customer, Rate: 10, Burst: 10}},
 		}
 		config.Index()
--- a/transport/sqlback/job.go
+++ b/transport/sqlback/job.go
@@ -84,7 +84,11 @@
 
 // submit assigns the job to a connection or queues it until one is idle.
 func (e *Executor) submit(j *job) {
-	server := e.table.Current().Servers[j.stmt.Server]
+	d := e.table.Current()
+	server := d.Servers[j.stmt.Server]
+	if server != nil && j.stmt.Tx == 0 {
+		e.refreshPlan(d, server, planInterval)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runningJobs++
@@ -121,7 +125,7 @@
 		}
 		return
 	}
-	if !e.grow(p, server) && len(p.conns) == 0 {
+	if len(p.conns) == 0 && time.Since(p.failedAt) < redialDelay {
 		e.finish(j, statement.Refusal(statement.Unreachable, "the last opening of a connection failed"))
 		return
 	}
@@ -129,6 +133,8 @@
 		return
 	}
 	p.enqueue(j)
+	p.budget.fair.Wait(&p.account)
+	e.balance(p.budget)
 	if j.stmt.Wait > 0 && j.stmt.Wait < j.stmt.Timeout {
 		time.AfterFunc(j.remainingWait(), func() { e.post(func() { e.handleWaitTimeout(j) }) })
 	}
@@ -142,6 +148,7 @@
 	}
 	e.connectionWait.RecordDuration(time.Since(j.submittedAt))
 	c.state = connBusy
+	e.beginUse(c)
 	if e.refuseIfLeft(c) || e.refuseIfNotPrimary(c) {
 		return
 	}
@@ -334,6 +341,7 @@
 // caller holds mu.
 func (e *Executor) refuseWaiting(j *job, text string) {
 	e.pool(poolKey{j.stmt.Customer, j.stmt.Server}, j.stmt.Group).removeWaiting(j)
+	e.metrics.refusedWait.RecordDuration(time.Since(j.submittedAt))
 	e.refuseFor(j, classqueue.WaitOver, text)
 }
 
--- a/transport/sqlback/waiting.go
+++ b/transport/sqlback/waiting.go
@@ -1,6 +1,10 @@
 package sqlback
 
-import "github.com/chestnutdyke/chestnutdyke/state/statement"
+import (
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
+)
 
 // class returns the class of the job's operation. A job of a VM of an earlier build is of
 // the highest class.
@@ -30,10 +34,7 @@
 // removeWaiting removes a job if it waits.
 func (p *serverPool) removeWaiting(j *job) { p.waiting.Remove(j) }
 
-// waitingCount returns the number of jobs that wait for a connection.
-func (p *serverPool) waitingCount() int { return p.waiting.Len() }
-
-// removeAllWaiting removes and returns the waiting jobs that match, in order.
+// removeAllWaiting removes and returns the waiting jobs that match.
 func (p *serverPool) removeAllWaiting(match func(*job) bool) []*job {
 	var removed []*job
 	for j := range p.waiting.All() {
@@ -46,3 +47,18 @@
 	}
 	return removed
 }
+
+// waitingCount returns the number of jobs that wait for a connection.
+func (p *serverPool) waitingCount() int { return p.waiting.Len() }
+
+// waitingSince returns the arrival of the job that has waited for the longest time; zero
+// if none waits.
+func (p *serverPool) waitingSince() time.Time {
+	var oldest time.Time
+	for j := range p.waiting.All() {
+		if oldest.IsZero() || j.submittedAt.Before(oldest) {
+			oldest = j.submittedAt
+		}
+	}
+	return oldest
+}
