Test of changes from an earlier build that arrive after a new era

Cause: a trial that left out the check of the known era passed all tests. Change: the case in TestChangesOfAnotherEraAreNotApplied, which fails without the check.

--- a/transport/directory/era_test.go
+++ b/transport/directory/era_test.go
@@ -92,6 +92,20 @@
 		if receiver.revision(Servers).Era != 1 {
 			t.Error("changes from a watch were applied to a document of another era")
 		}
+		// A VM of an earlier build answers a request that was sent before the new era.
+		known = map[Kind]state.Revision{Servers: {Era: 1, Number: 92}}
+		updates, err := decodeUpdates(sender.EncodeUpdates(encodeKnown(map[Kind]state.Revision{Servers: {Era: 2, Number: 92}}, 0)))
+		if u := updates[Servers]; err != nil || u.Full {
+			t.Fatalf("update %+v, %v", u, err)
+		}
+		ahead, _ := testDirectory(Bounds{})
+		ahead.applyBatch(Servers, listOf(2, 90, server("a", 80)), true)
+		u := updates[Servers]
+		u.Era = nil
+		ahead.applyUpdates("earlier build", encodeUpdates(map[Kind]update{Servers: u}), known)
+		if ahead.revision(Servers).Number != 90 {
+			t.Error("changes relative to a revision of era 1 were applied to a document of era 2")
+		}
 		transferAll(sender, receiver)
 		if diff := cmp.Diff(sender.docs[Servers].Entries, receiver.docs[Servers].Entries); diff != "" {
 			t.Errorf("the documents differ: %s", diff)
--- a/transport/directory/peers.go
+++ b/transport/directory/peers.go
@@ -45,17 +45,23 @@
 	cacheable := !d.addMissing(newer)
 	d.addOverrides(newer)
 	d.mu.Unlock()
+	encoded := encodeUpdates(newer)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if cacheable && d.docsVersion == version && len(d.encodedUpdates) < maxEncodedUpdates {
+		d.encodedUpdates[string(request)] = encoded
+	}
+	return encoded
+}
+
+// encodeUpdates encodes updates for another VM.
+func encodeUpdates(updates map[Kind]update) []byte {
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
 	// Writing to memory does not fail, and updates consist of plain values.
-	if err := errors.Join(json.NewEncoder(z).Encode(newer), z.Close()); err != nil {
+	if err := errors.Join(json.NewEncoder(z).Encode(updates), z.Close()); err != nil {
 		panic("directory: documents cannot be encoded: " + err.Error())
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if cacheable && d.docsVersion == version && len(d.encodedUpdates) < maxEncodedUpdates {
-		d.encodedUpdates[string(request)] = b.Bytes()
-	}
 	return b.Bytes()
 }
 
