Choose the server of a read at random by what is known of its load

Cause: all VMs with the same knowledge chose the server with the lowest cost, so servers were overloaded in turn while others were idle. Change: coordination/balance draws the server. Other data centres and the primary get reads only to the extent that the replica in the own data centre is slower. A server that fails, hangs or has an overdue read is avoided; it returns in steps. transport/loadstats shows the load and the choices in metrics.

--- a/coordination/leadership/failing_test.go
+++ b/coordination/leadership/failing_test.go
@@ -1,6 +1,7 @@
 package leadership
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -54,3 +55,32 @@
 		t.Errorf("reads go to %s after a declined statement", got)
 	}
 }
+
+// Guards against VMs with the same knowledge that all choose the same server, and against
+// a return of all of them to a server that was suspected.
+func TestVMsWithTheSameKnowledgeSpread(t *testing.T) {
+	servers := []*catalog.Server{{ID: "a", DataCentre: "x"}, {ID: "b", DataCentre: "x"}}
+	count := func(now time.Duration) map[string]int {
+		chosen := make(map[string]int)
+		for vm := range 300 {
+			table := NewSeededTable(strconv.Itoa(vm))
+			table.With("g", func(g *Group) {
+				for _, s := range servers {
+					g.StatementSent(s.ID)
+					g.StatementDone(s.ID, Answered, 10*time.Millisecond, point(1, 1), 10*second)
+				}
+				g.StatementSent("a")
+				g.StatementDone("a", Answered, 11*time.Millisecond, point(1, 1), 10*second)
+				g.Suspect("a", 10*second)
+				chosen[g.Reader(&catalog.Deployment{}, servers, "x", point(1, 1), nil, now).ID]++
+			})
+		}
+		return chosen
+	}
+	if got := count(14 * second); got["a"] < 100 || got["b"] < 100 {
+		t.Errorf("300 VMs chose %v", got)
+	}
+	if got := count(10*second + suspectTTL + 100*time.Millisecond); got["a"] < 10 || got["a"] > 60 {
+		t.Errorf("300 VMs chose %v right after a was suspected", got)
+	}
+}
--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -13,8 +13,10 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/balance"
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
@@ -36,26 +38,17 @@
 	// latencyWeight is the weight of the latest answer in the moving average of a
 	// server's latency.
 	latencyWeight = 0.2
-	// remotePenalty is added to the latency of servers in other data centres.
-	remotePenalty = 4 * time.Millisecond
 	// failureWeight is the weight of the latest outcome in the moving average of a
 	// server's failure rate. The rate decays with failureHalfLife, so that the
 	// server is tried again.
 	failureWeight   = 0.15
 	failureHalfLife = 2 * time.Second
-	// failurePenalty raises the cost of a read on a server that fails all
-	// statements to that of nine times its latency, because the read has to be
-	// repeated elsewhere.
-	failurePenalty = 8
 	// hedgeRatio is the fraction of the reads that may be hedged, which means sent
 	// to a second server because the first has not answered. It covers the slowest
 	// reads and adds little load if all servers are slow. Up to maxHedges unused
 	// hedges accumulate.
 	hedgeRatio = 0.05
 	maxHedges  = 10.0
-	// primaryPenalty multiplies the cost of a read on the primary, to keep its
-	// connections free for writes.
-	primaryPenalty = 1.5
 )
 
 // Sample states that Point includes every commit acknowledged before At.
@@ -73,7 +66,11 @@
 	suspectUntil    time.Duration
 	lagUntil        time.Duration
 	latency         time.Duration
+	learnedAt       time.Duration // time of the latest answer; zero if there was none
+	returnedAt      time.Duration // see balance.Server
+	restarted       bool          // since the latest choice of a reader
 	outstanding     int
+	overdue         bool    // see balance.Server
 	failureRate     float64 // moving average of failed statements, as of failureRateTime
 	failureRateTime time.Duration
 }
@@ -87,17 +84,25 @@
 	samples     []Sample // in ascending order, all of the current term
 	servers     map[string]*serverStats
 	hedges      float64 // hedged reads that are allowed now
+	random      rand.PCG
+	choices     [balance.NumTiers]uint64 // reads by the tier of the chosen server
 }
 
 // Table holds the leadership of all groups by name.
 type Table struct {
 	mu     lockrank.Mutex // guards groups and everything reachable from it
 	groups map[string]*Group
+	seed   string
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{mu: lockrank.New(lockrank.Groups), groups: make(map[string]*Group)}
+func NewTable() *Table { return NewSeededTable("") }
+
+// NewSeededTable returns an empty table. The seed, such as the name of the VM, differs
+// between VMs, so that they choose servers independently; their choices repeat in a
+// test that plays the same events.
+func NewSeededTable(seed string) *Table {
+	return &Table{mu: lockrank.New(lockrank.Groups), groups: make(map[string]*Group), seed: seed}
 }
 
 // With calls f with the named group under the table's lock. f must not retain the
@@ -108,6 +113,7 @@
 	g := t.groups[name]
 	if g == nil {
 		g = &Group{servers: make(map[string]*serverStats)}
+		g.random.Seed(hash(t.seed), hash(name))
 		t.groups[name] = g
 	}
 	f(g)
@@ -262,46 +268,57 @@
 	return rank
 }
 
-// Reader returns the server with the lowest cost for a read that needs the point,
-// or nil. It skips the servers in tried.
+// Reader returns the server for a read that needs the point, or nil. It skips the
+// servers in tried. See package balance for the choice.
 func (g *Group) Reader(d *catalog.Deployment, servers []*catalog.Server, dataCentre string, need state.Point, tried map[string]bool, now time.Duration) *catalog.Server {
-	var best *catalog.Server
-	var bestCost float64
+	var eligible []*catalog.Server
+	var known []balance.Server
 	for _, s := range servers {
-		if !d.Usable(s) || tried[s.ID] {
-			continue
-		}
-		cost, ok := g.readCost(s, dataCentre, need, now)
-		if ok && (best == nil || cost < bestCost) {
-			best, bestCost = s, cost
+		if d.Usable(s) && !tried[s.ID] && g.mayRead(s, need, now) {
+			eligible = append(eligible, s)
+			known = append(known, g.knowledge(s, dataCentre, now))
 		}
 	}
-	return best
+	chosen := balance.Choose(known, now, rand.New(&g.random).Float64())
+	if chosen < 0 {
+		return nil
+	}
+	g.choices[known[chosen].Tier()]++
+	return eligible[chosen]
 }
 
-// readCost returns the cost of a read on the server. It reports false if the
-// server is suspected, or is a replica that recently lagged and is not known to
-// hold the point.
-func (g *Group) readCost(s *catalog.Server, dataCentre string, need state.Point, now time.Duration) (float64, bool) {
+// mayRead reports whether the server may run a read. It reports false if the server is
+// suspected, or is a replica that recently lagged and is not known to hold the point.
+func (g *Group) mayRead(s *catalog.Server, need state.Point, now time.Duration) bool {
 	v := g.server(s.ID)
 	if now < v.suspectUntil {
-		return 0, false
+		return false
 	}
-	latency := v.latency
-	if s.DataCentre != dataCentre {
-		latency += remotePenalty
+	covers := v.applied.Term == need.Term && v.applied.Position >= need.Position
+	return s.ID == g.primary || covers || now >= v.lagUntil
+}
+
+// knowledge returns what the choice of a reader depends on.
+func (g *Group) knowledge(s *catalog.Server, dataCentre string, now time.Duration) balance.Server {
+	v := g.server(s.ID)
+	if v.restarted {
+		v.restarted, v.returnedAt = false, now
 	}
-	cost := float64(latency) * float64(1+v.outstanding) * (1 + failurePenalty*v.failureRateAt(now))
-	if s.ID == g.primary {
-		return cost * primaryPenalty, true
+	return balance.Server{
+		Latency: v.latency, LearnedAt: v.learnedAt, InFlight: v.outstanding, FailureRate: v.failureRateAt(now), Overdue: v.overdue,
+		Remote: s.DataCentre != dataCentre, Primary: s.ID == g.primary, ReturnedAt: v.returnedAt,
 	}
-	covers := v.applied.Term == need.Term && v.applied.Position >= need.Position
-	return cost, covers || now >= v.lagUntil
 }
 
 // StatementSent records that a statement was sent to the server.
 func (g *Group) StatementSent(id string) { g.server(id).outstanding++ }
 
+// RecordOverdue records that a read has waited unusually long for the server's answer.
+func (g *Group) RecordOverdue(id string) {
+	v := g.server(id)
+	v.overdue = v.outstanding > 0
+}
+
 // CountRead counts a read, which adds hedgeRatio to the allowed hedges.
 func (g *Group) CountRead() { g.hedges = min(g.hedges+hedgeRatio, maxHedges) }
 
@@ -329,6 +346,7 @@
 func (g *Group) StatementDone(id string, o Outcome, took time.Duration, at state.Point, now time.Duration) {
 	v := g.server(id)
 	v.outstanding--
+	v.overdue = false
 	if o == Declined {
 		return
 	}
@@ -343,6 +361,7 @@
 		return
 	}
 	v.latency += time.Duration(latencyWeight * float64(took-v.latency))
+	v.learnedAt = now
 	if at.Term > v.applied.Term || at.Term == v.applied.Term && at.Position > v.applied.Position {
 		v.applied = at
 	}
@@ -358,7 +377,11 @@
 
 // Suspect makes reads avoid a server for suspectTTL, after a lost connection or a
 // missing answer. Writes avoid it too if another server may be the primary.
-func (g *Group) Suspect(id string, now time.Duration) { g.server(id).suspectUntil = now + suspectTTL }
+func (g *Group) Suspect(id string, now time.Duration) {
+	v := g.server(id)
+	v.suspectUntil = now + suspectTTL
+	v.returnedAt = v.suspectUntil
+}
 
 // Suspected reports whether the server is being avoided.
 func (g *Group) Suspected(id string, now time.Duration) bool { return now < g.server(id).suspectUntil }
@@ -377,6 +400,6 @@
 	v.startTime = startMillis
 	if known {
 		v.applied, v.denied, v.suspectUntil, v.lagUntil = state.Point{}, false, 0, 0
-		v.latency, v.failureRate = initialLatency, 0
+		v.latency, v.learnedAt, v.failureRate, v.restarted = initialLatency, 0, 0, true
 	}
 }
--- a/node.go
+++ b/node.go
@@ -24,6 +24,7 @@
 	"github.com/chestnutdyke/chestnutdyke/transport/dispatch"
 	"github.com/chestnutdyke/chestnutdyke/transport/fencer"
 	"github.com/chestnutdyke/chestnutdyke/transport/fleetlink"
+	"github.com/chestnutdyke/chestnutdyke/transport/loadstats"
 	"github.com/chestnutdyke/chestnutdyke/transport/network"
 	"github.com/chestnutdyke/chestnutdyke/transport/pool"
 	"github.com/chestnutdyke/chestnutdyke/transport/promotion"
@@ -115,7 +116,7 @@
 
 // NewNode creates a VM. It serves from the call of Run until ctx is done.
 func NewNode(ctx context.Context, o NodeOptions) *Node {
-	n := &Node{options: o, ctx: ctx, started: clock.Now(), pool: pool.New(o.Workers), catalog: catalog.NewTable(), leaders: leadership.NewTable()}
+	n := &Node{options: o, ctx: ctx, started: clock.Now(), pool: pool.New(o.Workers), catalog: catalog.NewTable(), leaders: leadership.NewSeededTable(o.Name)}
 	n.quota = quota.NewTable(n.started)
 	n.links = fleetlink.New(ctx, o.Network, n.pool, fleetwire.Status{
 		Name: o.Name, Address: o.LinkAddress, DataCentre: o.DataCentre, Weight: o.Weight, Incarnation: time.Now().UnixNano(),
@@ -185,6 +186,7 @@
 	g.Go(func() error { return n.failoverCoordinator.Run(ctx) })
 	g.Go(func() error { return n.frontend.Run(ctx) })
 	g.Go(func() error { return n.watchIsolation(ctx) })
+	g.Go(func() error { return loadstats.New(n.leaders, n.options.Logger, n.options.Scope).Run(ctx) })
 	for _, address := range []string{n.options.ReadyAddress, n.options.AdminAddress} {
 		if address != "" {
 			g.Go(func() error { return n.serveAdmin(ctx, address) })
--- a/transport/sqlfront/attempt.go
+++ b/transport/sqlfront/attempt.go
@@ -53,7 +53,9 @@
 	if c.current != ex || len(ex.runningOn) != 1 {
 		return
 	}
-	ex.tried[ex.runningOn[0]] = true
+	overdue := ex.runningOn[0]
+	ex.tried[overdue] = true
+	c.server.Leadership.With(ex.op.Route.Group, func(g *leadership.Group) { g.RecordOverdue(overdue) })
 	now := clock.Now()
 	target, ok := c.chooseTarget(ex, now)
 	if !ok {
