Forget old latency in favour of a server's usual one, and document the choice

Cause: the new test of a whole fleet (TestReadsFollowTheLoad) showed that a server elsewhere that had never answered was assumed to be as slow as the own one, so reads stayed at a slow server. The first answer of a server, which includes the opening of a connection, also counted too much. Change: old latency is forgotten in favour of the server's usual one, and that of a server with few answers is close to the others' usual one. The share of reads that leave the data centre is what a slowed server cannot serve.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -17,14 +17,23 @@
 const (
 	// initialLatency is assumed if no server has answered yet.
 	initialLatency = 10 * time.Millisecond
-	// ageHalfLife is the time in which half of a server's difference from the mean of all
-	// servers is forgotten. Without ageing the load oscillates if 300 VMs have knowledge
-	// of 3 s ago; with 1 s a slow server gets too much work (docs/measurements.md).
+	// latencyWeight is the weight of the latest answer in the moving average of a
+	// server's latency.
+	latencyWeight = 0.2
+	// fewAnswers is the number of answers that count as much as those of other servers. The
+	// first ones may include the opening of a connection.
+	fewAnswers = 4
+	// usualHalfLife is the time in which half of a lasting change of a server's latency
+	// counts as usual.
+	usualHalfLife = time.Minute
+	// ageHalfLife is the time in which half of the difference from the usual latency is
+	// forgotten. Without ageing the load oscillates if 300 VMs have knowledge of 3 s ago;
+	// with 1 s a slow server gets too much work.
 	ageHalfLife = 4 * time.Second
 	// remotePenalty and remoteFactor raise the cost of servers in other data centres,
 	// because traffic to them is charged: callers must be served clearly earlier there.
 	// The latency itself includes the way. With a factor of 1.5, callers wait longer where
-	// one data centre has half of the load, and its server gets over 1.25 of the mean.
+	// one data centre has half of the load.
 	remotePenalty = 4 * time.Millisecond
 	remoteFactor  = 1.25
 	// primaryPenalty multiplies the cost of a read on the primary, to keep its capacity
@@ -35,7 +44,7 @@
 	failurePenalty = 8
 	// inFlightExponent is the exponent of the statements in flight in a server's weight.
 	// A lower one leaves a VM's own work less even. Latency has the exponent 1: with 2,
-	// the load oscillates from knowledge that is 1 s old.
+	// the load oscillates if knowledge is 3 s old (docs/measurements.md).
 	inFlightExponent = 4
 	// A server is avoided while this VM has seen itself that it fails statements or does
 	// not answer, and there is a server with less than half as much of that. A failure
@@ -52,14 +61,41 @@
 	minReturn  = 0.1
 )
 
+// Latency is what a VM has learned of the time until a server answers.
+type Latency struct {
+	Recent    time.Duration // moving average of the latest answers
+	Usual     time.Duration // average over the last minutes
+	LearnedAt time.Duration // time of the latest answer; zero if there was none
+	answers   int           // number so far
+}
+
+// Observe records an answer.
+func (l *Latency) Observe(took, now time.Duration) {
+	l.answers++
+	all := 1 / float64(l.answers) // weight of the latest answer in the mean of all answers
+	forgotten := 1 - math.Exp2(-float64(max(now-l.LearnedAt, 0))/float64(usualHalfLife))
+	l.Usual += time.Duration(max(all, forgotten) * float64(took-l.Usual))
+	l.Recent += time.Duration(max(all, latencyWeight) * float64(took-l.Recent))
+	l.LearnedAt = now
+}
+
+// estimate returns the expected latency in ns. The older the knowledge, the closer it is
+// to the usual latency. That of a server with few answers is close to others, the usual
+// latency of all servers.
+func (l *Latency) estimate(others float64, now time.Duration) float64 {
+	known := float64(l.answers) / float64(l.answers+fewAnswers)
+	fresh := math.Exp2(-float64(max(now-l.LearnedAt, 0)) / float64(ageHalfLife))
+	expected := float64(l.Usual) + float64(l.Recent-l.Usual)*fresh
+	return max(others+(expected-others)*known, 1)
+}
+
 // Server is what a VM knows of a server that can run a read.
 type Server struct {
-	Latency     time.Duration // moving average of the time until an answer
-	LearnedAt   time.Duration // time of the latest answer; zero if there was none
-	InFlight    int           // statements of this VM without an answer
-	FailureRate float64       // moving average of failed statements, from 0 to 1
-	Overdue     bool          // a read has waited unusually long, and no statement has ended since
-	Remote      bool          // in another data centre than this VM
+	Latency     Latency
+	InFlight    int     // statements of this VM without an answer
+	FailureRate float64 // moving average of failed statements, from 0 to 1
+	Overdue     bool    // a read has waited unusually long, and no statement has ended since
+	Remote      bool    // in another data centre than this VM
 	Primary     bool
 	ReturnedAt  time.Duration // end of the latest suspicion, or time of a restart; zero if there was none
 }
@@ -117,7 +153,7 @@
 
 // evaluate returns the candidates in the order of servers.
 func evaluate(servers []Server, now time.Duration) []candidate {
-	mean := meanLatency(servers)
+	usual := usualLatency(servers)
 	leastTrouble := math.Inf(1)
 	for i := range servers {
 		leastTrouble = min(leastTrouble, servers[i].trouble())
@@ -127,7 +163,7 @@
 		s := &servers[i]
 		c := candidate{tier: s.Tier()}
 		if s.trouble() <= avoidRatio*leastTrouble {
-			cost := s.Estimate(mean, now) * s.failureFactor() / s.returnShare(now)
+			cost := s.Latency.estimate(usual, now) * s.failureFactor() / s.returnShare(now)
 			inFlight := float64(1 + s.InFlight)
 			c.weight = 1 / (cost * math.Pow(inFlight, inFlightExponent))
 			c.cost = cost * inFlight
@@ -162,28 +198,19 @@
 	return min(max(float64(now-s.ReturnedAt)/float64(returnTime), minReturn), 1)
 }
 
-func meanLatency(servers []Server) float64 {
+// usualLatency returns the mean of the usual latencies of all servers in ns.
+func usualLatency(servers []Server) float64 {
 	sum, n := 0.0, 0
 	for i := range servers {
-		if servers[i].LearnedAt != 0 {
-			sum += float64(servers[i].Latency)
+		if servers[i].Latency.LearnedAt != 0 {
+			sum += float64(servers[i].Latency.Usual)
 			n++
 		}
 	}
 	if n == 0 {
 		return float64(initialLatency)
 	}
-	return sum / float64(n)
-}
-
-// Estimate returns the expected latency in ns, given the mean of all servers. The older the knowledge, the closer it is to
-// that.
-func (s *Server) Estimate(mean float64, now time.Duration) float64 {
-	latency := mean
-	if s.LearnedAt != 0 {
-		latency += (float64(s.Latency) - mean) * math.Exp2(-float64(max(now-s.LearnedAt, 0))/float64(ageHalfLife))
-	}
-	return max(latency, 1)
+	return max(sum/float64(n), 1)
 }
 
 // bestCosts returns the lowest cost in the tier and in all later ones, infinite if there
--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -33,11 +33,6 @@
 	// lagPeriod is how long a replica that lacked a point is avoided. Replicas
 	// receive records within tens of milliseconds.
 	lagPeriod = 40 * time.Millisecond
-	// initialLatency is assumed for a server that has not answered yet.
-	initialLatency = 10 * time.Millisecond
-	// latencyWeight is the weight of the latest answer in the moving average of a
-	// server's latency.
-	latencyWeight = 0.2
 	// failureWeight is the weight of the latest outcome in the moving average of a
 	// server's failure rate. The rate decays with failureHalfLife, so that the
 	// server is tried again.
@@ -65,8 +60,7 @@
 	denied          bool   // the server refused, as a replica, a statement for the primary
 	suspectUntil    time.Duration
 	lagUntil        time.Duration
-	latency         time.Duration
-	learnedAt       time.Duration // time of the latest answer; zero if there was none
+	latency         balance.Latency
 	returnedAt      time.Duration // see balance.Server
 	restarted       bool          // since the latest choice of a reader
 	outstanding     int
@@ -122,7 +116,7 @@
 func (g *Group) server(id string) *serverStats {
 	s := g.servers[id]
 	if s == nil {
-		s = &serverStats{latency: initialLatency}
+		s = &serverStats{}
 		g.servers[id] = s
 	}
 	return s
@@ -305,7 +299,7 @@
 		v.restarted, v.returnedAt = false, now
 	}
 	return balance.Server{
-		Latency: v.latency, LearnedAt: v.learnedAt, InFlight: v.outstanding, FailureRate: v.failureRateAt(now), Overdue: v.overdue,
+		Latency: v.latency, InFlight: v.outstanding, FailureRate: v.failureRateAt(now), Overdue: v.overdue,
 		Remote: s.DataCentre != dataCentre, Primary: s.ID == g.primary, ReturnedAt: v.returnedAt,
 	}
 }
@@ -360,8 +354,7 @@
 	if o == Failed {
 		return
 	}
-	v.latency += time.Duration(latencyWeight * float64(took-v.latency))
-	v.learnedAt = now
+	v.latency.Observe(took, now)
 	if at.Term > v.applied.Term || at.Term == v.applied.Term && at.Position > v.applied.Position {
 		v.applied = at
 	}
@@ -400,6 +393,6 @@
 	v.startTime = startMillis
 	if known {
 		v.applied, v.denied, v.suspectUntil, v.lagUntil = state.Point{}, false, 0, 0
-		v.latency, v.learnedAt, v.failureRate, v.restarted = initialLatency, 0, 0, true
+		v.latency, v.failureRate, v.restarted = balance.Latency{}, 0, true
 	}
 }
--- a/coordination/leadership/load.go
+++ b/coordination/leadership/load.go
@@ -32,8 +32,8 @@
 	for name, g := range t.groups {
 		load := GroupLoad{Group: name, Choices: g.choices}
 		for id, v := range g.servers {
-			if v.learnedAt != 0 {
-				load.Servers = append(load.Servers, ServerLoad{Server: id, Latency: v.latency, InFlight: v.outstanding, Age: now - v.learnedAt})
+			if v.latency.LearnedAt != 0 {
+				load.Servers = append(load.Servers, ServerLoad{Server: id, Latency: v.latency.Recent, InFlight: v.outstanding, Age: now - v.latency.LearnedAt})
 			}
 		}
 		slices.SortFunc(load.Servers, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -92,6 +92,7 @@
 	// the connection instead of answering.
 	answersToDrop int
 	executions    map[string]int // by statement id
+	extraWork     time.Duration  // see SetExtraWork
 	// superseded is the log of a replaced primary that goes on, or nil.
 	superseded *supersededLog
 	// reaches reports whether the server can connect to another one.
