chestnutctl config check: check a configuration before it is sent

Cause: VMs refuse a configuration as a whole at its first error, and accept entries that can never match; operators learned of both only after sending it.

--- a/cmd/chestnutctl/ctl/help.go
+++ b/cmd/chestnutctl/ctl/help.go
@@ -8,7 +8,7 @@
 
 // commands lists all commands in the order of the help text.
 var commands = []command{
-	checkCommand, applyCommand, diffCommand, showCommand, historyCommand, ticketStatusCommand, statusCommand, keyNewCommand,
+	checkCommand, applyCommand, diffCommand, showCommand, historyCommand, ticketStatusCommand, statusCommand, keyNewCommand, configCheckCommand,
 }
 
 // exitCodes describes the exit codes in the help text. docs/OPERATIONS.md contains
--- a/docs/operators_test.go
+++ b/docs/operators_test.go
@@ -64,7 +64,7 @@
 // operations page or from the program.
 func TestCommandsExist(t *testing.T) {
 	var help bytes.Buffer
-	for _, words := range []string{"ticket check", "ticket apply", "ticket diff", "ticket show", "ticket history", "ticket status", "status", "key new"} {
+	for _, words := range []string{"ticket check", "ticket apply", "ticket diff", "ticket show", "ticket history", "ticket status", "status", "key new", "config check"} {
 		if !strings.Contains(operationsPage(t), "chestnutctl "+words) {
 			t.Errorf("OPERATIONS.md does not mention %q", words)
 		}
@@ -72,7 +72,7 @@
 			t.Errorf("%s -h exited with status %d", words, code)
 		}
 	}
-	for _, flag := range []string{"store", "vm", "wait", "strict", "accept-warnings"} {
+	for _, flag := range []string{"store", "vm", "wait", "strict", "accept-warnings", "in-force", "json"} {
 		if !strings.Contains(operationsPage(t), "-"+flag) || !strings.Contains(help.String(), "  -"+flag) {
 			t.Errorf("flag -%s is not both on the operations page and in the help text", flag)
 		}
