--- a/standin/managed/slots.go
+++ b/standin/managed/slots.go
@@ -30,6 +30,7 @@
 	if capacity.Work != nil {
 		took = capacity.Work(c.Payload)
 	}
+	took += s.extra()
 	if capacity.Slots == 0 {
 		time.Sleep(took)
 		return true
