Overdue reads do not move all reads to the primary in a burst

Cause: while all replicas were slow, each had an overdue read most of the time, was avoided, and bounded reads took the primary's capacity (found by reading the code). Change: an overdue read counts only if the server answered within 50 ms so far, and a replica is avoided in favour of the primary only at three times the trouble.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -53,8 +53,11 @@
 	avoidRatio    = 2
 	avoidInFlight = 10
 	// overdueFactor makes a server with an overdue read one to avoid. Otherwise each
-	// further read on a server that hangs would have to wait until it is hedged.
+	// further read on a server that hangs would have to wait until it is hedged. It does
+	// not apply to a server whose latency is over slowLatency, for which an overdue read
+	// says nothing new: in a burst, reads would all move to the servers without one.
 	overdueFactor = 3
+	slowLatency   = 50 * time.Millisecond
 	// returnTime is how long the load of a server rises after it was suspected or has
 	// restarted, from minReturn of its share.
 	returnTime = 2 * time.Second
@@ -156,13 +159,17 @@
 	usual := usualLatency(servers)
 	leastTrouble := math.Inf(1)
 	for i := range servers {
-		leastTrouble = min(leastTrouble, servers[i].trouble())
+		trouble := servers[i].trouble()
+		if servers[i].Primary {
+			trouble *= primaryPenalty
+		}
+		leastTrouble = min(leastTrouble, trouble)
 	}
 	candidates := make([]candidate, len(servers))
 	for i := range servers {
 		s := &servers[i]
 		c := candidate{tier: s.Tier()}
-		if s.trouble() <= avoidRatio*leastTrouble {
+		if s.trouble() < avoidRatio*leastTrouble {
 			cost := s.Latency.estimate(usual, now) * s.failureFactor() / s.returnShare(now)
 			inFlight := float64(1 + s.InFlight)
 			c.weight = 1 / (cost * math.Pow(inFlight, inFlightExponent))
@@ -184,7 +191,7 @@
 // trouble grows with the failures and missing answers that this VM has seen itself.
 func (s *Server) trouble() float64 {
 	t := s.failureFactor() * (1 + float64(s.InFlight)/avoidInFlight)
-	if s.Overdue {
+	if s.Overdue && s.Latency.Recent < slowLatency {
 		t *= overdueFactor
 	}
 	return t
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -120,6 +120,12 @@
 	if got := share([]Server{good, overdue}, 1); got > 0 {
 		t.Errorf("a server with an overdue read gets %.2f", got)
 	}
+	primary := good
+	primary.Primary, primary.Latency.Recent = true, 40*time.Millisecond
+	overdue.Latency.Recent = 80 * time.Millisecond
+	if got := share([]Server{overdue, overdue, primary}, 2); got > 0.8 {
+		t.Errorf("the primary gets %.2f while reads on all replicas, which are known to be slow, are overdue", got)
+	}
 	previous = 0
 	for _, age := range []time.Duration{10 * time.Millisecond, time.Second, 2 * time.Second} {
 		returned := good
