--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -37,8 +37,9 @@
 	remotePenalty = 4 * time.Millisecond
 	remoteFactor  = 1.25
 	// primaryPenalty multiplies the cost of a read on the primary, to keep its capacity
-	// for the work that only it can run.
-	primaryPenalty = 1.5
+	// for the work that only it can run. With 1.5, writes on a busy primary wait several
+	// times as long (docs/measurements.md).
+	primaryPenalty = 8
 	// failurePenalty raises the cost of a read on a server that fails all statements to
 	// that of nine times its latency, because the read has to be repeated elsewhere.
 	failurePenalty = 8
@@ -52,6 +53,8 @@
 	// number that a VM reaches only if it is alone or the server hangs.
 	avoidRatio    = 2
 	avoidInFlight = 10
+	// primaryTrouble makes a replica one to avoid later if only the primary is better.
+	primaryTrouble = 1.5
 	// overdueFactor makes a server with an overdue read one to avoid. Otherwise each
 	// further read on a server that hangs would have to wait until it is hedged. It does
 	// not apply to a server whose latency is over slowLatency, for which an overdue read
@@ -161,7 +164,7 @@
 	for i := range servers {
 		trouble := servers[i].trouble()
 		if servers[i].Primary {
-			trouble *= primaryPenalty
+			trouble *= primaryTrouble
 		}
 		leastTrouble = min(leastTrouble, trouble)
 	}
