Limits: grant what a share earned while nobody could spend it

Change: a lender reports how long its share was unspent before the loan, to VMs that decode it, and the quota coordinator adds what it earned, up to the burst.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -63,11 +63,24 @@
 	// credited has the VMs whose share has already added its part of the
 	// initial tokens to this account. This VM itself is "".
 	credited map[string]bool
+	// unspent is the sum of LentShare.Unspent over the shares that were lent since the
+	// last refill.
+	unspent time.Duration
 }
 
 // borrowedShare is the period for which another VM lends its share to this one.
 type borrowedShare struct{ since, until time.Duration }
 
+// LentShare is a share of a partition that a VM lends.
+type LentShare struct {
+	catalog.LimitPartition
+	// Unspent is how long nobody could spend the share before the loan. The share has
+	// earned tokens in that time, which would be lost otherwise: the operations of clients
+	// that return after a restart of the fleet would be refused although their customer's
+	// burst is unused. It is zero when a loan is extended.
+	Unspent time.Duration
+}
+
 // loan is a loan of this VM's own share of a partition.
 type loan struct {
 	coordinator string
@@ -89,6 +102,8 @@
 
 // Table holds the accounts, loans and cached tokens of this VM.
 type Table struct {
+	started time.Duration
+
 	mu           lockrank.Mutex // guards the fields below
 	ownShareFrom time.Duration  // when this VM may first spend shares of its own
 	accounts     map[catalog.LimitPartition]*account
@@ -102,7 +117,7 @@
 // the same quota coordinator is safe at once.
 func NewTable(now time.Duration) *Table {
 	return &Table{
-		mu: lockrank.New(lockrank.Shares), ownShareFrom: now + minLoanDuration,
+		started: now, mu: lockrank.New(lockrank.Shares), ownShareFrom: now + minLoanDuration,
 		accounts: make(map[catalog.LimitPartition]*account), loans: make(map[catalog.LimitPartition]loan), caches: make(map[string]*tokenCache),
 	}
 }
@@ -127,21 +142,31 @@
 // partitions of which this VM considers the requester to be the quota
 // coordinator. A share that is lent to another VM stays there until its loan
 // ends. link identifies the link of the request.
-func (t *Table) Lend(coordinator, link string, candidates []catalog.LimitPartition, duration, now time.Duration) []catalog.LimitPartition {
+func (t *Table) Lend(coordinator, link string, candidates []catalog.LimitPartition, duration, now time.Duration) []LentShare {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var lent []catalog.LimitPartition
+	var lent []LentShare
 	for _, p := range candidates {
 		l := t.loans[p]
 		if l.coordinator != coordinator && l.until > now {
 			continue
 		}
+		lent = append(lent, LentShare{LimitPartition: p, Unspent: t.unspentFor(p, now)})
 		t.loans[p] = loan{coordinator: coordinator, link: link, until: now + duration}
-		lent = append(lent, p)
 	}
 	return lent
 }
 
+// unspentFor returns how long nobody could spend this VM's share of the partition: neither
+// a quota coordinator that borrowed it nor this VM. The caller holds mu.
+func (t *Table) unspentFor(p catalog.LimitPartition, now time.Duration) time.Duration {
+	since := max(t.started, t.loans[p].until)
+	if a := t.accounts[p]; a != nil {
+		since = max(since, a.filledAt)
+	}
+	return max(now-since, 0)
+}
+
 // Release ends the loans granted to the quota coordinator on the link, except
 // those of the partitions in kept, which the quota coordinator still counts. The
 // quota coordinator has already stopped spending the others.
@@ -196,17 +221,18 @@
 
 // Receive records the shares that a lender lent for the duration in answer to a
 // request sent at requestedAt.
-func (t *Table) Receive(lender string, partitions []catalog.LimitPartition, duration, requestedAt time.Duration) {
+func (t *Table) Receive(lender string, shares []LentShare, duration, requestedAt time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, p := range partitions {
-		loans := t.account(p).borrowed
-		l, known := loans[lender]
+	for _, s := range shares {
+		a := t.account(s.LimitPartition)
+		l, known := a.borrowed[lender]
 		if !known || l.until < requestedAt {
 			l.since = requestedAt
+			a.unspent += s.Unspent
 		}
 		l.until = max(l.until, requestedAt+duration)
-		loans[lender] = l
+		a.borrowed[lender] = l
 	}
 }
 
@@ -225,7 +251,8 @@
 	}
 	share := 1 / float64(max(members, 1)) // of the partition
 	initial := initialTokens/catalog.LimitPartitions + initialBurstFraction*burst
-	a.tokens += rate*min(s.earned.Seconds()*share, (now-a.filledAt).Seconds()) + initial*float64(s.credits)*share
+	a.tokens += rate*min(s.earned.Seconds()*share, (now-a.filledAt).Seconds()) + rate*a.unspent.Seconds()*share + initial*float64(s.credits)*share
+	a.unspent = 0
 	a.tokens = min(a.tokens, max(burst*min(1, float64(s.count)*share), 1))
 	a.filledAt = now
 	granted := min(wanted, int(a.tokens))
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -18,6 +18,15 @@
 	return all
 }
 
+// shares returns shares that were spent until they were lent.
+func shares(customers ...string) []LentShare {
+	var all []LentShare
+	for _, p := range partitions(customers...) {
+		all = append(all, LentShare{LimitPartition: p})
+	}
+	return all
+}
+
 // afterStart is a time at which a new VM may spend its own shares.
 const afterStart = time.Minute
 
@@ -50,8 +59,8 @@
 	coordinator := NewTable(0)
 	grant := func(now time.Duration) int { return coordinator.GrantTokens(customer, 0, 4, 1000, now) }
 	grant(afterStart) // creates the account
-	coordinator.Receive("a", partitions("c"), minLoanDuration, afterStart)
-	coordinator.Receive("b", partitions("c"), minLoanDuration, afterStart)
+	coordinator.Receive("a", shares("c"), minLoanDuration, afterStart)
+	coordinator.Receive("b", shares("c"), minLoanDuration, afterStart)
 	// Three of four shares of 100 per second for half a second.
 	if got := grant(afterStart + minLoanDuration/2); got < 35 || got > 38 {
 		t.Errorf("%d tokens with three shares", got)
@@ -101,7 +110,7 @@
 	granted, now := 0, afterStart
 	for range 3 {
 		for _, lender := range []string{"a", "b", "c"} {
-			coordinator.Receive(lender, partitions("c"), minLoanDuration, now)
+			coordinator.Receive(lender, shares("c"), minLoanDuration, now)
 			granted += coordinator.GrantTokens(customer, 0, members, 1000, now)
 			coordinator.DropLender(lender)
 		}
@@ -200,7 +209,7 @@
 	}
 	coordinator := NewTable(0)
 	coordinator.GrantTokens(customer, 0, 2, 1000, afterStart) // creates the account and empties it
-	coordinator.Receive("a", partitions("c"), minLoanDuration, afterStart)
+	coordinator.Receive("a", shares("c"), minLoanDuration, afterStart)
 	coordinator.DropLender("a")
 	// Its own share, half of 100 per second, for half a second.
 	if got := coordinator.GrantTokens(customer, 0, 2, 1000, afterStart+minLoanDuration/2); got > 26 {
@@ -220,9 +229,9 @@
 	if got := grant(afterStart + 10*time.Second + 100*time.Millisecond); got > 10 {
 		t.Errorf("%d tokens for 100 ms at 100 per second", got)
 	}
-	table.Receive("b", partitions("c"), minLoanDuration, afterStart+20*time.Second)
+	table.Receive("b", shares("c"), minLoanDuration, afterStart+20*time.Second)
 	table.GrantTokens(customer, 0, 2, 1000, afterStart+20*time.Second+minLoanDuration)
-	table.Receive("b", partitions("c"), minLoanDuration, afterStart+30*time.Second)
+	table.Receive("b", shares("c"), minLoanDuration, afterStart+30*time.Second)
 	// Its own share all the time, so a full bucket of it; the other one for 100
 	// ms.
 	if got := table.GrantTokens(customer, 0, 2, 1000, afterStart+30*time.Second+100*time.Millisecond); got > 50 {
@@ -247,10 +256,44 @@
 	}
 	coordinator := NewTable(0)
 	coordinator.GrantTokens(customer, 0, 2, 1000, afterStart) // creates the account and empties it
-	coordinator.Receive("a", partitions("c"), minLoanDuration, afterStart)
+	coordinator.Receive("a", shares("c"), minLoanDuration, afterStart)
 	coordinator.RetainBorrowed(partitions("d"))
 	// Its own share, half of 100 per second, for half a second.
 	if got := coordinator.GrantTokens(customer, 0, 2, 1000, afterStart+minLoanDuration/2); got > 26 {
 		t.Errorf("%d tokens with a released share", got)
 	}
 }
+
+// Guards against clients that are refused after a restart of the fleet although nobody has
+// spent their customer's tokens while the VMs started, and against time that counts twice.
+func TestUnspentTimeCountsOnce(t *testing.T) {
+	const members = 4
+	lenders := map[string]*Table{"a": NewTable(afterStart), "b": NewTable(afterStart), "c": NewTable(afterStart)}
+	now := afterStart + 200*time.Millisecond
+	lendAll := func(to *Table, name, link string) {
+		for lender, table := range lenders {
+			to.Receive(lender, table.Lend(name, link, partitions("c"), minLoanDuration, now), minLoanDuration, now)
+		}
+	}
+	first := NewTable(afterStart)
+	lendAll(first, "first", "1")
+	initial := (initialTokens + initialBurstFraction*customer.Burst) / catalog.LimitPartitions * 3 / members
+	// Three of four shares of 100 per second, for 0.2 s.
+	if got, want := first.GrantTokens(customer, 0, members, 1000, now), int(initial+15); got != want {
+		t.Errorf("%d tokens after the fleet has started, want %d", got, want)
+	}
+	lendAll(first, "first", "1") // extends the loans
+	if got := first.GrantTokens(customer, 0, members, 1000, now); got > 0 {
+		t.Errorf("%d tokens for loans that were extended", got)
+	}
+	// The first quota coordinator is lost, and the next one asks 0.1 s later.
+	for _, table := range lenders {
+		table.LinkClosed("1", now)
+	}
+	now += 100 * time.Millisecond
+	second := NewTable(afterStart)
+	lendAll(second, "second", "2")
+	if got, want := second.GrantTokens(customer, 0, members, 1000, now), int(initial+7.5); got != want {
+		t.Errorf("%d tokens from the next quota coordinator, want %d", got, want)
+	}
+}
--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -255,6 +255,10 @@
 	Confirmations []LeadershipConfirmation // latest confirmations known to the sender
 	// Store is only sent to VMs whose Status has StoreConfirmations; nil if it was not sent.
 	Store *StoreConfirmations
+	// Unspent has, for each of Lent, how long nobody could spend the share before it was
+	// lent; whole milliseconds. It is only sent to VMs whose Status has UnspentShares, with
+	// Store and its eras.
+	Unspent []time.Duration
 }
 
 // Append appends the encoded pong to dst.
@@ -276,6 +280,9 @@
 		}
 		if p.Store.Eras {
 			dst = binary.AppendUvarint(binary.AppendUvarint(dst, p.Store.Servers.Era), p.Store.OutOfService.Era)
+			for _, unspent := range p.Unspent {
+				dst = binary.AppendUvarint(dst, uint64(max(unspent.Milliseconds(), 0)))
+			}
 		}
 	}
 	return dst
@@ -298,6 +305,9 @@
 		if len(d.b) > 0 {
 			p.Store.Eras, p.Store.Servers.Era, p.Store.OutOfService.Era = true, d.uvarint(), d.uvarint()
 		}
+		if len(d.b) > 0 {
+			p.Unspent = d.unspent(len(p.Lent))
+		}
 	}
 	return p, d.finish("pong")
 }
@@ -305,6 +315,17 @@
 // maxStoreConfirmationAge keeps malformed ages from overflowing a duration.
 const maxStoreConfirmationAge = 365 * 24 * time.Hour
 
+// unspent reads Pong.Unspent for n shares.
+func (d *decoder) unspent(n int) []time.Duration {
+	list := make([]time.Duration, n)
+	for i := range list {
+		ms := d.uvarint()
+		d.failed = d.failed || ms > uint64(maxStoreConfirmationAge.Milliseconds())
+		list[i] = time.Duration(ms) * time.Millisecond
+	}
+	return list
+}
+
 func (d *decoder) storeConfirmation() StoreConfirmation {
 	c := StoreConfirmation{Revision: d.uvarint()}
 	ms := d.uvarint()
--- a/protocol/fleetwire/fleetwire_test.go
+++ b/protocol/fleetwire/fleetwire_test.go
@@ -66,6 +66,21 @@
 	}
 }
 
+// Guards against a pong whose unspent times belong to other shares, and against a number
+// of them that is not that of the shares.
+func TestPongWithUnspentShares(t *testing.T) {
+	pong := Pong{Lent: []catalog.LimitPartition{{Customer: "c"}, {Customer: "d"}}, Store: &StoreConfirmations{Eras: true},
+		Unspent: []time.Duration{300 * time.Millisecond, 0}}
+	b := pong.Append(nil)
+	got, err := DecodePong(b)
+	if err != nil || !cmp.Equal(pong.Unspent, got.Unspent) {
+		t.Errorf("unspent %v, %v", got.Unspent, err)
+	}
+	if _, err := DecodePong(b[:len(b)-1]); err == nil {
+		t.Error("decoded a pong with one unspent time for two shares")
+	}
+}
+
 // Guards against designations that are lost or swapped by encoding and decoding.
 func TestFencingRoundTrip(t *testing.T) {
 	state := fencing.State{Claim: 1001, Designations: []fencing.Designation{{Group: "g", Server: "s", Token: 1002}, {Group: "h", Server: "r", Token: 7}}}
--- a/protocol/fleetwire/status.go
+++ b/protocol/fleetwire/status.go
@@ -31,6 +31,7 @@
 	Usage           bool   `json:"usage,omitempty"`            // the VM handles KindUsageRequest
 	ConnectionLoans bool   `json:"connection_loans,omitempty"` // the VM handles KindConnectionRequest
 	Classes         bool   `json:"classes,omitempty"`          // the VM decodes the class of a statement
+	UnspentShares   bool   `json:"unspent_shares,omitempty"`   // the VM decodes Pong.Unspent
 }
 
 // Encode returns the status in JSON.
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -231,7 +231,8 @@
 	var p fleetwire.Pong
 	if from.StoreConfirmations {
 		confirmations := d.directory.Confirmations()
-		confirmations.Eras = len(from.Eras) > 0
+		// Fields of a pong follow each other, so the later ones need the earlier ones.
+		confirmations.Eras = len(from.Eras) > 0 || from.UnspentShares
 		p.Store = &confirmations
 	}
 	config := d.Table.Current().Config
@@ -247,7 +248,12 @@
 	}
 	d.Quota.Release(from.Name, origin, coordinated, now)
 	p.Lease = quota.LoanDuration(d.Links.PingInterval())
-	p.Lent = d.Quota.Lend(from.Name, origin, intersect(d.partitionsOf(from.Name, view, config), coordinated), p.Lease, now)
+	for _, share := range d.Quota.Lend(from.Name, origin, intersect(d.partitionsOf(from.Name, view, config), coordinated), p.Lease, now) {
+		p.Lent = append(p.Lent, share.LimitPartition)
+		if from.UnspentShares && p.Store != nil {
+			p.Unspent = append(p.Unspent, share.Unspent)
+		}
+	}
 	if from.DataCentre != d.DataCentre && !sendsRemoteConfirmations(view, from.Name) {
 		return p
 	}
@@ -309,9 +315,25 @@
 	return d.coordinators.partitions[vm]
 }
 
+// ownShares returns the shares in the pong whose partitions this VM counts.
+func ownShares(p *fleetwire.Pong, own []catalog.LimitPartition) []quota.LentShare {
+	var shares []quota.LentShare
+	for i, partition := range p.Lent {
+		if !slices.Contains(own, partition) {
+			continue
+		}
+		share := quota.LentShare{LimitPartition: partition}
+		if i < len(p.Unspent) {
+			share.Unspent = p.Unspent[i]
+		}
+		shares = append(shares, share)
+	}
+	return shares
+}
+
 // HandlePong implements fleetlink.Handler.
 func (d *Dispatcher) HandlePong(from string, p fleetwire.Pong, sentAt time.Duration) {
-	d.Quota.Receive(from, intersect(p.Lent, d.ownPartitions()), p.Lease, sentAt)
+	d.Quota.Receive(from, ownShares(&p, d.ownPartitions()), p.Lease, sentAt)
 	if p.Store != nil {
 		d.directory.RecordConfirmations(*p.Store, sentAt)
 	}
