Few connection owners where there are more customers than connections

Change: a server has at most one owner for 8 connections, chosen by a rendezvous hash of the server; where each customer can have a connection nothing changes. Measured: TestFewConnectionOwners; go test of placement, sqlsession, sqlback, promotion and standin/managed pass.

--- a/coordination/placement/connections.go
+++ b/coordination/placement/connections.go
@@ -19,8 +19,37 @@
 	// single statements (10 to 60 ms) and transactions with pauses (up to a second or
 	// more). Only the ratio of a customer's mean use to its fluctuation depends on it.
 	expectedUse = 150 * time.Millisecond
+	// connectionsPerOwner is the least number of connections that an owner shares among
+	// its customers where there are fewer connections than customers. An owner with one or
+	// two would have to close one for nearly every operation of another customer.
+	connectionsPerOwner = 8
 )
 
+// MaxConnectionOwners returns how many VMs of a data centre hold the connections to a
+// server of the group; zero means all.
+func MaxConnectionOwners(config *catalog.Config, group string) int {
+	if config == nil {
+		return 0
+	}
+	budget, limited := connectionBudget(config, group)
+	if !limited || budget >= len(config.Customers) {
+		return 0
+	}
+	return max(budget/connectionsPerOwner, 1)
+}
+
+// connectionBudget returns the connections to a server of the group that owners are given;
+// limited is false if the group is not known.
+func connectionBudget(config *catalog.Config, group string) (budget int, limited bool) {
+	g := config.Group(group)
+	if g == nil {
+		return len(config.Customers), false
+	}
+	return g.MaxConnections - connectionReserve(g), true
+}
+
+func connectionReserve(g *catalog.Group) int { return min(maxReservedConnections, g.MaxConnections/4) }
+
 // ConnectionPlan is a connection owner's part of the connections to one server.
 type ConnectionPlan struct {
 	Share   int // connections for the customers that the owner holds
@@ -50,12 +79,11 @@
 	if view != nil {
 		self = view.Self
 	}
-	g := config.Group(s.Group)
-	budget := len(config.Customers)
-	if g != nil {
-		plan.Reserve = min(maxReservedConnections, g.MaxConnections/4)
-		budget = g.MaxConnections - plan.Reserve
+	if g := config.Group(s.Group); g != nil {
+		plan.Reserve = connectionReserve(g)
 	}
+	budget, _ := connectionBudget(config, s.Group)
+	maxOwners := MaxConnectionOwners(config, s.Group)
 	demands := make(map[string]*connbudget.Demand)
 	weights := 0.0
 	for i := range config.Customers {
@@ -63,7 +91,7 @@
 		owner := self
 		if view != nil {
 			var ok bool
-			if owner, ok = view.ConnectionOwner(customer, s); !ok {
+			if owner, ok = view.ConnectionOwner(customer, s, maxOwners); !ok {
 				continue
 			}
 		}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -89,8 +89,9 @@
 func (v *View) InMinority() bool { return v.Members > 2 && 2*v.AliveCount() <= v.Members }
 
 // ConnectionOwner returns the VM that holds the customer's connections to the
-// server. It reports false if no VM that is alive can reach the server.
-func (v *View) ConnectionOwner(customer string, s *catalog.Server) (string, bool) {
+// server. It is one of at most maxOwners VMs for the server, or of all if that is zero;
+// see MaxConnectionOwners. It reports false if no VM that is alive can reach the server.
+func (v *View) ConnectionOwner(customer string, s *catalog.Server, maxOwners int) (string, bool) {
 	key := customer + "|" + s.ID
 	reaches := func(vm *VM) bool { return !vm.Leaving && !vm.Unreachable[s.ID] }
 	for _, eligible := range []func(*VM) bool{
@@ -98,6 +99,10 @@
 		func(vm *VM) bool { return reaches(vm) && !vm.NoLease },
 		reaches,
 	} {
+		if maxOwners > 0 {
+			owners := v.bestVMs("owners|"+s.ID, eligible, maxOwners)
+			eligible = func(vm *VM) bool { return slices.Contains(owners, vm.Name) }
+		}
 		if vm := v.bestVM(key, eligible); vm != "" {
 			return vm, true
 		}
@@ -287,6 +292,27 @@
 	return name
 }
 
+// bestVMs returns the n eligible VMs with the highest weighted rendezvous scores for the
+// key, among the cores that are alive.
+func (v *View) bestVMs(key string, eligible func(*VM) bool, n int) []string {
+	type ranked struct {
+		name  string
+		score float64
+	}
+	var all []ranked
+	for i := range v.VMs {
+		if vm := &v.VMs[i]; vm.Alive && !vm.Edge && eligible(vm) {
+			all = append(all, ranked{vm.Name, weightedScore(key, vm)})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name)) })
+	var names []string
+	for _, vm := range all[:min(n, len(all))] {
+		names = append(names, vm.name)
+	}
+	return names
+}
+
 // weightedScore maps the hash to a uniform number u in (0, 1) and returns
 // -weight/ln(u), which assigns keys to VMs in proportion to their weights.
 func weightedScore(key string, vm *VM) float64 {
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -24,29 +24,73 @@
 func TestConnectionOwner(t *testing.T) {
 	v := newView(3, 2)
 	s := &catalog.Server{ID: "s", DataCentre: "z1"}
-	first, ok := v.ConnectionOwner("c", s)
+	first, ok := v.ConnectionOwner("c", s, 0)
 	if !ok || first != "vm-1-0" && first != "vm-1-1" {
 		t.Fatalf("connection owner %s", first)
 	}
 	vm := v.vm(first)
 	vm.Unreachable = map[string]bool{"s": true}
-	second, _ := v.ConnectionOwner("c", s)
+	second, _ := v.ConnectionOwner("c", s, 0)
 	if second == first || second != "vm-1-0" && second != "vm-1-1" {
 		t.Errorf("connection owner %s, want the other VM of the data centre", second)
 	}
 	v.vm(second).Leaving = true
-	third, ok := v.ConnectionOwner("c", s)
+	third, ok := v.ConnectionOwner("c", s, 0)
 	if !ok || third == first || third == second {
 		t.Errorf("connection owner %s, want one in another data centre", third)
 	}
 	for i := range v.VMs {
 		v.VMs[i].Alive = false
 	}
-	if vm, ok := v.ConnectionOwner("c", s); ok {
+	if vm, ok := v.ConnectionOwner("c", s, 0); ok {
 		t.Errorf("connection owner %s although no VM is alive", vm)
 	}
 }
 
+// Guards against connections to a server that are divided over so many VMs that each has
+// one or two for several customers, and against a choice that moves the customers of
+// other owners when one is lost.
+func TestFewConnectionOwners(t *testing.T) {
+	config := &catalog.Config{Groups: []catalog.Group{{Name: "g", MaxConnections: 36}}}
+	for i := range 80 {
+		config.Customers = append(config.Customers, catalog.Customer{Name: fmt.Sprint(i), Rate: 10})
+	}
+	config.Index()
+	s := &catalog.Server{ID: "s", Group: "g", DataCentre: "z0"}
+	v := newView(1, 25)
+	owners := func() map[string]string {
+		byCustomer := make(map[string]string)
+		for i := range config.Customers {
+			byCustomer[config.Customers[i].Name], _ = v.ConnectionOwner(config.Customers[i].Name, s, MaxConnectionOwners(config, "g"))
+		}
+		return byCustomer
+	}
+	before := owners()
+	count := make(map[string]int)
+	for _, vm := range before {
+		count[vm]++
+	}
+	if len(count) != 33/connectionsPerOwner {
+		t.Errorf("%d owners of 33 connections", len(count))
+	}
+	lost := before["0"]
+	v.vm(lost).Alive = false
+	moved := 0
+	for customer, vm := range owners() {
+		if before[customer] != lost && vm != before[customer] {
+			moved++
+		}
+	}
+	// The VM that takes the place of the lost one takes customers from the others too.
+	if moved > len(config.Customers)/3 {
+		t.Errorf("%d customers of other owners moved", moved)
+	}
+	config.Groups[0].MaxConnections = 120
+	if n := MaxConnectionOwners(config, "g"); n != 0 {
+		t.Errorf("%d owners where each customer has a connection, want all VMs", n)
+	}
+}
+
 // Guards against reassigning the keys of other VMs when one VM leaves, and against
 // ignoring the weights.
 func TestLostVMMovesOnlyItsOwnKeys(t *testing.T) {
--- a/coordination/sqlsession/route.go
+++ b/coordination/sqlsession/route.go
@@ -75,7 +75,7 @@
 		return Target{}, false
 	}
 	stmt.Server = server.ID
-	vm, ok := env.View.ConnectionOwner(o.Customer, server)
+	vm, ok := env.View.ConnectionOwner(o.Customer, server, placement.MaxConnectionOwners(env.Deployment.Config, server.Group))
 	return Target{VM: vm, Server: server.ID, Statement: stmt}, ok
 }
 
--- a/node.go
+++ b/node.go
@@ -141,7 +141,7 @@
 	n.executor = sqlback.New(sqlback.Options{
 		Network: o.Network, Dialect: o.ServerDialect, Pool: n.pool, Table: n.catalog, Logger: o.Logger, Scope: o.Scope, Tracer: o.Tracer,
 		HoldsConnections: func(customer string, s *catalog.Server) bool {
-			vm, ok := n.links.View().ConnectionOwner(customer, s)
+			vm, ok := n.links.View().ConnectionOwner(customer, s, placement.MaxConnectionOwners(n.catalog.Current().Config, s.Group))
 			return ok && vm == o.Name
 		},
 		ReportUnreachable: func(unreachable []string) {
--- a/standin/managed/connections_test.go
+++ b/standin/managed/connections_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 )
@@ -62,7 +63,7 @@
 				t.Errorf("COMMIT: %s %s", a.Code, a.Text)
 			}
 		}
-		owner, _ := d.VM("vm-0-0").Node.View().ConnectionOwner(CustomerName(0), &catalog.Server{ID: g.Primary().ID, Group: g.Name, DataCentre: zoneName(0)})
+		owner, _ := d.VM("vm-0-0").Node.View().ConnectionOwner(CustomerName(0), &catalog.Server{ID: g.Primary().ID, Group: g.Name, DataCentre: zoneName(0)}, placement.MaxConnectionOwners(&d.config, g.Name))
 		d.VM(owner).Kill()
 		d.StartVM(owner, zoneName(0))
 		time.Sleep(2 * time.Second)
--- a/standin/managed/restart_test.go
+++ b/standin/managed/restart_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 )
@@ -15,7 +16,7 @@
 func ownerAndFront(t *testing.T, d *Deployment, customer string, s *Server) (owner, front *VM) {
 	t.Helper()
 	registered := &catalog.Server{ID: s.ID, Group: s.group.Name, DataCentre: s.Zone}
-	name, ok := d.VM("vm-0-0").Node.View().ConnectionOwner(customer, registered)
+	name, ok := d.VM("vm-0-0").Node.View().ConnectionOwner(customer, registered, placement.MaxConnectionOwners(&d.config, registered.Group))
 	if !ok {
 		t.Fatalf("no VM holds the connections of %s to %s", customer, s.ID)
 	}
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
@@ -49,7 +50,7 @@
 func (c *Coordinator) runOnServer(group string, server *catalog.Server, w statement.RemoteStatement, done func(statement.Result)) {
 	w.Group, w.Server, w.Customer = group, server.ID, c.connectionCustomer()
 	w.Timeout, w.Wait = queryTimeout, queryTimeout
-	vm, ok := c.View().ConnectionOwner(w.Customer, server)
+	vm, ok := c.View().ConnectionOwner(w.Customer, server, placement.MaxConnectionOwners(c.Table.Current().Config, group))
 	if !ok {
 		vm = c.Name
 	}
