--- a/coordination/classqueue/decide.go
+++ b/coordination/classqueue/decide.go
@@ -113,10 +113,12 @@
 }
 
 // PermittedWait returns how long an operation with the objective may wait before it runs,
-// for a primary or for a connection. fallback is used if there is no objective.
-func PermittedWait(objective, timeout, fallback time.Duration) time.Duration {
+// for a primary or for a connection. It is at least usual, which is also used if there is
+// no objective: a late answer is still worth something to the caller, and a failover takes
+// longer than most objectives.
+func PermittedWait(objective, timeout, usual time.Duration) time.Duration {
 	if objective <= 0 {
-		return fallback
+		return usual
 	}
-	return min(time.Duration(waitFraction*float64(objective)), time.Duration(maxWaitOfTimeout*float64(timeout)))
+	return max(usual, min(time.Duration(waitFraction*float64(objective)), time.Duration(maxWaitOfTimeout*float64(timeout))))
 }
--- a/coordination/connbudget/share.go
+++ b/coordination/connbudget/share.go
@@ -49,10 +49,11 @@
 	return parts
 }
 
-// riseDelay is how long a share that rises is not used yet. VMs learn of a change of the
-// view within about 0.1 s of each other, and the VM whose share falls needs the rest of
-// the time to end the statements that use its connections.
-const riseDelay = 500 * time.Millisecond
+// riseDelay is how long a share that rises is not used yet, so that the VM whose share
+// falls can close idle connections first. It does not cover statements that still run
+// there: after the loss of an owner its customers would wait for that long, and the server
+// refuses connections beyond its limit itself.
+const riseDelay = 50 * time.Millisecond
 
 // Share is an owner's share of the connections to a server. A lower plan takes effect at
 // once, a higher one after riseDelay.
