--- a/coordination/classqueue/pressure.go
+++ b/coordination/classqueue/pressure.go
@@ -18,7 +18,7 @@
 	// at the server before lower classes are held back. The rest is for the statement
 	// itself, for further statements of the operation, and for the time until holding back
 	// takes effect.
-	delayFraction = 0.2
+	delayFraction = 0.3
 	// calmFraction of the permitted delay is the delay below which the level falls.
 	calmFraction = 0.5
 	// raiseStep and lowerStep are the greatest changes of the level in an adjustment, and
