Usage: release the duty at once, and keep ended windows when all VMs are lost

Each new holder of the usage duty waited 2.25 s for calls of the former one that had long ended, and each window waited 6 s for a VM that had been replaced. When all VMs were killed at 13 s, the counts of the window that had ended at 9 s were lost with them. Change: a former holder that is alive states in its answers that its calls have ended, which ends the wait of the new one. While a report waits, the holder writes the counts of ended windows to its record; the next holder reports them if all VMs were lost.

--- a/coordination/usage/duty.go
+++ b/coordination/usage/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/fencing"
@@ -29,9 +30,14 @@
 	maxUnverified = time.Second
 	// takeOverDelay is the time after a claim in which the last call of the former holder
 	// ends: it was sent up to maxUnverified after the claim.
-	takeOverDelay = maxUnverified + CallTimeout + 250*time.Millisecond
+	takeOverDelay = maxUnverified + CallTimeout + callMargin
+	// callMargin is added to CallTimeout for a call that the platform receives late.
+	callMargin = 250 * time.Millisecond
 	// leaseMargin is added to the lease for the time that calls are on their way.
 	leaseMargin = 250 * time.Millisecond
+	// maxPendingWindows limits the windows in Record.Pending. The record stays within a few KB, and
+	// later windows are soon due.
+	maxPendingWindows = 4
 	// contestedLeases is the number of leases after which a VM claims the duty again that
 	// another VM took from it. VMs with different views would otherwise claim it in turns
 	// without a report.
@@ -48,6 +54,9 @@
 	Length   time.Duration // of windows
 	Window   int64         // windows up to this one may have been reported
 	Counts   Counts        // of Window; nil if its report is not known
+	// Pending are the counts of later windows, without those of VMs that were silent. They
+	// remain if all VMs are lost before these windows can be reported.
+	Pending []WindowCounts
 	// Stored is the revision of the object, with the era of the answer that contained it;
 	// zero if it does not exist yet.
 	Stored state.Revision
@@ -56,6 +65,16 @@
 // HasReport reports whether the record contains a report.
 func (r *Record) HasReport() bool { return r.Counts != nil }
 
+// pending returns the counts of the window in Pending; nil if there are none.
+func (r *Record) pending(window int64) Counts {
+	for _, p := range r.Pending {
+		if p.Window == window {
+			return p.Counts
+		}
+	}
+	return nil
+}
+
 // Duty is the part of a VM in the duty to report usage. Its methods decide; the caller
 // reads and writes the record and sends the reports. It is not safe for concurrent use.
 type Duty struct {
@@ -63,16 +82,22 @@
 	Settings Settings
 	Started  time.Duration // clock reading at the start of the process
 
-	record    Record        // last record that this VM wrote; Holder is empty if there is none
-	held      bool          // this VM holds the duty, as far as it knows
-	refused   bool          // the platform refused the token of record
-	notBefore time.Duration // clock reading before which this VM sends no report
-	verified  time.Duration // clock reading when the store was last asked for record and had it
-	lastCall  time.Duration // clock reading of the latest call to the platform
-	lostAt    time.Duration // clock reading when another VM took the duty; zero if none did
-	repeat    bool          // the report of record has not been accepted yet
-	first     bool          // the prepared claim is that of the first holder
-	fromStart bool          // the record did not exist before: no operation is older than the VMs
+	record  Record // last record that this VM wrote; Holder is empty if there is none
+	held    bool   // this VM holds the duty, as far as it knows
+	refused bool   // the platform refused the token of record
+	// No report is sent before these clock readings. takeOverEnds is when the last calls of
+	// former holders have ended, leaseEnds when a lease has passed since this VM's own.
+	takeOverEnds time.Duration
+	leaseEnds    time.Duration
+	former       string        // holder in the record that this VM claimed over
+	formerToken  uint64        // fencing token of former
+	verified     time.Duration // clock reading when the store was last asked for record and had it
+	lastCall     time.Duration // clock reading of the latest call to the platform
+	callOpen     bool          // the latest call to the platform had no answer
+	lostAt       time.Duration // clock reading when another VM took the duty; zero if none did
+	repeat       bool          // the report of record has not been accepted yet
+	first        bool          // the prepared claim is that of the first holder
+	fromStart    bool          // the record did not exist before: no operation is older than the VMs
 }
 
 // Held reports whether this VM holds the duty, as far as it knows.
@@ -116,9 +141,9 @@
 	d.first = present.Holder == "" && known == 0
 	switch {
 	case d.usable(&present) && present.Era == era:
-		next.Window, next.Counts = present.Window, present.Counts
+		next.Window, next.Counts, next.Pending = present.Window, present.Counts, present.Pending
 	case d.usable(&d.record) && d.record.Era < era && known <= d.record.Token:
-		next.Window, next.Counts = d.record.Window, d.record.Counts
+		next.Window, next.Counts, next.Pending = d.record.Window, d.record.Counts, d.record.Pending
 	case d.first:
 		next.Window = d.Settings.WindowAt(min(oldest, now)) - 1
 	}
@@ -134,7 +159,7 @@
 // the duty is then to be claimed again.
 //
 // If another VM held the duty, or may have, this VM sends nothing until the calls of the
-// former holder have ended. If it held the duty before, it also waits for the lease, so
+// former holder have ended, see EndTakeOver. If it held the duty before, it also waits for the lease, so
 // that the duty does not move from it to another VM and back within that time.
 func (d *Duty) Claimed(present, claim Record, stored state.Revision, sentAt, now time.Duration) bool {
 	if stored.Era != claim.Era {
@@ -142,7 +167,8 @@
 	}
 	ours := present.Holder == d.Name && present.Token == d.record.Token && present.Era == claim.Era && !d.refused
 	if !d.first && !ours {
-		d.notBefore = max(now+takeOverDelay, max(d.lastCall, d.Started)+d.Settings.Lease+leaseMargin)
+		d.takeOverEnds, d.former, d.formerToken = now+takeOverDelay, present.Holder, present.Token
+		d.leaseEnds = max(d.lastCall, d.Started) + d.Settings.Lease + leaseMargin
 	}
 	d.fromStart = d.first || d.fromStart && ours
 	d.record, d.held, d.refused, d.verified, d.lostAt = claim, true, false, sentAt, 0
@@ -151,6 +177,26 @@
 	return true
 }
 
+// Released reports whether this process held the duty and no longer does, and no call to
+// the platform is under way, neither of its own nor of the holders before it. A process
+// that never held it knows nothing of the calls of an earlier process of its VM.
+func (d *Duty) Released(now time.Duration) bool {
+	callEnds := d.lastCall
+	if d.callOpen {
+		callEnds += CallTimeout + callMargin
+	}
+	return !d.held && d.record.Token != 0 && now >= max(d.takeOverEnds, callEnds)
+}
+
+// EndTakeOver ends the wait for the calls of former holders if the last one has released
+// the duty. releasedBy reports whether a VM has done so while it knew of the fencing token,
+// or of a higher one. It cannot hold the duty again without writing the record.
+func (d *Duty) EndTakeOver(releasedBy func(vm string, token uint64) bool, now time.Duration) {
+	if d.held && now < d.takeOverEnds && releasedBy(d.former, d.formerToken) {
+		d.takeOverEnds = now
+	}
+}
+
 // Step is what the holder of the duty has to do next.
 type Step uint8
 
@@ -169,7 +215,7 @@
 // their counts, and answered reports whether all have answered since a true time.
 func (d *Duty) Next(clock time.Duration, now Time, collecting time.Duration, answered func(Time) bool) Step {
 	switch {
-	case !d.held || clock < d.notBefore:
+	case !d.held || clock < max(d.takeOverEnds, d.leaseEnds):
 		return Wait
 	case d.repeat && clock-d.verified > maxUnverified:
 		return Verify
@@ -188,13 +234,52 @@
 	return time.Duration(settleShare * float64(d.Settings.Delay))
 }
 
+// UnsavedWindows returns the ended windows with known counts that are neither recorded nor in
+// Pending, if all VMs that are alive have answered since the end of the last one.
+// coveredFrom is the true time from which on operations were counted.
+func (d *Duty) UnsavedWindows(now, coveredFrom Time, aliveAnswered func(Time) bool) []int64 {
+	last := d.Settings.WindowAt(now.Add(-minWait)) - 1
+	if !d.held || !aliveAnswered(d.Settings.End(last)) {
+		return nil
+	}
+	var windows []int64
+	for w := max(d.NextWindow(), d.firstCovered(now, coveredFrom), last-maxPendingWindows+1); w <= last; w++ {
+		if d.record.pending(w) == nil {
+			windows = append(windows, w)
+		}
+	}
+	return windows
+}
+
+// PrepareSave returns the record with the counts of further windows in Pending.
+func (d *Duty) PrepareSave(counts []WindowCounts) Record {
+	next := d.record
+	next.Pending = slices.Concat(next.Pending, counts)
+	next.Pending = next.Pending[max(len(next.Pending)-maxPendingWindows, 0):]
+	return next
+}
+
+// Saved records that the record was written with the revision by a call that was sent at
+// sentAt. It reports false if the store has a new era; the duty is then to be claimed again.
+func (d *Duty) Saved(r Record, stored state.Revision, sentAt time.Duration) bool {
+	if stored.Era != r.Era {
+		d.held = false
+		return false
+	}
+	d.record, d.verified = r, sentAt
+	d.record.Stored = stored
+	return true
+}
+
 // Skip skips the windows whose counts are not known, because they are too old or because
-// all VMs have started since, and returns their number. coveredFrom is the true time from
+// all VMs have started since, and returns their number. Windows in Pending are not skipped. coveredFrom is the true time from
 // which on operations were counted.
 func (d *Duty) Skip(now, coveredFrom Time) int64 {
-	earliest := d.Settings.WindowAt(now.Add(-Retention)) + 1
-	if !d.fromStart {
-		earliest = max(earliest, d.Settings.WindowAt(coveredFrom.Add(d.Settings.Window-1)))
+	earliest := d.firstCovered(now, coveredFrom)
+	for _, p := range d.record.Pending {
+		if p.Window > d.record.Window && now.Sub(d.Settings.End(p.Window)) < Retention {
+			earliest = min(earliest, p.Window)
+		}
 	}
 	if d.repeat && now.Sub(d.Settings.End(d.record.Window)) >= Retention {
 		d.repeat = false
@@ -208,13 +293,25 @@
 	return 0
 }
 
-// PrepareReport returns the record of the next window with the counts.
+// firstCovered returns the first window whose counts are known.
+func (d *Duty) firstCovered(now, coveredFrom Time) int64 {
+	first := d.Settings.WindowAt(now.Add(-Retention)) + 1
+	if !d.fromStart {
+		first = max(first, d.Settings.WindowAt(coveredFrom.Add(d.Settings.Window-1)))
+	}
+	return first
+}
+
+// PrepareReport returns the record of the next window with the counts, or with those in
+// Pending where they are higher: VMs that had counted the others may be lost since.
 func (d *Duty) PrepareReport(counts Counts) Record {
 	next := d.record
-	next.Window, next.Counts = d.NextWindow(), maps.Clone(counts)
-	if next.Counts == nil {
-		next.Counts = make(Counts)
+	next.Window, next.Counts = d.NextWindow(), make(Counts)
+	maps.Copy(next.Counts, counts)
+	for customer, n := range d.record.pending(next.Window) {
+		next.Counts[customer] = max(next.Counts[customer], n)
 	}
+	next.Pending = slices.DeleteFunc(slices.Clone(next.Pending), func(p WindowCounts) bool { return p.Window <= next.Window })
 	return next
 }
 
@@ -222,13 +319,8 @@
 // sentAt. The report may be sent only if it reports true: the record is in the present era
 // of the store.
 func (d *Duty) Recorded(r Record, stored state.Revision, sentAt time.Duration) bool {
-	if stored.Era != r.Era {
-		d.held = false
-		return false
-	}
-	d.record, d.repeat, d.verified = r, true, sentAt
-	d.record.Stored = stored
-	return true
+	d.repeat = d.Saved(r, stored, sentAt)
+	return d.repeat
 }
 
 // Verified records the present record, which the store was asked for at sentAt. It reports
@@ -247,17 +339,17 @@
 
 // Report returns the recorded report, which is sent at the given time.
 func (d *Duty) Report(now time.Duration) (window int64, counts Counts, token uint64) {
-	d.lastCall = now
+	d.lastCall, d.callOpen = now, true
 	return d.record.Window, d.record.Counts, d.record.Token
 }
 
 // Answered records that the platform accepted the recorded report, or that it is not sent
 // again.
-func (d *Duty) Answered() { d.repeat = false }
+func (d *Duty) Answered() { d.repeat, d.callOpen = false, false }
 
 // Refused records that the platform refused the recorded report because it has seen a
 // higher fencing token. Another VM may have acted.
-func (d *Duty) Refused() { d.held, d.refused = false, true }
+func (d *Duty) Refused() { d.held, d.refused, d.callOpen = false, true, false }
 
 // MayClaim reports whether this VM may claim the duty over the present record. reached says
 // whether the holder in it is alive in the view of this VM. If a holder that is not reached
--- a/coordination/usage/usage_test.go
+++ b/coordination/usage/usage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -237,6 +238,68 @@
 	}
 }
 
+// Guards against windows that are late because the duty moves several times in a row and
+// each holder waits for calls of a former one that have ended, and against a release while
+// such calls may be under way.
+func TestReleasedDuty(t *testing.T) {
+	present := stored(Record{Holder: "a", Token: 1, NextFree: 1001, Length: testSettings.Window, Window: 999, Counts: Counts{}}, 0, 4)
+	former := claimed(t, "b", present, start)
+	now := time.Minute
+	if former.Released(now) {
+		t.Error("released while the duty is held")
+	}
+	former.Drop()
+	if former.Released(now + takeOverDelay - 1) {
+		t.Error("released although a call of the holder before may be under way")
+	}
+	if !former.Released(now + takeOverDelay) {
+		t.Error("not released after the calls of the holder before")
+	}
+	if (&Duty{Name: "b", Settings: testSettings}).Released(time.Hour) {
+		t.Error("released by a process that never held the duty")
+	}
+	for name, c := range map[string]struct {
+		answered bool
+		after    time.Duration
+		want     bool
+	}{
+		"answered":             {true, 0, true},
+		"no answer":            {false, CallTimeout, false},
+		"no answer, timed out": {false, CallTimeout + callMargin, true},
+	} {
+		d := claimed(t, "b", present, start)
+		_, _, _ = d.Report(2 * time.Minute)
+		if c.answered {
+			d.Answered()
+		}
+		d.Drop()
+		if got := d.Released(2*time.Minute + c.after); got != c.want {
+			t.Errorf("call %s: released %v", name, got)
+		}
+	}
+
+	present = stored(former.record, 0, 5)
+	next := claimed(t, "c", present, start)
+	end := testSettings.End(1000).Add(minWait)
+	step := func() Step { return next.Next(now+1, end, time.Hour, func(Time) bool { return true }) }
+	next.EndTakeOver(func(string, uint64) bool { return false }, now+1)
+	if got := step(); got != Wait {
+		t.Errorf("not released: step %d", got)
+	}
+	next.EndTakeOver(func(vm string, token uint64) bool { return vm == "b" && token == present.Token }, now+1)
+	if got := step(); got != Send {
+		t.Errorf("released: step %d", got)
+	}
+	// A VM that held the duty within the lease waits for its end also then.
+	again := claimed(t, "b", present, start)
+	again.Started = now
+	again.Claimed(present, again.PrepareClaim(present, 0, start, start), state.Revision{Number: 6}, now, now)
+	again.EndTakeOver(func(string, uint64) bool { return true }, now+1)
+	if got := again.Next(now+1, end, time.Hour, func(Time) bool { return true }); got != Wait {
+		t.Errorf("within the lease: step %d", got)
+	}
+}
+
 // Guards against windows that are reported although their counts are lost.
 func TestSkip(t *testing.T) {
 	present := stored(Record{Holder: "a", Token: 1, NextFree: 1001, Length: testSettings.Window, Window: 990}, 0, 4)
@@ -252,3 +315,50 @@
 		t.Errorf("%d windows skipped after an outage of an hour", n)
 	}
 }
+
+// Guards against windows that are lost because all VMs are killed while the report waits for
+// a VM that is silent, and against counts of a part of the VMs that replace higher ones.
+func TestPendingWindows(t *testing.T) {
+	now := testSettings.End(1001).Add(minWait)
+	everybody := func(Time) bool { return true }
+	d := claimed(t, "a", stored(Record{Holder: "a", Token: 1, NextFree: 1001, Length: testSettings.Window, Window: 999}, 0, 4), start)
+	if got := d.UnsavedWindows(now-1, 0, everybody); !slices.Equal(got, []int64{1000}) {
+		t.Errorf("unsaved before the second window has ended: %v", got)
+	}
+	if got := d.UnsavedWindows(now, 0, func(Time) bool { return false }); got != nil {
+		t.Errorf("unsaved although a VM that is alive has not answered: %v", got)
+	}
+	if got := d.UnsavedWindows(now, start+1, everybody); !slices.Equal(got, []int64{1001}) {
+		t.Errorf("unsaved after all VMs started in the first window: %v", got)
+	}
+	if got := d.UnsavedWindows(now, 0, everybody); !slices.Equal(got, []int64{1000, 1001}) {
+		t.Errorf("unsaved: %v", got)
+	}
+	saved := d.PrepareSave([]WindowCounts{{1000, Counts{"x": 7}}, {1001, Counts{"x": 5, "y": 1}}})
+	d.Saved(saved, state.Revision{Number: 6}, time.Minute)
+	if got := d.UnsavedWindows(now, 0, everybody); got != nil {
+		t.Errorf("unsaved after they were saved: %v", got)
+	}
+
+	// All VMs start again 10 s after the end of window 1001.
+	later := now.Add(10 * time.Second)
+	next := claimed(t, "b", stored(saved, 0, 6), later)
+	if n := next.Skip(later, later); n != 0 {
+		t.Errorf("%d pending windows skipped", n)
+	}
+	for window, want := range map[int64]Counts{1000: {"x": 9}, 1001: {"x": 5, "y": 1}} {
+		collected := Counts{}
+		if window == 1000 {
+			collected["x"] = 9 // a VM that was silent is not lost
+		}
+		r := next.PrepareReport(collected)
+		if r.Window != window || !maps.Equal(r.Counts, want) {
+			t.Errorf("report of window %d: %d %v, want %v", window, r.Window, r.Counts, want)
+		}
+		next.Recorded(r, state.Revision{Number: 7}, time.Minute)
+		next.Answered()
+	}
+	if n := next.Skip(later, later); n != 2 || len(next.record.Pending) > 0 {
+		t.Errorf("%d windows without counts skipped, pending %v", n, next.record.Pending)
+	}
+}
--- a/protocol/fleetwire/usage.go
+++ b/protocol/fleetwire/usage.go
@@ -30,6 +30,9 @@
 	TimeOfDay usage.Time    // time of day of the sender
 	Token     uint64        // highest fencing token of a holder of the duty that the sender knows
 	Synced    bool          // the sender knows the true time
+	// Released states that the sender held the duty and no longer does, and that no call to
+	// the platform of its own, or of a holder before it, is under way.
+	Released bool
 	// Sources are the counts, the sender's own ones first.
 	Sources []usage.SourceCounts
 }
@@ -40,8 +43,11 @@
 	flagDeparted
 )
 
-// flagSynced is the first byte of a UsageReply whose sender knows the true time.
-const flagSynced = 1
+// Flags in the first byte of a UsageReply. Receivers ignore those they do not know.
+const (
+	flagSynced = 1 << iota
+	flagReleased
+)
 
 // Append appends the encoded request to dst.
 func (r *UsageRequest) Append(dst []byte) []byte {
@@ -72,7 +78,10 @@
 func (r *UsageReply) Append(dst []byte) []byte {
 	var flags byte
 	if r.Synced {
-		flags = flagSynced
+		flags |= flagSynced
+	}
+	if r.Released {
+		flags |= flagReleased
 	}
 	dst = binary.AppendVarint(append(dst, flags), int64(r.Clock))
 	dst = binary.AppendVarint(dst, int64(r.TimeOfDay))
@@ -99,7 +108,8 @@
 // DecodeUsageReply decodes the output of UsageReply.Append.
 func DecodeUsageReply(b []byte) (UsageReply, error) {
 	d := decoder{b: b}
-	r := UsageReply{Synced: d.byte()&flagSynced != 0, Clock: time.Duration(d.varint()), TimeOfDay: usage.Time(d.varint()), Token: d.uvarint()}
+	flags := d.byte()
+	r := UsageReply{Synced: flags&flagSynced != 0, Released: flags&flagReleased != 0, Clock: time.Duration(d.varint()), TimeOfDay: usage.Time(d.varint()), Token: d.uvarint()}
 	for n := d.length(); n > 0; n-- {
 		s := usage.SourceCounts{Source: usage.Source{VM: d.string(), Run: d.varint()}, Started: usage.Time(d.varint()), Changes: d.uvarint()}
 		for m := d.length(); m > 0; m-- {
--- a/protocol/fleetwire/usage_test.go
+++ b/protocol/fleetwire/usage_test.go
@@ -16,7 +16,7 @@
 	if got, err := DecodeUsageRequest(request.Append(nil)); err != nil || !cmp.Equal(request, got) {
 		t.Errorf("request: %v\n%s", err, cmp.Diff(request, got))
 	}
-	reply := UsageReply{Clock: time.Hour, TimeOfDay: 1 << 60, Token: 9, Synced: true, Sources: []usage.SourceCounts{
+	reply := UsageReply{Clock: time.Hour, TimeOfDay: 1 << 60, Token: 9, Synced: true, Released: true, Sources: []usage.SourceCounts{
 		{Source: usage.Source{VM: "a", Run: 5}, Started: 8, Changes: 6, Windows: []usage.WindowCounts{{Window: 3, Counts: usage.Counts{"x": 1, "y": 0}}, {Window: 4, Counts: usage.Counts{"x": 2}}}},
 		{Source: usage.Source{VM: "b", Run: -5}},
 	}}
--- a/transport/usagereport/collect.go
+++ b/transport/usagereport/collect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -96,6 +97,7 @@
 			delete(r.peers, s)
 		}
 	}
+	maps.DeleteFunc(r.releases, func(_ string, latest release) bool { return now-latest.at > usage.Retention })
 }
 
 // CountOperation records that an operation of the customer began to run at a server at the
@@ -171,9 +173,22 @@
 		r.peers[own.Source] = peerClock{at: arrivedAt, offset: middle - reply.Clock, timeOfDay: time.Duration(reply.TimeOfDay) - middle}
 		r.mu.Unlock()
 	}
+	if reply.Released {
+		r.mu.Lock()
+		r.releases[own.VM] = release{at: arrivedAt, token: reply.Token}
+		r.mu.Unlock()
+	}
 	r.recordCounts(reply, sentAt)
 }
 
+// releasedBy reports whether the VM has released the duty while it knew of the token.
+func (r *Reporter) releasedBy(vm string, token uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	latest, ok := r.releases[vm]
+	return ok && latest.token >= token
+}
+
 // recordCounts records the counts in a message. Those of its sender were current at the
 // given time.
 func (r *Reporter) recordCounts(reply *fleetwire.UsageReply, at time.Duration) {
@@ -231,8 +246,9 @@
 // message returns the counts of this VM as a message.
 func (r *Reporter) message(window int64, seen uint64) fleetwire.UsageReply {
 	_, synced := r.counter.Offset()
+	token := r.counter.Token() // before released, which is false once this VM's next token is known
 	return fleetwire.UsageReply{
-		Clock: clock.Now(), TimeOfDay: usage.Time(r.TimeOfDay().UnixNano()), Token: r.counter.Token(), Synced: synced,
+		Clock: clock.Now(), TimeOfDay: usage.Time(r.TimeOfDay().UnixNano()), Token: token, Synced: synced, Released: r.released.Load(),
 		Sources: []usage.SourceCounts{r.ownCounts(window, seen)},
 	}
 }
--- a/transport/usagereport/reporter.go
+++ b/transport/usagereport/reporter.go
@@ -92,6 +92,7 @@
 	collection *usage.Collection
 	started    time.Duration
 	heldToken  atomic.Uint64 // fencing token while this VM holds the duty, otherwise zero
+	released   atomic.Bool   // see fleetwire.UsageReply; false while this VM claims the duty
 	pushed     atomic.Uint64 // number of the latest change that the coordinator has from this VM
 	collecting atomic.Int64  // clock reading in ns since which this VM asks all others without a gap; zero if it does not
 	lastRound  atomic.Int64  // clock reading in ns of the latest round of requests
@@ -102,10 +103,12 @@
 	selectedSince time.Duration // zero while another VM is selected
 	nextClaim     time.Duration // earliest time of the next claim
 	nextCall      time.Duration // earliest time of the next call to the platform
+	nextSave      time.Duration // earliest time at which pending windows are recorded again
 	warnedWindow  int64         // window of the latest warning that a report was not accepted
 
-	mu    lockrank.Mutex // guards peers
-	peers map[usage.Source]peerClock
+	mu       lockrank.Mutex // guards the fields below
+	peers    map[usage.Source]peerClock
+	releases map[string]release // by VM
 }
 
 // peerClock is what this VM knows of the clocks of another one.
@@ -115,6 +118,12 @@
 	timeOfDay time.Duration // difference of the other VM's time of day and this VM's monotonic clock
 }
 
+// release is the latest answer of a VM that has released the duty.
+type release struct {
+	at    time.Duration // when it arrived
+	token uint64        // highest fencing token that the VM knew then
+}
+
 // outcome is what happened to a window.
 type outcome string
 
@@ -136,7 +145,7 @@
 	r := &Reporter{
 		Options: o, counter: usage.NewCounter(o.Settings), collection: usage.NewCollection(o.Settings), started: clock.Now(),
 		outcomes: make(map[outcome]tally.Counter), duty: usage.Duty{Name: o.Name, Settings: o.Settings, Started: clock.Now()},
-		mu: lockrank.New(lockrank.Counters), peers: make(map[usage.Source]peerClock),
+		mu: lockrank.New(lockrank.Counters), peers: make(map[usage.Source]peerClock), releases: make(map[string]release),
 	}
 	for _, name := range []outcome{outcomeReported, outcomeLate, outcomeSkipped, outcomeRefused} {
 		r.outcomes[name] = o.Scope.Tagged(map[string]string{"outcome": string(name)}).Counter("usage_windows")
@@ -174,13 +183,14 @@
 	}
 }
 
-// publishDuty makes the fencing token known to the goroutine that collects.
+// publishDuty makes the state of the duty known to the goroutines that handle messages.
 func (r *Reporter) publishDuty() {
 	token := uint64(0)
 	if r.duty.Held() {
 		token = r.duty.Token()
 	}
 	r.heldToken.Store(token)
+	r.released.Store(r.duty.Released(clock.Now()))
 }
 
 // selected reports whether this VM has been selected to report for claimDelay. While no VM
@@ -218,26 +228,26 @@
 	if !r.duty.Held() && !r.claim(ctx) {
 		return
 	}
+	r.duty.EndTakeOver(r.releasedBy, clock.Now())
 	r.skip(now)
-	switch r.next(now) {
+	step := r.next(now)
+	if step == usage.Wait || clock.Now() < r.nextCall {
+		r.save(ctx, now)
+		return
+	}
+	switch step {
 	case usage.Write:
-		if clock.Now() >= r.nextCall {
-			r.write(ctx)
-		}
+		r.write(ctx)
 	case usage.Verify:
-		if clock.Now() >= r.nextCall {
-			r.verify(ctx)
-		}
+		r.verify(ctx)
 	case usage.Send:
-		if clock.Now() >= r.nextCall {
-			r.send(ctx)
-		}
+		r.send(ctx)
 	}
 }
 
 // next returns the next step of the duty.
 func (r *Reporter) next(now usage.Time) usage.Step {
-	return r.duty.Next(clock.Now(), now, r.collectingFor(), r.answeredSince)
+	return r.duty.Next(clock.Now(), now, r.collectingFor(), func(at usage.Time) bool { return r.answeredSince(at, false) })
 }
 
 // claim claims the duty and reports whether this VM holds it.
@@ -246,6 +256,8 @@
 		return false
 	}
 	r.nextClaim = clock.Now() + retryDelay
+	// Other VMs may know of the new token before this one knows that it holds the duty.
+	r.released.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, usage.CallTimeout)
 	defer cancel()
 	present, err := r.Store.ReadUsage(ctx)
@@ -309,28 +321,62 @@
 	return now-time.Duration(r.lastRound.Load()) > maxMissedRounds*r.collectInterval()
 }
 
-// answeredSince reports whether all VMs that count have answered since the true time.
-func (r *Reporter) answeredSince(at usage.Time) bool {
+// answeredSince reports whether all VMs that count have answered since the true time, or
+// all of those that are alive.
+func (r *Reporter) answeredSince(at usage.Time, aliveOnly bool) bool {
 	for _, vm := range r.Links.View().VMs {
-		if (vm.Alive || !vm.Leaving) && !vm.Edge && !r.collection.AnsweredSince(vm.Name, at) {
+		expected := vm.Alive || !vm.Leaving && !aliveOnly
+		if expected && !vm.Edge && !r.collection.AnsweredSince(vm.Name, at) {
 			return false
 		}
 	}
 	return true
 }
 
-// write records the report of the next window in the store, and then sends it.
-func (r *Reporter) write(ctx context.Context) {
-	record := r.duty.PrepareReport(r.collection.Total(r.duty.NextWindow()))
-	callCtx, cancel := context.WithTimeout(ctx, usage.CallTimeout)
-	defer cancel()
+// save records the counts of windows that cannot be reported yet, so that they are not lost
+// with the VMs.
+func (r *Reporter) save(ctx context.Context, now usage.Time) {
+	from, known := r.collection.CoveredFrom()
+	if !known || clock.Now() < r.nextSave {
+		return
+	}
+	windows := r.duty.UnsavedWindows(now, from, func(at usage.Time) bool { return r.answeredSince(at, true) })
+	if len(windows) == 0 {
+		return
+	}
+	r.nextSave = clock.Now() + retryDelay
+	var counts []usage.WindowCounts
+	for _, w := range windows {
+		counts = append(counts, usage.WindowCounts{Window: w, Counts: r.collection.Total(w)})
+	}
+	record := r.duty.PrepareSave(counts)
 	sentAt := clock.Now()
-	stored, err := r.Store.WriteUsage(callCtx, record)
+	stored, err := r.writeRecord(ctx, record)
+	if err == nil {
+		r.duty.Saved(record, stored, sentAt)
+	}
+}
+
+// writeRecord writes the record. If that fails, the duty is claimed again: this VM or another
+// one may have written it.
+func (r *Reporter) writeRecord(ctx context.Context, record usage.Record) (state.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, usage.CallTimeout)
+	defer cancel()
+	stored, err := r.Store.WriteUsage(ctx, record)
 	if err != nil {
-		// The record may have been written, by this VM or by another one.
 		r.duty.WriteFailed(clock.Now())
 		r.nextClaim = clock.Now() + retryDelay
 		r.Logger.WithError(err).WithField("window", record.Window).Warn("usage: a report cannot be recorded.")
+	}
+	return stored, err
+}
+
+// write records the report of the next window in the store, and then sends it.
+func (r *Reporter) write(ctx context.Context) {
+	record := r.duty.PrepareReport(r.collection.Total(r.duty.NextWindow()))
+	sentAt := clock.Now()
+	stored, err := r.writeRecord(ctx, record)
+	if err != nil {
 		return
 	}
 	if !r.duty.Recorded(record, stored, sentAt) {
