Limits: admit a customer's operations by the priority of their routes

Change: requests for tokens have a number for each of three ranks; the quota coordinator keeps the expected demand of higher ranks, and a tenth of the tokens for lower ones. Operations that wait at a VM get tokens by rank.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -66,6 +66,7 @@
 	// unspent is the sum of LentShare.Unspent over the shares that were lent since the
 	// last refill.
 	unspent time.Duration
+	ranks   rankDemand
 }
 
 // borrowedShare is the period for which another VM lends its share to this one.
@@ -93,9 +94,10 @@
 type tokenCache struct {
 	tokens        int
 	until         time.Duration
-	requested     int // tokens requested and not yet granted or refused
-	waiting       int // operations that wait for the answer
-	count         int // operations since intervalStart
+	requested     int    // tokens requested and not yet granted or refused
+	waiting       Wanted // operations that wait for the answer
+	lowestRank    int    // of the operations so far
+	count         int    // operations since intervalStart
 	intervalStart time.Duration
 	demand        float64 // operations per second
 }
@@ -236,10 +238,15 @@
 	}
 }
 
-// GrantTokens grants up to wanted tokens of a partition of a customer's limit, as
-// the quota coordinator of the partition. The partition is divided into one equal
-// share for each of members VMs.
+// GrantTokens is Grant for operations of one rank.
 func (t *Table) GrantTokens(c *catalog.Customer, index uint8, members, wanted int, now time.Duration) int {
+	return t.Grant(c, index, members, Wanted{wanted}, now)
+}
+
+// Grant grants up to the wanted tokens of a partition of a customer's limit, as the quota
+// coordinator of the partition. The partition is divided into one equal share for each of
+// members VMs. The tokens are for the highest ranks first.
+func (t *Table) Grant(c *catalog.Customer, index uint8, members int, wanted Wanted, now time.Duration) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := catalog.LimitPartition{Customer: c.Name, Index: index}
@@ -251,11 +258,12 @@
 	}
 	share := 1 / float64(max(members, 1)) // of the partition
 	initial := initialTokens/catalog.LimitPartitions + initialBurstFraction*burst
+	before := a.tokens
 	a.tokens += rate*min(s.earned.Seconds()*share, (now-a.filledAt).Seconds()) + rate*a.unspent.Seconds()*share + initial*float64(s.credits)*share
 	a.unspent = 0
 	a.tokens = min(a.tokens, max(burst*min(1, float64(s.count)*share), 1))
 	a.filledAt = now
-	granted := min(wanted, int(a.tokens))
+	granted := a.ranks.grant(a.tokens, max(a.tokens-before, 0), burst, wanted, now)
 	a.tokens -= float64(granted)
 	return granted
 }
@@ -319,12 +327,12 @@
 // request.
 type Admission struct {
 	Admitted bool
-	Request  int // tokens to request from the quota coordinators; zero if none are needed or a request is outstanding
+	Request  Wanted // tokens to request from the quota coordinators; zero if none are needed or a request is outstanding
 }
 
-// Admit spends a cached token for one operation. An operation that is not
+// Admit spends a cached token for one operation of the rank. An operation that is not
 // admitted waits for the answer to the request; see AddGranted.
-func (t *Table) Admit(customer string, now time.Duration) Admission {
+func (t *Table) Admit(customer string, rank int, now time.Duration) Admission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.cache(customer)
@@ -337,26 +345,28 @@
 		c.tokens--
 		a.Admitted = true
 	} else {
-		c.waiting++
+		c.waiting[rank]++
 	}
+	c.lowestRank = max(c.lowestRank, rank)
 	prefetch := int(c.demand * prefetchPeriod.Seconds())
-	if c.requested == 0 && (c.waiting > 0 || c.tokens < prefetch/2) {
-		c.requested = c.waiting + prefetch
-		a.Request = c.requested
+	if c.requested == 0 && (c.waiting.Total() > 0 || c.tokens < prefetch/2) {
+		a.Request = c.waiting
+		a.Request[c.lowestRank] += prefetch
+		c.requested = a.Request.Total()
 	}
 	return a
 }
 
 // AddGranted records the quota coordinators' answer and returns how many of the
-// waiting operations are admitted, oldest first.
+// waiting operations are admitted: the highest rank first, and the oldest of a rank.
 func (t *Table) AddGranted(customer string, granted int, now time.Duration) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.cache(customer)
 	c.requested = 0
 	c.add(granted, now)
-	admitted := min(c.tokens, c.waiting)
-	c.waiting -= admitted
+	admitted := min(c.tokens, c.waiting.Total())
+	c.waiting = c.waiting.After(admitted)
 	c.tokens -= admitted
 	return admitted
 }
@@ -379,24 +389,27 @@
 	}
 }
 
-// Refuse records that n waiting operations were refused.
-func (t *Table) Refuse(customer string, n int) {
+// Refuse records that waiting operations were refused.
+func (t *Table) Refuse(customer string, refused Wanted) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.cache(customer).waiting -= n
+	c := t.cache(customer)
+	for rank, n := range refused {
+		c.waiting[rank] -= n
+	}
 }
 
 // RetryRequest returns how many tokens to request for operations that wait while no
 // request is outstanding.
-func (t *Table) RetryRequest(customer string) int {
+func (t *Table) RetryRequest(customer string) Wanted {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.cache(customer)
 	if c.requested > 0 {
-		return 0
+		return Wanted{}
 	}
-	c.requested = c.waiting
-	return c.requested
+	c.requested = c.waiting.Total()
+	return c.waiting
 }
 
 func (t *Table) cache(customer string) *tokenCache {
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -136,12 +136,12 @@
 // Guards against tokens of a late answer that are lost or cached for too long.
 func TestLateGrant(t *testing.T) {
 	table := NewTable(0)
-	table.Admit("c", afterStart)
+	table.Admit("c", 0, afterStart)
 	table.AddLateGranted("c", 2, afterStart)
 	if got := table.AddGranted("c", 0, afterStart); got != 1 {
 		t.Errorf("%d operations admitted by tokens of a late answer", got)
 	}
-	if a := table.Admit("c", afterStart+maxCacheAge); a.Admitted {
+	if a := table.Admit("c", 0, afterStart+maxCacheAge); a.Admitted {
 		t.Error("a late token was cached for longer than maxCacheAge")
 	}
 }
@@ -160,31 +160,31 @@
 // Guards against operations that wait forever or are admitted twice.
 func TestAdmission(t *testing.T) {
 	table := NewTable(0)
-	a := table.Admit("c", afterStart)
-	if a.Admitted || a.Request != 1 {
+	a := table.Admit("c", 0, afterStart)
+	if a.Admitted || a.Request.Total() != 1 {
 		t.Fatalf("first operation: %+v", a)
 	}
-	if b := table.Admit("c", afterStart); b.Admitted || b.Request != 0 {
+	if b := table.Admit("c", 0, afterStart); b.Admitted || b.Request.Total() != 0 {
 		t.Errorf("second operation while a request is outstanding: %+v", b)
 	}
 	if got := table.AddGranted("c", 1, afterStart); got != 1 {
 		t.Errorf("%d operations admitted by one token", got)
 	}
-	if got := table.RetryRequest("c"); got != 1 {
+	if got := table.RetryRequest("c").Total(); got != 1 {
 		t.Errorf("%d tokens requested for one waiting operation", got)
 	}
-	if got := table.RetryRequest("c"); got != 0 {
+	if got := table.RetryRequest("c").Total(); got != 0 {
 		t.Errorf("%d tokens requested while a request is outstanding", got)
 	}
 	table.AddGranted("c", 0, afterStart)
-	table.Refuse("c", 1)
-	if got := table.RetryRequest("c"); got != 0 {
+	table.Refuse("c", Wanted{1})
+	if got := table.RetryRequest("c").Total(); got != 0 {
 		t.Errorf("%d tokens requested for no operation", got)
 	}
 	// Tokens granted in advance expire.
-	table.Admit("c", afterStart)
+	table.Admit("c", 0, afterStart)
 	table.AddGranted("c", 3, afterStart)
-	if got := table.Admit("c", afterStart+maxCacheAge); got.Admitted {
+	if got := table.Admit("c", 0, afterStart+maxCacheAge); got.Admitted {
 		t.Error("a token was cached for longer than maxCacheAge")
 	}
 }
--- a/coordination/sqlsession/session.go
+++ b/coordination/sqlsession/session.go
@@ -110,8 +110,9 @@
 	// sent.
 	Charge   bool
 	Customer string // with Charge: whose limit the request counts against
-	End      *Tx    // transaction to end on its server
-	Close    bool   // close the session after the answer
+	Route    *catalog.Route
+	End      *Tx  // transaction to end on its server
+	Close    bool // close the session after the answer
 }
 
 // Handle decides on a request under the configuration in force.
@@ -168,7 +169,7 @@
 	}
 	s.phase, s.route, s.customer = txBegun, route, customer
 	s.readOnly = r.Verb == statement.BeginReadOnly
-	return Step{Answer: s.success(), Charge: true, Customer: customer}
+	return Step{Answer: s.success(), Charge: true, Customer: customer, Route: route}
 }
 
 // UndoBegin undoes a BEGIN that the rate limit did not admit.
--- a/node.go
+++ b/node.go
@@ -131,7 +131,7 @@
 	incarnation := time.Now().UnixNano()
 	n.links = fleetlink.New(ctx, o.Network, n.pool, fleetwire.Status{
 		Name: o.Name, Address: o.LinkAddress, DataCentre: o.DataCentre, Weight: o.Weight, Incarnation: incarnation,
-		Fencing: !o.PlatformEnforcesFencing, NoLease: !o.PlatformEnforcesFencing, StoreConfirmations: true, Classes: true, ConnectionLoans: true, UnspentShares: true, Usage: o.Usage.Enabled(),
+		Fencing: !o.PlatformEnforcesFencing, NoLease: !o.PlatformEnforcesFencing, StoreConfirmations: true, Classes: true, ConnectionLoans: true, UnspentShares: true, LimitRanks: true, Usage: o.Usage.Enabled(),
 	}, o.Logger)
 	if o.Usage.Enabled() {
 		n.usage = usagereport.New(usagereport.Options{
--- a/protocol/fleetwire/fleetwire.go
+++ b/protocol/fleetwire/fleetwire.go
@@ -359,19 +359,6 @@
 	return list, d.finish("list of limit partitions")
 }
 
-// AppendTokenRequest appends an encoded request for n tokens from one partition
-// of a customer's limit to dst.
-func AppendTokenRequest(dst []byte, p catalog.LimitPartition, n int) []byte {
-	return binary.AppendUvarint(appendPartition(dst, p), uint64(n))
-}
-
-// DecodeTokenRequest decodes the output of AppendTokenRequest.
-func DecodeTokenRequest(b []byte) (p catalog.LimitPartition, n int, err error) {
-	d := decoder{b: b}
-	p, n = d.partition(), int(d.uvarint())
-	return p, n, d.finish("tokens")
-}
-
 func appendPartition(dst []byte, p catalog.LimitPartition) []byte {
 	return append(appendString(dst, p.Customer), p.Index)
 }
--- a/protocol/fleetwire/status.go
+++ b/protocol/fleetwire/status.go
@@ -32,6 +32,7 @@
 	ConnectionLoans bool   `json:"connection_loans,omitempty"` // the VM handles KindConnectionRequest
 	Classes         bool   `json:"classes,omitempty"`          // the VM decodes the class of a statement
 	UnspentShares   bool   `json:"unspent_shares,omitempty"`   // the VM decodes Pong.Unspent
+	LimitRanks      bool   `json:"limit_ranks,omitempty"`      // the VM decodes the ranks in a request for tokens
 }
 
 // Encode returns the status in JSON.
--- a/state/catalog/classes.go
+++ b/state/catalog/classes.go
@@ -1,5 +1,7 @@
 package catalog
 
+import "slices"
+
 // HasClasses reports whether routes or customers differ in priority. Otherwise all
 // operations are of one class, and no class is sent with statements.
 func (c *Config) HasClasses() bool { return c.classes }
@@ -26,3 +28,17 @@
 	}
 	return 0
 }
+
+// RouteRank returns the number of different priorities of routes that are higher than that of
+// the route.
+func (c *Config) RouteRank(route *Route) int {
+	rank := 0
+	for i := range c.Routes {
+		p := c.Routes[i].Priority
+		first := !slices.ContainsFunc(c.Routes[:i], func(r Route) bool { return r.Priority == p })
+		if p < route.Priority && first {
+			rank++
+		}
+	}
+	return rank
+}
--- a/transport/admission/admission.go
+++ b/transport/admission/admission.go
@@ -4,6 +4,7 @@
 package admission
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,8 @@
 type Caller interface {
 	Call(vm string, kind fleetwire.Kind, body []byte, done func(fleetwire.Frame, bool)) bool
 	View() *placement.View
+	// DecodesRanks reports whether the VM decodes the ranks in a request for tokens.
+	DecodesRanks(vm string) bool
 }
 
 const (
@@ -48,6 +51,7 @@
 // waiter is an operation that waits for a token.
 type waiter struct {
 	done  Done
+	rank  int
 	since time.Duration
 }
 
@@ -66,7 +70,7 @@
 	admitted, refused tally.Counter
 
 	mu               lockrank.Mutex           // guards the fields below
-	waiting          map[string][]waiter      // by customer, oldest first
+	waiting          map[string][]waiter      // by customer, in order of their rank and age
 	slowUntil        map[string]time.Duration // VM to the end of the period in which it is asked last
 	coordinatorsView *placement.View          // for which coordinators was computed
 	coordinators     map[string][catalog.LimitPartitions]string
@@ -83,7 +87,8 @@
 
 // Admit implements sqlfront.Admitter. Operations without a configured customer
 // are not limited.
-func (g *Controller) Admit(customer string, done func(bool, time.Duration)) {
+func (g *Controller) Admit(customer string, rank int, done func(bool, time.Duration)) {
+	rank = min(rank, quota.NumRanks-1)
 	config := g.table.Current().Config
 	if config == nil || config.Customer(customer) == nil {
 		done(true, 0)
@@ -91,16 +96,21 @@
 	}
 	g.mu.Lock()
 	now := clock.Now()
-	a := g.quota.Admit(customer, now)
+	a := g.quota.Admit(customer, rank, now)
 	if !a.Admitted {
-		g.waiting[customer] = append(g.waiting[customer], waiter{done, now})
+		list := g.waiting[customer]
+		i := len(list)
+		for i > 0 && list[i-1].rank > rank {
+			i--
+		}
+		g.waiting[customer] = slices.Insert(list, i, waiter{done, rank, now})
 	}
 	g.mu.Unlock()
 	if a.Admitted {
 		g.admitted.Inc(1)
 		done(true, 0)
 	}
-	if a.Request > 0 {
+	if a.Request.Total() > 0 {
 		g.requestTokens(customer, a.Request)
 	}
 }
@@ -109,17 +119,17 @@
 // after the other.
 type tokenRequest struct {
 	customer        string
-	want            int
+	want            quota.Wanted
 	granted         int
 	remaining       []catalog.LimitPartition // partitions whose quota coordinators have not been asked yet
 	coordinators    [catalog.LimitPartitions]string
 	coordinatorLost bool // the link to a quota coordinator was lost before it responded
 }
 
-// requestTokens requests n tokens from the customer's quota coordinators.
-func (g *Controller) requestTokens(customer string, n int) {
+// requestTokens requests tokens from the customer's quota coordinators.
+func (g *Controller) requestTokens(customer string, want quota.Wanted) {
 	view := g.caller.View()
-	r := &tokenRequest{customer: customer, want: n, coordinators: g.cachedCoordinators(customer, view)}
+	r := &tokenRequest{customer: customer, want: want, coordinators: g.cachedCoordinators(customer, view)}
 	for _, i := range g.coordinatorOrder(view, r.coordinators) {
 		r.remaining = append(r.remaining, catalog.LimitPartition{Customer: customer, Index: i})
 	}
@@ -170,7 +180,7 @@
 // there are enough tokens or no quota coordinators left, it distributes the
 // tokens.
 func (g *Controller) requestNext(r *tokenRequest) {
-	for r.granted < r.want && len(r.remaining) > 0 {
+	for r.granted < r.want.Total() && len(r.remaining) > 0 {
 		p := r.remaining[0]
 		r.remaining = r.remaining[1:]
 		coordinator := r.coordinators[p.Index]
@@ -181,7 +191,7 @@
 			r.coordinatorLost = true
 			continue
 		}
-		r.granted += g.Grant(p, r.want-r.granted)
+		r.granted += g.Grant(p, r.want.After(r.granted))
 	}
 	g.distribute(r)
 }
@@ -196,7 +206,8 @@
 			g.requestNext(r)
 		}
 	})
-	sent := g.caller.Call(coordinator, fleetwire.KindTokenRequest, fleetwire.AppendTokenRequest(nil, p, r.want-r.granted), func(f fleetwire.Frame, ok bool) {
+	request := fleetwire.AppendTokenRequest(nil, p, r.want.After(r.granted), g.caller.DecodesRanks(coordinator))
+	sent := g.caller.Call(coordinator, fleetwire.KindTokenRequest, request, func(f fleetwire.Frame, ok bool) {
 		timeout.Stop()
 		tokens := g.decodeGrant(f, ok)
 		if !resumed.CompareAndSwap(false, true) {
@@ -260,35 +271,40 @@
 		// successor is asked.
 		limit = maxWaitAfterLoss
 	}
-	refused := 0
-	for refused < len(rest) && now-rest[refused].since >= limit {
-		refused++
+	var refused quota.Wanted
+	var rejected, kept []waiter
+	for _, w := range rest {
+		if now-w.since >= limit {
+			rejected = append(rejected, w)
+			refused[w.rank]++
+		} else {
+			kept = append(kept, w)
+		}
 	}
 	g.quota.Refuse(customer, refused)
-	rejected, rest := rest[:refused], rest[refused:]
-	g.waiting[customer] = rest
+	g.waiting[customer] = kept
 	g.mu.Unlock()
 	g.admitted.Inc(int64(admitted))
-	g.refused.Inc(int64(refused))
+	g.refused.Inc(int64(len(rejected)))
 	for _, w := range served {
 		w.done(true, 0)
 	}
 	for _, w := range rejected {
 		w.done(false, retryAfter)
 	}
-	if len(rest) == 0 {
+	if len(kept) == 0 {
 		return
 	}
 	time.AfterFunc(retryDelay, func() {
-		if ask := g.quota.RetryRequest(customer); ask > 0 {
+		if ask := g.quota.RetryRequest(customer); ask.Total() > 0 {
 			g.requestTokens(customer, ask)
 		}
 	})
 }
 
-// Grant grants up to n tokens of a partition of a customer's limit, as its quota
+// Grant grants up to the wanted tokens of a partition of a customer's limit, as its quota
 // coordinator.
-func (g *Controller) Grant(p catalog.LimitPartition, n int) int {
+func (g *Controller) Grant(p catalog.LimitPartition, wanted quota.Wanted) int {
 	config := g.table.Current().Config
 	if config == nil {
 		return 0
@@ -304,5 +320,5 @@
 	if view.Complete() {
 		g.quota.AllVMsReachable(now)
 	}
-	return g.quota.GrantTokens(c, p.Index, view.Members, n, now)
+	return g.quota.Grant(c, p.Index, view.Members, wanted, now)
 }
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -168,7 +168,9 @@
 func (d *Dispatcher) VMLost(vm string) { d.Quota.DropLender(vm) }
 
 // GrantTokens implements fleetlink.Handler.
-func (d *Dispatcher) GrantTokens(p catalog.LimitPartition, n int) int { return d.Admission.Grant(p, n) }
+func (d *Dispatcher) GrantTokens(p catalog.LimitPartition, wanted quota.Wanted) int {
+	return d.Admission.Grant(p, wanted)
+}
 
 // LendConnections implements fleetlink.Handler.
 func (d *Dispatcher) LendConnections(borrower, server string, n int, reply func(lent int)) {
--- a/transport/fleetlink/capabilities.go
+++ b/transport/fleetlink/capabilities.go
@@ -1,12 +1,25 @@
 package fleetlink
 
+import "github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
+
 // DecodesClasses reports whether the named VM decodes the class of a statement.
 func (l *Links) DecodesClasses(vm string) bool {
+	return l.decodes(vm, func(s *fleetwire.Status) bool { return s.Classes })
+}
+
+// DecodesRanks reports whether the named VM decodes the ranks in a request for tokens.
+func (l *Links) DecodesRanks(vm string) bool {
+	return l.decodes(vm, func(s *fleetwire.Status) bool { return s.LimitRanks })
+}
+
+// decodes reports whether the status of the named VM has a capability. It is false for VMs
+// that are not alive.
+func (l *Links) decodes(vm string, capability func(*fleetwire.Status) bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range l.peers {
 		if p.hasStatus && p.alive && p.status.Name == vm {
-			return p.status.Classes
+			return capability(&p.status)
 		}
 	}
 	return false
--- a/transport/fleetlink/dial.go
+++ b/transport/fleetlink/dial.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/quota"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
@@ -173,9 +174,9 @@
 		}
 	case fleetwire.KindTokenRequest:
 		var partition catalog.LimitPartition
-		var n int
-		if partition, n, err = fleetwire.DecodeTokenRequest(f.Body); err == nil {
-			reply(fleetwire.KindTokenGrant, fleetwire.AppendNumber(nil, uint64(l.handler.GrantTokens(partition, n))))
+		var wanted quota.Wanted
+		if partition, wanted, err = fleetwire.DecodeTokenRequest(f.Body); err == nil {
+			reply(fleetwire.KindTokenGrant, fleetwire.AppendNumber(nil, uint64(l.handler.GrantTokens(partition, wanted))))
 		}
 	case fleetwire.KindConnectionRequest:
 		var server string
--- a/transport/fleetlink/fleetlink.go
+++ b/transport/fleetlink/fleetlink.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
+	"github.com/chestnutdyke/chestnutdyke/coordination/quota"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
@@ -50,8 +51,8 @@
 	LinkClosed(origin string)
 	// VMLost reports that this VM's link to another VM was lost.
 	VMLost(vm string)
-	// GrantTokens grants up to n tokens of a partition of a customer's limit.
-	GrantTokens(partition catalog.LimitPartition, n int) int
+	// GrantTokens grants up to the wanted tokens of a partition of a customer's limit.
+	GrantTokens(partition catalog.LimitPartition, wanted quota.Wanted) int
 	// PingBody returns the current body of pings. Pings are more frequent for a
 	// while after it has changed.
 	PingBody() []byte
--- a/transport/fleetlink/fleetlink_test.go
+++ b/transport/fleetlink/fleetlink_test.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
+	"github.com/chestnutdyke/chestnutdyke/coordination/quota"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/standin/memnet"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
@@ -28,7 +29,7 @@
 func (idleHandler) Execute(string, *statement.RemoteStatement, func(statement.Result)) {}
 func (idleHandler) AbortTx(string, uint64)                                             {}
 func (idleHandler) LinkClosed(string)                                                  {}
-func (idleHandler) GrantTokens(catalog.LimitPartition, int) int                        { return 0 }
+func (idleHandler) GrantTokens(catalog.LimitPartition, quota.Wanted) int               { return 0 }
 func (idleHandler) LendConnections(string, string, int, func(int))                     {}
 func (idleHandler) VMLost(string)                                                      {}
 func (idleHandler) PingBody() []byte                                                   { return nil }
@@ -131,7 +132,7 @@
 	n.Partition(memnet.Hosts("vm-1"), memnet.Hosts("vm-2"))
 	sent := time.Now()
 	ended := make(chan bool, 1)
-	if !from.Call("vm-2", fleetwire.KindTokenRequest, fleetwire.AppendTokenRequest(nil, catalog.LimitPartition{Customer: "c"}, 1), func(_ fleetwire.Frame, ok bool) { ended <- ok }) {
+	if !from.Call("vm-2", fleetwire.KindTokenRequest, fleetwire.AppendTokenRequest(nil, catalog.LimitPartition{Customer: "c"}, quota.Wanted{1}, false), func(_ fleetwire.Frame, ok bool) { ended <- ok }) {
 		t.Fatal("there is no link to vm-2")
 	}
 	if ok := <-ended; ok {
@@ -217,7 +218,7 @@
 		partition := f.net.Partition(memnet.Hosts("vm-1"), memnet.Hosts("vm-2"))
 		defer partition.Heal()
 		failed := make(chan time.Time, 1)
-		first.Call("vm-2", fleetwire.KindTokenRequest, fleetwire.AppendTokenRequest(nil, catalog.LimitPartition{Customer: "c"}, 1), func(fleetwire.Frame, bool) { failed <- time.Now() })
+		first.Call("vm-2", fleetwire.KindTokenRequest, fleetwire.AppendTokenRequest(nil, catalog.LimitPartition{Customer: "c"}, quota.Wanted{1}, false), func(fleetwire.Frame, bool) { failed <- time.Now() })
 		// The restarted process sends its status over another path, because the
 		// one between the two VMs is partitioned.
 		conn, err := f.net.Host("vm-2-again", "dc-2").Dial(f.ctx, address(1))
@@ -251,7 +252,7 @@
 		}
 		partition := f.net.Partition(memnet.Hosts("vm-1"), memnet.Hosts("vm-2", "vm-3"))
 		defer partition.Heal()
-		first.Call("vm-2", fleetwire.KindTokenRequest, fleetwire.AppendTokenRequest(nil, catalog.LimitPartition{Customer: "c"}, 1), func(fleetwire.Frame, bool) {})
+		first.Call("vm-2", fleetwire.KindTokenRequest, fleetwire.AppendTokenRequest(nil, catalog.LimitPartition{Customer: "c"}, quota.Wanted{1}, false), func(fleetwire.Frame, bool) {})
 		time.Sleep(detectedWithin)
 		if n := first.View().AliveCount(); n != 1 {
 			t.Errorf("%d VMs are considered alive %v after the partition, want 1", n, detectedWithin)
--- a/transport/sqlfront/server.go
+++ b/transport/sqlfront/server.go
@@ -55,8 +55,9 @@
 // Admitter enforces the rate limits of customers.
 type Admitter interface {
 	// Admit calls done once with whether the operation is within the customer's
-	// limit, and if not, after how long a retry can succeed.
-	Admit(customer string, done func(admitted bool, retryAfter time.Duration))
+	// limit, and if not, after how long a retry can succeed. Operations of the rank 0 are
+	// admitted first, see catalog.Config.RouteRank.
+	Admit(customer string, rank int, done func(admitted bool, retryAfter time.Duration))
 }
 
 // Options are the settings and dependencies of a Server.
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -127,7 +127,7 @@
 // admitTx answers BEGIN after the transaction was checked against the rate limit.
 func (c *session) admitTx(r statement.Request, step sqlsession.Step) {
 	c.admitting = true
-	c.server.Admitter.Admit(step.Customer, func(admitted bool, retryAfter time.Duration) {
+	c.server.Admitter.Admit(step.Customer, c.server.Table.Current().Config.RouteRank(step.Route), func(admitted bool, retryAfter time.Duration) {
 		c.queue.PostUnbounded(func() {
 			c.admitting = false
 			if c.closed {
@@ -167,7 +167,7 @@
 		c.startAttempt(ex)
 		return
 	}
-	c.server.Admitter.Admit(op.Customer, func(admitted bool, retryAfter time.Duration) {
+	c.server.Admitter.Admit(op.Customer, c.server.Table.Current().Config.RouteRank(op.Route), func(admitted bool, retryAfter time.Duration) {
 		c.queue.PostUnbounded(func() {
 			if c.current != ex {
 				return
