Connections: ask only connection owners for loans

Change: View.ConnectionOwners lists the owners; Lending asks those. TestFewConnectionOwners checks the list.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -93,12 +93,7 @@
 // see MaxConnectionOwners. It reports false if no VM that is alive can reach the server.
 func (v *View) ConnectionOwner(customer string, s *catalog.Server, maxOwners int) (string, bool) {
 	key := customer + "|" + s.ID
-	reaches := func(vm *VM) bool { return !vm.Leaving && !vm.Unreachable[s.ID] }
-	for _, eligible := range []func(*VM) bool{
-		func(vm *VM) bool { return reaches(vm) && !vm.NoLease && vm.DataCentre == s.DataCentre },
-		func(vm *VM) bool { return reaches(vm) && !vm.NoLease },
-		reaches,
-	} {
+	for _, eligible := range ownerPreferences(s) {
 		if maxOwners > 0 {
 			owners := v.bestVMs("owners|"+s.ID, eligible, maxOwners)
 			eligible = func(vm *VM) bool { return slices.Contains(owners, vm.Name) }
@@ -108,12 +103,37 @@
 		}
 	}
 	// An edge that reaches no core runs reads itself.
-	if self := v.vm(v.Self); self.Edge && v.AliveCount() == 0 && reaches(self) {
+	if self := v.vm(v.Self); self.Edge && v.AliveCount() == 0 && reaches(self, s) {
 		return v.Self, true
 	}
 	return "", false
 }
 
+// ConnectionOwners returns the VMs that hold connections to the server, see ConnectionOwner.
+func (v *View) ConnectionOwners(s *catalog.Server, maxOwners int) []string {
+	if maxOwners == 0 {
+		maxOwners = len(v.VMs)
+	}
+	for _, eligible := range ownerPreferences(s) {
+		if owners := v.bestVMs("owners|"+s.ID, eligible, maxOwners); len(owners) > 0 {
+			return owners
+		}
+	}
+	return nil
+}
+
+// ownerPreferences returns which VMs may hold connections to the server, in order of
+// preference.
+func ownerPreferences(s *catalog.Server) []func(*VM) bool {
+	return []func(*VM) bool{
+		func(vm *VM) bool { return reaches(vm, s) && !vm.NoLease && vm.DataCentre == s.DataCentre },
+		func(vm *VM) bool { return reaches(vm, s) && !vm.NoLease },
+		func(vm *VM) bool { return reaches(vm, s) },
+	}
+}
+
+func reaches(vm *VM, s *catalog.Server) bool { return !vm.Leaving && !vm.Unreachable[s.ID] }
+
 // QuotaCoordinators returns the VMs that account for the partitions of a
 // customer's limit. They are in different data centres if VMs of two are alive,
 // so that the loss of a data centre affects at most one partition. The quota
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -73,6 +73,16 @@
 	if len(count) != 33/connectionsPerOwner {
 		t.Errorf("%d owners of 33 connections", len(count))
 	}
+	// Requests for loans to other VMs would be in vain.
+	listed := v.ConnectionOwners(s, MaxConnectionOwners(config, "g"))
+	for _, vm := range listed {
+		if count[vm] == 0 {
+			t.Errorf("%s is listed as an owner but holds no connections", vm)
+		}
+	}
+	if len(listed) != len(count) {
+		t.Errorf("listed owners %v, used %v", listed, count)
+	}
 	lost := before["0"]
 	v.vm(lost).Alive = false
 	moved := 0
--- a/node.go
+++ b/node.go
@@ -148,7 +148,7 @@
 		ReportUnreachable: func(unreachable []string) {
 			n.links.UpdateStatus(fleetlink.All, func(s *fleetwire.Status) { s.Unreachable = unreachable })
 		},
-		CheckPrimary: n.checkPrimary, CountStatement: n.countStatement, View: n.links.View, Lending: dispatch.Lending{Links: n.links},
+		CheckPrimary: n.checkPrimary, CountStatement: n.countStatement, View: n.links.View, Lending: dispatch.Lending{Links: n.links, Table: n.catalog},
 	})
 	if !o.PlatformEnforcesFencing {
 		n.fencer = fencer.New(fencer.Options{Links: n.links, Executor: n.executor, Leadership: n.leaders, Logger: o.Logger})
--- a/transport/dispatch/loans.go
+++ b/transport/dispatch/loans.go
@@ -1,23 +1,24 @@
 package dispatch
 
 import (
+	"slices"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/protocol/fleetwire"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/transport/fleetlink"
 )
 
 // Lending implements sqlback.Lending over the links between VMs.
-type Lending struct{ Links *fleetlink.Links }
+type Lending struct {
+	Links *fleetlink.Links
+	Table *catalog.Table
+}
 
-// Lenders returns the cores of the server's data centre that handle requests for loans.
+// Lenders returns the other connection owners of the server that handle requests for loans.
 func (l Lending) Lenders(server *catalog.Server) []string {
-	var names []string
-	for _, s := range l.Links.Peers() {
-		if s.ConnectionLoans && !s.Leaving && s.DataCentre == server.DataCentre {
-			names = append(names, s.Name)
-		}
-	}
-	return names
+	owners := l.Links.View().ConnectionOwners(server, placement.MaxConnectionOwners(l.Table.Current().Config, server.Group))
+	return slices.DeleteFunc(owners, func(vm string) bool { return !l.Links.LendsConnections(vm) })
 }
 
 // RequestConnections asks the VM to lend up to n connections to the server.
--- a/transport/fleetlink/capabilities.go
+++ b/transport/fleetlink/capabilities.go
@@ -4,17 +4,22 @@
 
 // DecodesClasses reports whether the named VM decodes the class of a statement.
 func (l *Links) DecodesClasses(vm string) bool {
-	return l.decodes(vm, func(s *fleetwire.Status) bool { return s.Classes })
+	return l.capable(vm, func(s *fleetwire.Status) bool { return s.Classes })
 }
 
 // DecodesRanks reports whether the named VM decodes the ranks in a request for tokens.
 func (l *Links) DecodesRanks(vm string) bool {
-	return l.decodes(vm, func(s *fleetwire.Status) bool { return s.LimitRanks })
+	return l.capable(vm, func(s *fleetwire.Status) bool { return s.LimitRanks })
 }
 
-// decodes reports whether the status of the named VM has a capability. It is false for VMs
-// that are not alive.
-func (l *Links) decodes(vm string, capability func(*fleetwire.Status) bool) bool {
+// LendsConnections reports whether the named VM handles requests for loans of connections.
+func (l *Links) LendsConnections(vm string) bool {
+	return l.capable(vm, func(s *fleetwire.Status) bool { return s.ConnectionLoans })
+}
+
+// capable reports whether the status of the named VM has a capability. It is false for VMs
+// that are not alive, and for this VM.
+func (l *Links) capable(vm string, capability func(*fleetwire.Status) bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range l.peers {
--- a/transport/sqlback/loans.go
+++ b/transport/sqlback/loans.go
@@ -18,7 +18,7 @@
 
 // Lending sends requests for loans of connections to other connection owners.
 type Lending interface {
-	// Lenders returns the VMs of the server's data centre that may lend connections to it.
+	// Lenders returns the other connection owners of the server that handle requests.
 	Lenders(server *catalog.Server) []string
 	// RequestConnections asks a VM to lend up to n connections to the server in total. It
 	// calls done once with the number lent, or reports false if the VM is not linked.
