--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -238,11 +238,6 @@
 	}
 }
 
-// GrantTokens is Grant for operations of one rank.
-func (t *Table) GrantTokens(c *catalog.Customer, index uint8, members, wanted int, now time.Duration) int {
-	return t.Grant(c, index, members, Wanted{wanted}, now)
-}
-
 // Grant grants up to the wanted tokens of a partition of a customer's limit, as the quota
 // coordinator of the partition. The partition is divided into one equal share for each of
 // members VMs. The tokens are for the highest ranks first.
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -27,6 +27,11 @@
 	return all
 }
 
+// GrantTokens is Grant for operations of one rank.
+func (t *Table) GrantTokens(c *catalog.Customer, index uint8, members, wanted int, now time.Duration) int {
+	return t.Grant(c, index, members, Wanted{wanted}, now)
+}
+
 // afterStart is a time at which a new VM may spend its own shares.
 const afterStart = time.Minute
 
--- a/coordination/sqlsession/session.go
+++ b/coordination/sqlsession/session.go
@@ -109,10 +109,10 @@
 	// Charge says that the rate limit must admit the request before the answer is
 	// sent.
 	Charge   bool
-	Customer string // with Charge: whose limit the request counts against
-	Route    *catalog.Route
-	End      *Tx  // transaction to end on its server
-	Close    bool // close the session after the answer
+	Customer string         // with Charge: whose limit the request counts against
+	Route    *catalog.Route // with Charge: whose priority decides within the limit
+	End      *Tx            // transaction to end on its server
+	Close    bool           // close the session after the answer
 }
 
 // Handle decides on a request under the configuration in force.
--- a/coordination/usage/duty.go
+++ b/coordination/usage/duty.go
@@ -35,8 +35,8 @@
 	callMargin = 250 * time.Millisecond
 	// leaseMargin is added to the lease for the time that calls are on their way.
 	leaseMargin = 250 * time.Millisecond
-	// maxPendingWindows limits the windows in Record.Pending. The record stays within a few KB, and
-	// later windows are soon due.
+	// maxPendingWindows limits the windows in Record.Pending, so that the record stays within
+	// a few KB for each hundred customers.
 	maxPendingWindows = 4
 	// contestedLeases is the number of leases after which a VM claims the duty again that
 	// another VM took from it. VMs with different views would otherwise claim it in turns
@@ -159,8 +159,8 @@
 // the duty is then to be claimed again.
 //
 // If another VM held the duty, or may have, this VM sends nothing until the calls of the
-// former holder have ended, see EndTakeOver. If it held the duty before, it also waits for the lease, so
-// that the duty does not move from it to another VM and back within that time.
+// former holder have ended, see EndTakeOver. If it held the duty before, it also waits for
+// the lease, so that the duty does not move from it to another VM and back within that time.
 func (d *Duty) Claimed(present, claim Record, stored state.Revision, sentAt, now time.Duration) bool {
 	if stored.Era != claim.Era {
 		return false
@@ -272,8 +272,8 @@
 }
 
 // Skip skips the windows whose counts are not known, because they are too old or because
-// all VMs have started since, and returns their number. Windows in Pending are not skipped. coveredFrom is the true time from
-// which on operations were counted.
+// all VMs have started since, and returns their number. Windows in Pending are not skipped.
+// coveredFrom is the true time from which on operations were counted.
 func (d *Duty) Skip(now, coveredFrom Time) int64 {
 	earliest := d.firstCovered(now, coveredFrom)
 	for _, p := range d.record.Pending {
--- a/protocol/fleetwire/tokens.go
+++ b/protocol/fleetwire/tokens.go
@@ -21,8 +21,7 @@
 	return dst
 }
 
-// DecodeTokenRequest decodes the output of AppendTokenRequest. It ignores ranks that it does
-// not know.
+// DecodeTokenRequest decodes the output of AppendTokenRequest, with or without ranks.
 func DecodeTokenRequest(b []byte) (p catalog.LimitPartition, wanted quota.Wanted, err error) {
 	d := decoder{b: b}
 	p = d.partition()
