Usage: play the pending windows of a test in their order

Cause: TestPendingWindows ranged over a map, so it reported window 1001 before 1000 in half of the runs and failed then. Change: a list in place of the map.

--- a/coordination/usage/usage_test.go
+++ b/coordination/usage/usage_test.go
@@ -346,7 +346,8 @@
 	if n := next.Skip(later, later); n != 0 {
 		t.Errorf("%d pending windows skipped", n)
 	}
-	for window, want := range map[int64]Counts{1000: {"x": 9}, 1001: {"x": 5, "y": 1}} {
+	for i, want := range []Counts{{"x": 9}, {"x": 5, "y": 1}} {
+		window := int64(1000 + i)
 		collected := Counts{}
 		if window == 1000 {
 			collected["x"] = 9 // a VM that was silent is not lost
