--- a/fleettest/race_test.go
+++ b/fleettest/race_test.go
@@ -13,10 +13,9 @@
 // start.
 const raceParallel = "2"
 
-// raceProcessors is the number of processors under the race detector. With more, the
-// detector's runtime crashes in about one of four runs of the package on x86-64 and arm64: a
-// thread that enters it from a channel timer (runtime.(*timer).maybeRunChan) meets another
-// one that resets its clocks.
+// raceProcessors is the number of processors under the race detector. With several, its
+// runtime crashed in about one of four runs of the package, each time below
+// runtime.(*timer).maybeRunChan.
 const raceProcessors = 1
 
 func init() {
