--- a/review/testbed-2/cases.go
+++ b/review/testbed-2/cases.go
@@ -36,8 +36,8 @@
 // refusedBegin: a tenant sends many times its usual, and BEGIN of a transaction is
 // refused. None of its writes may be kept.
 func refusedBegin(b *testbed, binary string, trouble bool) ([]string, error) {
-	routes := []map[string]any{route("care-log", "primary", 1000), route("owner-view", "bounded_staleness", 2000)}
-	b.configure(1, routes, []map[string]any{tenant("t-0", 20, 20, "key-0"), tenant("t-1", 200, 200, "key-1")})
+	routes := []route{{"care-log", "primary", 1000}, {"owner-view", "bounded_staleness", 2000}}
+	b.configure(1, routes, []tenant{{"t-0", 20, 20, []string{"key-0"}}, {"t-1", 200, 200, []string{"key-1"}}})
 	if err := b.start(binary, 8*time.Millisecond); err != nil {
 		return nil, err
 	}
@@ -146,8 +146,8 @@
 // stopPipelined: a VM is stopped as planned while a client has a transaction open there and
 // sends each statement before the two previous ones are answered.
 func stopPipelined(b *testbed, binary string, trouble bool) ([]string, error) {
-	routes := []map[string]any{route("care-log", "primary", 1000), route("owner-view", "bounded_staleness", 2000)}
-	b.configure(1, routes, []map[string]any{tenant("t-0", 200, 200, "key-0"), tenant("t-1", 200, 200, "key-1")})
+	routes := []route{{"care-log", "primary", 1000}, {"owner-view", "bounded_staleness", 2000}}
+	b.configure(1, routes, []tenant{{"t-0", 200, 200, []string{"key-0"}}, {"t-1", 200, 200, []string{"key-1"}}})
 	if err := b.start(binary, 300*time.Millisecond); err != nil {
 		return nil, err
 	}
@@ -243,8 +243,8 @@
 // revokePipelined: a key is taken away from a connected client that sends each request
 // before the two previous ones are answered.
 func revokePipelined(b *testbed, binary string, trouble bool) ([]string, error) {
-	routes := []map[string]any{route("care-log", "primary", 1000), route("owner-view", "bounded_staleness", 2000)}
-	before := []map[string]any{tenant("t-0", 200, 200, "key-0", "key-0b"), tenant("t-1", 200, 200, "key-1")}
+	routes := []route{{"care-log", "primary", 1000}, {"owner-view", "bounded_staleness", 2000}}
+	before := []tenant{{"t-0", 200, 200, []string{"key-0", "key-0b"}}, {"t-1", 200, 200, []string{"key-1"}}}
 	b.configure(1, routes, before)
 	if err := b.start(binary, 300*time.Millisecond); err != nil {
 		return nil, err
@@ -312,7 +312,7 @@
 	time.Sleep(3 * time.Second)
 	after := before
 	if trouble {
-		after = []map[string]any{tenant("t-0", 200, 200, "key-0b"), tenant("t-1", 200, 200, "key-1")}
+		after = []tenant{{"t-0", 200, 200, []string{"key-0b"}}, {"t-1", 200, 200, []string{"key-1"}}}
 	}
 	mu.Lock()
 	revokedAt = b.since()
@@ -327,8 +327,8 @@
 // revokeInTransaction: a key is taken away from a connected client that has a transaction
 // open, with pauses between its statements.
 func revokeInTransaction(b *testbed, binary string, trouble bool) ([]string, error) {
-	routes := []map[string]any{route("care-log", "primary", 1000), route("owner-view", "bounded_staleness", 2000)}
-	before := []map[string]any{tenant("t-0", 200, 200, "key-0", "key-0b"), tenant("t-1", 200, 200, "key-1")}
+	routes := []route{{"care-log", "primary", 1000}, {"owner-view", "bounded_staleness", 2000}}
+	before := []tenant{{"t-0", 200, 200, []string{"key-0", "key-0b"}}, {"t-1", 200, 200, []string{"key-1"}}}
 	b.configure(1, routes, before)
 	if err := b.start(binary, 8*time.Millisecond); err != nil {
 		return nil, err
@@ -336,7 +336,7 @@
 	if err := b.awaitReady(); err != nil {
 		return nil, err
 	}
-	// The pauses are shorter than txIdleMs (3 s).
+	// The pauses are shorter than the permitted idle time of a transaction (3 s).
 	const statements, pause = 12, 1500 * time.Millisecond
 	type sentStatement struct {
 		id   string
@@ -378,7 +378,7 @@
 	time.Sleep(time.Second)
 	after := before
 	if trouble {
-		after = []map[string]any{tenant("t-0", 200, 200, "key-0b"), tenant("t-1", 200, 200, "key-1")}
+		after = []tenant{{"t-0", 200, 200, []string{"key-0b"}}, {"t-1", 200, 200, []string{"key-1"}}}
 	}
 	b.configure(5, routes, after)
 	acknowledged := b.since()
--- a/review/testbed-2/database.go
+++ b/review/testbed-2/database.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	_ "embed" // for the templates
 	"encoding/json"
 	"fmt"
 	"net"
@@ -9,9 +10,27 @@
 	"strconv"
 	"strings"
 	"sync"
+	"text/template"
 	"time"
 )
 
+//go:embed server.tmpl
+var serverText string
+
+// serverTemplate is the registration of an instance.
+var serverTemplate = template.Must(template.New("server").Parse(serverText))
+
+//go:embed wire.json
+var wireText []byte
+
+// wire has the words of the platform's messages that Go code needs.
+var wire = func() (w struct{ After, Holder, Token string }) {
+	if err := json.Unmarshal(wireText, &w); err != nil {
+		panic(err)
+	}
+	return w
+}()
+
 // run is a statement of a client that an instance ran.
 type run struct {
 	at             time.Duration // since the start of the case
@@ -86,10 +105,9 @@
 		role = "primary"
 	}
 	i.seq++
-	spec := map[string]any{
-		"service": s.name, "address": i.address, "zone": i.zone, "version": "v1", "slots": 64, "state": "ready",
-		"coldLeftMs": 0, "dbRole": role, "seq": i.seq, "born": i.born,
-	}
+	spec := render(serverTemplate, map[string]any{
+		"Service": s.name, "Address": i.address, "Zone": i.zone, "Role": role, "Seq": i.seq, "Born": i.born,
+	})
 	s.mu.Unlock()
 	s.bed.store.put("servers", i.id, spec)
 }
@@ -120,7 +138,7 @@
 // servePromotion is the platform's call that designates a primary.
 func (b *testbed) servePromotion(w http.ResponseWriter, r *http.Request) {
 	var body struct{ Service, ID string }
-	token, err := strconv.ParseUint(r.Header.Get("X-Chestnutdyke-Fence-Token"), 10, 64)
+	token, err := strconv.ParseUint(r.Header.Get(wire.Token), 10, 64)
 	if err != nil || json.NewDecoder(r.Body).Decode(&body) != nil || b.services[body.Service] == nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -129,7 +147,7 @@
 	refused := token < b.fences[body.Service]
 	b.fences[body.Service] = max(token, b.fences[body.Service])
 	b.mu.Unlock()
-	b.recordf("platform: promotion of %s by %s with token %d, refused %v", body.ID, r.Header.Get("X-Chestnutdyke-Duty-Holder"), token, refused)
+	b.recordf("platform: promotion of %s by %s with token %d, refused %v", body.ID, r.Header.Get(wire.Holder), token, refused)
 	if refused || !b.services[body.Service].promote(body.ID) {
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -217,7 +235,7 @@
 func (d *dbSession) handle(id, text string) string {
 	s := d.i.service
 	verb, rest, _ := strings.Cut(text, " ")
-	if verb == "AFTERLSN" {
+	if verb == wire.After {
 		_, text, _ = strings.Cut(rest, " ") // replicas of this stand-in never lag
 		verb, rest, _ = strings.Cut(text, " ")
 	}
--- a/review/testbed-2/testbed.go
+++ b/review/testbed-2/testbed.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	_ "embed" // for the templates
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -15,6 +18,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"text/template"
 	"time"
 )
 
@@ -100,33 +104,10 @@
 	return nil
 }
 
-const settingsText = `nodeName: %q
-role: "vm"
-machineClass: "front"
-serves: ["front", "control"]
-ip: %q
-zone: %q
-region: "region-1"
-zones: {zone-a: "region-1", zone-b: "region-1", zone-c: "region-1"}
-listen: {front: "%[2]s:%[4]d", ready: "%[2]s:%[5]d", control: "%[2]s:%[6]d"}
-internalPorts: [%[7]d, %[8]d]
-seeds: [%[9]s]
-bootstrap: true
-inTolerance: false
-limits: {cpuShare: 0.4, cores: 1, memoryMb: 284, maxFds: 4200, linkMbps: 1000.0, diskMb: 0}
-dataDir: null
-discovery: "platform"
-entryKind: "vip"
-heartbeatMs: 1200
-contracts: ["base", "drain", "config", "cost", "recover", "sql", "tenants", "quota", "places", "platform"]
-faultTolerance: {machines: 1, zones: 1, regions: 0}
-bounds: {seedLagS: 3, addrReuseS: 2, stableWindowMs: 4000, ackMs: 5000, catchUpS: 4, drainMs: 7000, graceS: 6, lossSlackMs: 200,
-  configApplyMs: 3000, revertSlackMs: 250, maxStretchMs: 12000, strictRevoke: false, revokeMs: 5000, quotaWindowS: 5,
-  quotaOverage: 0.1, quotaSlack: 20, coldOverage: 1.5, coldSlack: 5, evacuateMs: 5000, recoveryS: 12, requireFencing: true,
-  thawSlackMs: 300}
-platform: {address: %[10]q, form: "objects", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, minTtlMs: 1000}
-cloudApi: {address: %[10]q, ratePerS: 50.0, duties: ["failover"], dutyPerS: 50.0}
-`
+// settingsText is the settings file of a VM, a format for its names and addresses.
+//
+//go:embed settings.tmpl
+var settingsText string
 
 func (b *testbed) startVM(v *vm, binary, store string) error {
 	var seeds []string
@@ -213,27 +194,42 @@
 }
 
 // route is an entry of a configuration.
-func route(database, kind string, timeoutMs int) map[string]any {
-	return map[string]any{
-		"name": "r-" + database, "databaseName": database, "pathPrefix": "/", "routeKind": kind, "timeoutMs": timeoutMs,
-		"targetLatencyMs": 600, "priority": 1, "service": "ledger", "maxAttempts": 2, "maxStalenessMs": 1500, "public": false,
-	}
+type route struct {
+	Database, Kind string
+	TimeoutMs      int
 }
 
-func tenant(name string, rate, burst float64, keys ...string) map[string]any {
-	return map[string]any{"name": name, "apiKeys": keys, "ratePerS": rate, "burst": burst, "priority": 1}
+// tenant is an entry of a configuration.
+type tenant struct {
+	Name        string
+	Rate, Burst float64
+	Keys        []string
 }
 
+//go:embed config.tmpl
+var configText string
+
+var configTemplate = template.Must(template.New("config").Parse(configText))
+
 // configure writes a version of the configuration.
-func (b *testbed) configure(version int, routes []map[string]any, tenants []map[string]any) {
-	b.store.put("config", "main", map[string]any{
-		"version": version, "routes": routes, "tenants": tenants,
-		"services": []map[string]any{{"name": "ledger", "healthPath": "/health", "maxConns": 33, "protocol": "h1", "tls": false, "coldStartS": 0.0, "coldPerS": 0.0, "syncReplicas": 0}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "txIdleMs": 3000},
-	})
+func (b *testbed) configure(version int, routes []route, tenants []tenant) {
+	b.store.put("config", "main", render(configTemplate, map[string]any{"Version": version, "Routes": routes, "Tenants": tenants}))
 	b.recordf("operator: configuration %d acknowledged", version)
 }
 
+// render returns the JSON that a template yields.
+func render(t *template.Template, data any) json.RawMessage {
+	var text bytes.Buffer
+	if err := t.Execute(&text, data); err != nil {
+		panic(err)
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, text.Bytes()); err != nil {
+		panic(err)
+	}
+	return compact.Bytes()
+}
+
 // answer is the answer to a request.
 type answer struct {
 	at    time.Duration
