Sessions: end an open transaction whose client has lost its access

Cause: the session looked up the key at BEGIN only and kept the customer for the whole transaction.

Change: each request but ROLLBACK is checked against the configuration in force. A transaction ends if its route was removed or its key is withdrawn or belongs to another customer; a change of a route's properties still applies from the next transaction on. COMMITs that were sent are not interrupted. Refusals are logged with the version of the configuration.

--- a/coordination/sqlsession/session.go
+++ b/coordination/sqlsession/session.go
@@ -71,13 +71,22 @@
 	if route == nil {
 		return nil, "", statement.UnknownDatabase
 	}
+	customer, code := s.customerOn(route, config)
+	if code != statement.OK {
+		return nil, "", code
+	}
+	return route, customer, statement.OK
+}
+
+// customerOn returns the customer for which the session's requests run on the route.
+func (s *Session) customerOn(route *catalog.Route, config *catalog.Config) (string, statement.Code) {
 	if c := config.CustomerByKey(s.key); c != nil {
-		return route, c.Name, statement.OK
+		return c.Name, statement.OK
 	}
 	if route.Public {
-		return route, publicCustomer, statement.OK
+		return publicCustomer, statement.OK
 	}
-	return nil, "", statement.AccessDenied
+	return "", statement.AccessDenied
 }
 
 // Operation is a statement that has to run on a server.
@@ -109,7 +118,7 @@
 	// Charge says that the rate limit must admit the request before the answer is
 	// sent.
 	Charge   bool
-	Customer string         // with Charge: whose limit the request counts against
+	Customer string         // with Charge: whose limit the request counts against; with a refusal: of the ended transaction
 	Route    *catalog.Route // with Charge: whose priority decides within the limit
 	End      *Tx            // transaction to end on its server
 	Close    bool           // close the session after the answer
@@ -120,6 +129,11 @@
 	if s.phase == txFailed {
 		return s.handleInFailedTx(r)
 	}
+	if r.Verb != statement.Rollback {
+		if code := s.checkAccess(config); code != statement.OK {
+			return s.refuseAccess(r, code)
+		}
+	}
 	switch r.Verb {
 	case statement.Begin, statement.BeginReadOnly:
 		return s.begin(r, config)
@@ -163,10 +177,7 @@
 	if s.phase != txNone {
 		return s.malformed("a transaction is open")
 	}
-	route, customer, code := s.access(config)
-	if code != statement.OK {
-		return Step{Answer: s.refusal(code, ""), Close: true}
-	}
+	route, customer, _ := s.access(config)
 	s.phase, s.route, s.customer = txBegun, route, customer
 	s.readOnly = r.Verb == statement.BeginReadOnly
 	return Step{Answer: s.success(), Charge: true, Customer: customer, Route: route}
@@ -188,11 +199,7 @@
 		if r.Verb == statement.Commit {
 			return s.malformed("no transaction is open")
 		}
-		var code statement.Code
-		o.Route, o.Customer, code = s.access(config)
-		if code != statement.OK {
-			return Step{Answer: s.refusal(code, ""), Close: true}
-		}
+		o.Route, o.Customer, _ = s.access(config)
 		o.Charge = true
 		o.NeedsPrimary = o.writes() || o.Route.Consistency == catalog.Latest
 		return Step{Run: o}
--- /dev/null
+++ b/standin/managed/access_test.go
@@ -0,0 +1,163 @@
+package managed
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
+)
+
+// withdrawals are changes of the configuration that end the access of customer 0 to group
+// 0, and the code with which its clients are refused.
+var withdrawals = map[string]struct {
+	change func(*catalog.Config)
+	code   statement.Code // outside of transactions, except for a moved key
+	inTx   statement.Code
+}{
+	"key withdrawn": {
+		func(c *catalog.Config) { c.Customers[0].Keys = nil }, statement.AccessDenied, statement.AccessDenied,
+	},
+	"key moved to another customer": {
+		func(c *catalog.Config) {
+			c.Customers[1].Keys = append(slices.Clone(c.Customers[1].Keys), c.Customers[0].Keys...)
+			c.Customers[0].Keys = nil
+		}, statement.OK, statement.Aborted,
+	},
+	"customer removed": {
+		func(c *catalog.Config) { c.Customers = c.Customers[1:] }, statement.AccessDenied, statement.AccessDenied,
+	},
+	"route removed": {
+		func(c *catalog.Config) {
+			c.Routes = slices.DeleteFunc(c.Routes, func(r catalog.Route) bool { return r.Database == Database(Latest, 0) })
+		}, statement.UnknownDatabase, statement.UnknownDatabase,
+	},
+}
+
+// beginWrite begins a transaction and writes in it.
+func beginWrite(t *testing.T, c *Client) {
+	t.Helper()
+	mustDo(t, c, statement.Begin, "")
+	mustDo(t, c, statement.Write, c.name+" 1")
+}
+
+// checkRunsOf fails the test if a server executed a statement of a client whose ID is in
+// ids.
+func checkRunsOf(t *testing.T, d *Deployment, ids []string) {
+	t.Helper()
+	for _, g := range d.Groups {
+		for _, r := range g.Runs() {
+			if slices.Contains(ids, r.ID) {
+				t.Errorf("%s ran at %s for %s", r.ID, r.Server, r.Customer)
+			}
+		}
+	}
+}
+
+// Guards against a client that goes on in an open transaction after its key, customer or
+// route was taken away.
+func TestWithdrawnAccessEndsOpenTransactions(t *testing.T) {
+	for name, w := range withdrawals {
+		for _, verb := range []statement.Verb{statement.Read, statement.Write, statement.Commit} {
+			t.Run(fmt.Sprintf("%s/%d", name, verb), func(t *testing.T) {
+				inDeployment(t, smallDeployment, func(d *Deployment) {
+					var clients []*Client
+					for _, vm := range d.VMs {
+						c := connect(t, vm, "open-"+vm.Name, Database(Latest, 0), 0)
+						beginWrite(t, c)
+						clients = append(clients, c)
+					}
+					d.Configure(w.change)
+					time.Sleep(configWithin - 100*time.Millisecond) // idle transactions end after three seconds
+					var refused []string
+					for _, c := range clients {
+						id, a := c.Do(verb, c.name+" 2")
+						refused = append(refused, id)
+						if a.Code != w.inTx {
+							t.Errorf("%s: answered %s, want %s", c.name, a.Code, w.inTx)
+						}
+						if verb != statement.Commit {
+							mustDo(t, c, statement.Rollback, "")
+						}
+						id, a = c.Do(statement.Write, c.name+" 3")
+						if a.Code != w.code {
+							t.Errorf("%s: a write after the transaction is answered %s, want %s", c.name, a.Code, w.code)
+						}
+						if w.code != statement.OK {
+							refused = append(refused, id)
+						}
+					}
+					checkRunsOf(t, d, refused)
+					time.Sleep(time.Second)
+					if n := len(d.Groups[GroupName(0)].CommitsOf(CustomerName(0))); n > 0 {
+						t.Errorf("%d writes of the customer were committed", n)
+					}
+					if n := d.Groups[GroupName(0)].OpenTransactions(); n > 0 {
+						t.Errorf("%d transactions are still open", n)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a change of a route's properties or of another customer that interrupts an
+// open transaction.
+func TestOtherChangesKeepOpenTransactions(t *testing.T) {
+	inDeployment(t, smallDeployment, func(d *Deployment) {
+		c := connect(t, d.VM("vm-1-0"), "open", Database(Latest, 0), 0)
+		beginWrite(t, c)
+		d.Configure(func(config *catalog.Config) {
+			for i := range config.Routes {
+				config.Routes[i].Timeout *= 2
+				config.Routes[i].Group = GroupName(1)
+			}
+			config.Customers[0].Rate /= 2
+			config.Customers[0].Keys = append(slices.Clone(config.Customers[0].Keys), sha256.Sum256([]byte("another")))
+			config.Customers[1].Keys = nil
+			config.Customers = config.Customers[:2]
+		})
+		time.Sleep(configWithin - 100*time.Millisecond)
+		id, _ := c.Do(statement.Write, "open 2")
+		mustDo(t, c, statement.Commit, "")
+		if n := d.Groups[GroupName(0)].Commits(id); n != 1 {
+			t.Errorf("the write is committed %d times", n)
+		}
+	})
+}
+
+// Guards against a false answer to a COMMIT that was sent to the server before the key was
+// withdrawn: the client is told its outcome, whatever that is.
+func TestCommitUnderWayIsAnsweredAfterKeyIsWithdrawn(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		lose bool // the server's answer
+		want statement.Code
+	}{{"answered", false, statement.OK}, {"answer lost", true, statement.InDoubt}} {
+		t.Run(tt.name, func(t *testing.T) {
+			inDeployment(t, smallDeployment, func(d *Deployment) {
+				g := d.Groups[GroupName(0)]
+				c := connect(t, d.VM("vm-1-0"), "open", Database(Latest, 0), 0)
+				beginWrite(t, c)
+				write := fmt.Sprintf("%s/%d", c.name, c.last)
+				g.Primary().SetExtraWork(700 * time.Millisecond)
+				if tt.lose {
+					g.Primary().LoseAnswers(1)
+				}
+				time.AfterFunc(100*time.Millisecond, func() { d.Configure(withdrawals["key withdrawn"].change) })
+				if _, a := c.Do(statement.Commit, ""); a.Code != tt.want || a.State != statement.Idle {
+					t.Errorf("COMMIT is answered %s in state %d, want %s", a.Code, a.State, tt.want)
+				}
+				if n := g.Commits(write); n != 1 {
+					t.Errorf("the write is committed %d times", n)
+				}
+				if _, a := c.Do(statement.Begin, ""); a.Code != statement.AccessDenied {
+					t.Errorf("BEGIN after it: %s", a.Code)
+				}
+			})
+		})
+	}
+}
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -58,6 +58,7 @@
 	supersededCommits map[string]bool
 	runs              []Run
 	transactions      int // that were begun
+	openTransactions  int // on all servers
 	// connectionsRefused counts the connections beyond MaxConns.
 	connectionsRefused int
 }
@@ -77,6 +78,13 @@
 	return slices.Clone(g.runs)
 }
 
+// OpenTransactions returns the number of transactions that are open on the group's servers.
+func (g *Group) OpenTransactions() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.openTransactions
+}
+
 // Server models a backend server of a group.
 type Server struct {
 	ID      string
--- a/standin/managed/database_session.go
+++ b/standin/managed/database_session.go
@@ -58,6 +58,11 @@
 		return
 	}
 	sess := &session{server: s, customer: customer, prepared: make(map[string]statement.Command)}
+	defer func() {
+		g.mu.Lock()
+		sess.endTransaction()
+		g.mu.Unlock()
+	}()
 	for {
 		command, err := g.Codec.ReadCommand(r)
 		if err != nil {
@@ -156,10 +161,16 @@
 func (sess *session) beginTransaction() {
 	g := sess.server.group
 	g.transactions++
+	if !sess.inTx {
+		g.openTransactions++
+	}
 	sess.inTx, sess.transaction = true, g.transactions
 }
 
 func (sess *session) endTransaction() {
+	if sess.inTx {
+		sess.server.group.openTransactions--
+	}
 	sess.inTx, sess.failed, sess.writes, sess.transaction = false, false, nil, 0
 }
 
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -201,6 +201,7 @@
 func (c *session) logRefusal(id, customer string, a *statement.Answer, elapsed time.Duration, attempts int) {
 	c.server.Logger.WithFields(log.Fields{
 		"id": id, "customer": customer, "code": a.Code.String(), "why": a.Text, "took_ms": elapsed.Milliseconds(), "attempts": attempts,
+		"config": c.server.Table.Current().Config.Version,
 	}).Warn("session: request refused.")
 }
 
