Sessions: answer what was read before a refused session closes

Cause: the session closed right after the refusal and dropped its queue.

Change: the reader of the session ends, as in a planned stop, everything that it has read is handled and so refused, and then the session closes. A refused session stays refused, also if a later configuration would allow it: a write whose BEGIN was refused must not run outside of a transaction.

--- a/coordination/sqlsession/access.go
+++ b/coordination/sqlsession/access.go
@@ -17,6 +17,9 @@
 // at BEGIN, but it ends if its route is removed, or if the key is withdrawn or belongs to
 // another customer.
 func (s *Session) checkAccess(config *catalog.Config) statement.Code {
+	if s.denied != statement.OK {
+		return s.denied
+	}
 	_, _, code := s.access(config)
 	if s.phase == txNone || code == statement.UnknownDatabase {
 		return code
@@ -35,6 +38,7 @@
 // closed.
 func (s *Session) refuseAccess(r statement.Request, code statement.Code) Step {
 	if s.phase == txNone {
+		s.denied = code
 		return Step{Answer: s.refusal(code, accessTexts[code]), Close: true}
 	}
 	step := Step{Customer: s.customer, End: s.endTx()}
--- a/coordination/sqlsession/access_test.go
+++ b/coordination/sqlsession/access_test.go
@@ -118,6 +118,20 @@
 	}
 }
 
+// Guards against a write that runs outside of its transaction: its BEGIN was refused, and
+// the key became valid again before the write was handled.
+func TestRefusedSessionStaysRefused(t *testing.T) {
+	s := openSession(t, "own")
+	if got := codeOf(s.Handle(newRequest(statement.Begin, ""), keyRevoked)); got != statement.AccessDenied {
+		t.Fatalf("BEGIN: %s", got)
+	}
+	for _, verb := range []statement.Verb{statement.Write, statement.Commit, statement.Begin} {
+		if step := s.Handle(newRequest(verb, "a 1"), testConfig()); codeOf(step) != statement.AccessDenied {
+			t.Errorf("verb %d: %+v", verb, step)
+		}
+	}
+}
+
 // Guards against a route that becomes or was open to all and lends its access to
 // transactions of another customer.
 func TestOpenRoutes(t *testing.T) {
--- a/coordination/sqlsession/session.go
+++ b/coordination/sqlsession/session.go
@@ -47,6 +47,11 @@
 	tx       Tx
 	route    *catalog.Route // route of the transaction
 	customer string         // customer of the transaction
+
+	// denied is the code that refuses all further requests, or OK. It is kept even if a
+	// later configuration allows them: a statement of a transaction whose BEGIN was refused
+	// must not run.
+	denied statement.Code
 }
 
 // Open returns a session for a database name and the hash of the client's key. If
@@ -121,7 +126,7 @@
 	Customer string         // with Charge: whose limit the request counts against; with a refusal: of the ended transaction
 	Route    *catalog.Route // with Charge: whose priority decides within the limit
 	End      *Tx            // transaction to end on its server
-	Close    bool           // close the session after the answer
+	Close    bool           // close the session once all requests that were read are answered
 }
 
 // Handle decides on a request under the configuration in force.
--- a/standin/managed/access_test.go
+++ b/standin/managed/access_test.go
@@ -161,3 +161,77 @@
 		})
 	}
 }
+
+// send sends requests without waiting for answers, and returns their IDs.
+func (c *Client) send(t *testing.T, requests ...statement.Request) []string {
+	t.Helper()
+	var ids []string
+	var b []byte
+	for _, r := range requests {
+		c.last++
+		r.ID = fmt.Sprintf("%s/%d", c.name, c.last)
+		ids = append(ids, r.ID)
+		b = appendJSON(b, r)
+	}
+	if _, err := c.conn.Write(b); err != nil {
+		t.Fatal(err)
+	}
+	return ids
+}
+
+// receive returns the codes of the answers that arrive until there are n, the connection
+// ends or nothing is received for 20 s.
+func (c *Client) receive(n int) []statement.Code {
+	if c.conn.SetReadDeadline(time.Now().Add(20*time.Second)) != nil {
+		return nil
+	}
+	var codes []statement.Code
+	for range n {
+		var a statement.Answer
+		if readJSON(c.r, &a) != nil {
+			break
+		}
+		codes = append(codes, a.Code)
+	}
+	return codes
+}
+
+// Guards against a session that is closed when a request is refused, while requests after
+// it have been read and get no answer.
+func TestRefusedSessionAnswersQueuedRequests(t *testing.T) {
+	for _, name := range []string{"key withdrawn", "customer removed", "route removed"} {
+		w := withdrawals[name]
+		write := statement.Request{Verb: statement.Write, Payload: "a x"}
+		for kind, queued := range map[string][]statement.Request{
+			"single":      {write, write, write},
+			"transaction": {{Verb: statement.Begin}, write, {Verb: statement.Commit}, {Verb: statement.Begin}, write, {Verb: statement.Commit}},
+			"values":      {{Verb: statement.Set, Name: "v", Payload: "1"}, {Verb: statement.Prepare, Name: "p", Payload: "q"}, {Verb: statement.Rollback}},
+		} {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				inDeployment(t, smallDeployment, func(d *Deployment) {
+					g := d.Groups[GroupName(0)]
+					c := connect(t, d.VM("vm-1-0"), "batch", Database(Latest, 0), 0)
+					mustDo(t, c, statement.Write, "a x")
+					g.Primary().SetExtraWork(700 * time.Millisecond)
+					first := c.send(t, write)
+					ids := c.send(t, queued...)
+					time.Sleep(100 * time.Millisecond)
+					d.Configure(w.change)
+					codes := c.receive(len(queued) + 2)
+					if len(codes) != len(queued)+1 || codes[0] != statement.OK {
+						t.Fatalf("answers to %d requests: %v", len(queued)+1, codes)
+					}
+					for i, code := range codes[1:] {
+						if code != w.code && queued[i].Verb != statement.Rollback {
+							t.Errorf("%s is answered %s, want %s", ids[i], code, w.code)
+						}
+					}
+					if g.Commits(first[0]) != 1 {
+						t.Error("the write under way was not committed")
+					}
+					checkRunsOf(t, d, ids)
+				})
+			})
+		}
+	}
+}
--- a/transport/sqlfront/session.go
+++ b/transport/sqlfront/session.go
@@ -117,8 +117,7 @@
 		}
 		c.sendAnswer(*step.Answer)
 		if step.Close {
-			c.closeAfterOutput()
-			return
+			c.stopReading()
 		}
 		c.handleNext()
 	}
@@ -296,7 +295,7 @@
 	}
 }
 
-// readerStopped is the last event of a reader that closeIdle stopped.
+// readerStopped is the last event of a reader that stopReading ended.
 func (c *session) readerStopped() {
 	c.readerDone = true
 	c.becomeIdle()
