Sessions: check a client's access before each attempt of an operation

Callers saw: a write that waited for a primary was committed although its customer's key had been withdrawn meanwhile; the same after a customer or a route was removed, and for the former customer of a key that was given to another one.

Cause: access was checked when a request was received. After that an operation may wait for a token, a primary or a retry.

Change: Session.Recheck decides before each attempt of an operation that no server is running, and refuses with the code of a new request. The answer is true, because an operation is attempted again only after it had no effect. Statements of a transaction that is open on a server are sent right after their check and are not refused there.

--- a/coordination/sqlsession/access.go
+++ b/coordination/sqlsession/access.go
@@ -48,3 +48,18 @@
 	step.Answer = s.refusal(code, accessTexts[code])
 	return step
 }
+
+// Recheck decides whether an operation that no server is running may still be sent. It
+// returns the refusal if the configuration has withdrawn the session's access while the
+// operation waited, and false otherwise. Statements of a transaction that is open on a server
+// are sent as soon as Handle has checked them.
+func (s *Session) Recheck(o *Operation, config *catalog.Config) (statement.Answer, bool) {
+	if o.Tx.ID != 0 {
+		return statement.Answer{}, false
+	}
+	code := s.checkAccess(config)
+	if code == statement.OK && s.phase == txNone && s.Customer(config) != o.Customer {
+		code = statement.Aborted
+	}
+	return statement.Refusal(code, accessTexts[code]), code != statement.OK
+}
--- a/coordination/sqlsession/access_test.go
+++ b/coordination/sqlsession/access_test.go
@@ -153,3 +153,30 @@
 		}
 	}
 }
+
+// Guards against a waiting operation that is sent after the session's access was
+// withdrawn, and against a refused statement of an open transaction, which would stay open.
+func TestRecheck(t *testing.T) {
+	for name, tt := range map[string]struct {
+		config *catalog.Config
+		want   statement.Code
+	}{
+		"key revoked":      {keyRevoked, statement.AccessDenied},
+		"customer removed": {customerRemoved, statement.AccessDenied},
+		"route removed":    {routeRemoved, statement.UnknownDatabase},
+		"key moved":        {keyMoved, statement.Aborted},
+		"route changed":    {routeChanged, statement.OK},
+	} {
+		single, begun, opened := openSession(t, "own"), openSession(t, "own"), openTx(t, testConfig())
+		begun.Handle(newRequest(statement.Begin, ""), testConfig())
+		for kind, s := range map[string]*Session{"single": single, "first of a transaction": begun} {
+			o := s.Handle(newRequest(statement.Write, "x"), testConfig()).Run
+			if a, refused := s.Recheck(o, tt.config); a.Code != tt.want || refused != (tt.want != statement.OK) {
+				t.Errorf("%s, %s: %s, refused %v; want %s", name, kind, a.Code, refused, tt.want)
+			}
+		}
+		if _, refused := opened.Recheck(opened.Handle(newRequest(statement.Commit, ""), testConfig()).Run, tt.config); refused {
+			t.Errorf("%s: COMMIT of an open transaction is refused", name)
+		}
+	}
+}
--- a/standin/managed/access_test.go
+++ b/standin/managed/access_test.go
@@ -235,3 +235,44 @@
 		}
 	}
 }
+
+// Guards against a statement that waits for a primary while its client's access is taken
+// away, and runs then.
+func TestWaitingStatementIsRefusedAfterAccessIsWithdrawn(t *testing.T) {
+	for name, w := range withdrawals {
+		for _, inTx := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/in transaction %v", name, inTx), func(t *testing.T) {
+				inDeployment(t, smallDeployment, func(d *Deployment) {
+					g := d.Groups[GroupName(0)]
+					d.Configure(func(c *catalog.Config) {
+						for i := range c.Routes {
+							c.Routes[i].Timeout = 30 * time.Second // of which a statement may wait for six
+						}
+					})
+					time.Sleep(configWithin)
+					c := connect(t, d.VM("vm-1-0"), "waits", Database(Latest, 0), 0)
+					mustDo(t, c, statement.Write, "a 1")
+					g.Primary().Crash()
+					time.Sleep(50 * time.Millisecond)
+					requests := []statement.Request{{Verb: statement.Write, Payload: "a 2"}}
+					if inTx {
+						requests = []statement.Request{{Verb: statement.Begin}, requests[0], {Verb: statement.Rollback}}
+					}
+					ids := c.send(t, requests...)
+					time.Sleep(50 * time.Millisecond)
+					d.Configure(w.change)
+					codes := c.receive(len(ids))
+					if len(codes) != len(ids) {
+						t.Fatalf("answers: %v", codes)
+					}
+					write := len(ids) / 2
+					if codes[write] != w.inTx {
+						t.Errorf("the write is answered %s, want %s", codes[write], w.inTx)
+					}
+					time.Sleep(2 * time.Second)
+					checkRunsOf(t, d, ids[write:write+1])
+				})
+			})
+		}
+	}
+}
--- a/transport/sqlfront/attempt.go
+++ b/transport/sqlfront/attempt.go
@@ -22,11 +22,16 @@
 	busyRetryAfter = 200 * time.Millisecond
 )
 
-// startAttempt runs the operation on the server that is currently the best choice.
+// startAttempt runs the operation on the server that is currently the best choice, unless
+// the configuration has withdrawn the session's access since the operation was received.
 func (c *session) startAttempt(ex *execution) {
 	if c.current != ex {
 		return
 	}
+	if a, refused := c.stateMachine.Recheck(ex.op, c.server.Table.Current().Config); refused {
+		c.finishExecution(ex, statement.Result{Answer: a}, "", "")
+		return
+	}
 	now := clock.Now()
 	target, ok := c.chooseTarget(ex, now)
 	if !ok {
