PostgreSQL sessions: check access again before a request that waited is sent

Callers saw: a write that waited for a backend server, or a statement of a transaction that waited for a token, ran after the customer's key had been revoked, up to the route's deadline later.

Cause: the same as in the platform's front end; access was checked when the request was received. Evidence: TestKeyRevokedWhileRequestsWaitForServers, in which the writes on 8 of 8 VMs are sent and committed on, and two tests of the decisions, which fail there too.

Change: Decider.recheckAccess looks again when a connection or a token is there. The connection goes back unused, or is closed if a transaction is open on it. If an earlier attempt may have run, the outcome is unknown. A request that was sent, such as COMMIT, is not looked at.

Measured: the three tests pass. The packages root, fleettest, matrix, coordination/session and transport pass.

--- a/coordination/session/decider.go
+++ b/coordination/session/decider.go
@@ -58,17 +58,32 @@
 // checkAccess decides whether the session may run a request now, and records the
 // customer whose limit the request counts against.
 func (d *Decider) checkAccess(s *state.Session, now time.Time) Outcome {
-	out := access.Check(d.Tables.Config.Current(), d.Tables.Config.Freshness(), now, access.Request{
+	out := d.access(s, now)
+	if out.Allowed() {
+		s.Customer = out.Customer
+		return Outcome{Kind: Answered}
+	}
+	return Refused(accessReasons[out.Reason])
+}
+
+func (d *Decider) access(s *state.Session, now time.Time) access.Outcome {
+	return access.Check(d.Tables.Config.Current(), d.Tables.Config.Freshness(), now, access.Request{
 		Customer: s.Login,
 		Route:    s.Route,
 		Key:      s.Key,
 		HasKey:   s.HasKey,
 	})
+}
+
+// recheckAccess is called before a request that has waited is sent. It returns nil if the
+// session may still run the request, and the effects of the refusal otherwise. The request
+// still counts against the customer that it was admitted for.
+func (d *Decider) recheckAccess(s *state.Session, now time.Time) []Effect {
+	out := d.access(s, now)
 	if out.Allowed() {
-		s.Customer = out.Customer
-		return Outcome{Kind: Answered}
+		return nil
 	}
-	return Refused(accessReasons[out.Reason])
+	return d.refuseAccess(s, Refused(accessReasons[out.Reason]))
 }
 
 var accessReasons = map[access.Reason]Reason{
@@ -126,6 +141,9 @@
 // not end.
 func (d *Decider) refuseAccess(s *state.Session, out Outcome) []Effect {
 	if out.Reason == KeyRefused || s.InTransaction {
+		if s.MayHaveRun {
+			out.Kind = Unknown
+		}
 		return d.close(s, out)
 	}
 	return d.refuse(s, out)
@@ -170,6 +188,12 @@
 	if !waits {
 		return nil
 	}
+	if a.Verdict == share.Granted && s.InTransaction {
+		if refused := d.recheckAccess(s, now); refused != nil {
+			share.RefundToken(d.Tables, s.Customer, requestCost)
+			return refused
+		}
+	}
 	return d.applyAdmission(s, a, now)
 }
 
@@ -318,12 +342,15 @@
 }
 
 // HandleConn gives the session's request a backend connection. The connection is
-// released unused if the request no longer waits for it, if the server is no
-// longer the primary, or if no token is left.
+// released unused if the request no longer waits for it or may no longer run, if the
+// server is no longer the primary, or if no token is left.
 func (d *Decider) HandleConn(s *state.Session, request uint64, server string, conn state.ConnID, now time.Time) []Effect {
 	if s.Phase != state.PhaseConnection || s.Request.Number != request {
 		return []Effect{Release{Server: server, Conn: conn}}
 	}
+	if refused := d.recheckAccess(s, now); refused != nil {
+		return append([]Effect{Release{Server: server, Conn: conn}}, refused...)
+	}
 	if s.TargetsPrimary && !d.isPrimary(s) {
 		return append([]Effect{Release{Server: server, Conn: conn}}, d.route(s, now)...)
 	}
