PostgreSQL sessions: answer what was read before a refused session ends

Callers saw: a client that had sent several requests got the answer to the one that ran while its key was revoked, and then only the FATAL error 28P01; the requests behind it, which the VM had read, got no answer.

Cause: the session closed with the refusal of a request.

Change: a refused session rolls its transaction back and stops reading. What has been read is refused with an error each, whatever later configurations say, and the FATAL error ends the session. The connection stays open for the client to read it, as before.

--- a/coordination/session/decider.go
+++ b/coordination/session/decider.go
@@ -99,7 +99,13 @@
 // StartRequest starts handling a request of the client.
 func (d *Decider) StartRequest(s *state.Session, r state.Request, now time.Time) []Effect {
 	resetRequest(s, r)
-	if out := d.checkAccess(s, now); out.Kind != Answered {
+	out := d.checkAccess(s, now)
+	if s.Ending && out.Kind == Answered {
+		// The configuration allows the client again, but a transaction that was refused must
+		// not go on outside of itself.
+		out = Refused(KeyRefused)
+	}
+	if out.Kind != Answered {
 		return d.refuseAccess(s, out)
 	}
 	d.applyReadOnlyRoute(s)
@@ -136,17 +142,22 @@
 	s.ReplayingBegin = false
 }
 
-// refuseAccess refuses a request that the session may not run. The session is
-// closed if its key was refused or if it has an open transaction, which it could
-// not end.
+// refuseAccess refuses a request that the session may not run. If its key was refused or
+// if it has an open transaction, which it could not end, the session ends: the requests that
+// were read are refused as well, so that each has an answer.
 func (d *Decider) refuseAccess(s *state.Session, out Outcome) []Effect {
-	if out.Reason == KeyRefused || s.InTransaction {
-		if s.MayHaveRun {
-			out.Kind = Unknown
-		}
-		return d.close(s, out)
+	if out.Reason != KeyRefused && !s.InTransaction && !s.Ending {
+		return d.refuse(s, out)
+	}
+	effects := d.discardConn(s)
+	if !s.Ending {
+		effects = append(effects, EndSession{Outcome: out})
+	}
+	s.Ending, s.InTransaction, s.ReplayingBegin = true, false, false
+	if s.MayHaveRun {
+		out.Kind = Unknown
 	}
-	return d.refuse(s, out)
+	return append(effects, d.finish(s, out)...)
 }
 
 // admit applies the customer's rate limit: the request proceeds if a token is
--- a/coordination/session/effects.go
+++ b/coordination/session/effects.go
@@ -105,6 +105,10 @@
 // CloseClient tells the client the reason and ends the session.
 type CloseClient struct{ Outcome Outcome }
 
+// EndSession ends the session after the requests that have been read so far: they are
+// decided as usual, and then the client is told the reason.
+type EndSession struct{ Outcome Outcome }
+
 func (Acquire) effect()       {}
 func (CancelAcquire) effect() {}
 func (Send) effect()          {}
@@ -123,3 +127,4 @@
 func (ReportFailure) effect() {}
 func (AdvanceLimits) effect() {}
 func (CloseClient) effect()   {}
+func (EndSession) effect()    {}
--- a/coordination/session/end.go
+++ b/coordination/session/end.go
@@ -108,7 +108,7 @@
 // transaction.
 func (d *Decider) Drain(s *state.Session) []Effect {
 	s.Draining = true
-	if s.Phase != state.PhaseIdle || s.InTransaction {
+	if s.Phase != state.PhaseIdle || s.InTransaction || s.Ending {
 		return nil
 	}
 	return d.close(s, Refused(ShuttingDown))
@@ -138,7 +138,7 @@
 		idleDeadline := s.Request.Deadline.Add(maxIdleInTransaction)
 		return append(effects, SetTimer{Request: s.Request.Number, At: idleDeadline})
 	}
-	if s.Draining {
+	if s.Draining && !s.Ending {
 		effects = append(effects, d.close(s, Refused(ShuttingDown))...)
 	}
 	return effects
--- a/state/session.go
+++ b/state/session.go
@@ -117,6 +117,9 @@
 	BeginPayload   any
 	ReplayingBegin bool // the transaction is begun again on another server, together with the current request
 	Draining       bool // close as soon as there is no request and no transaction
+	// Ending is set once the session's access is refused: the requests that were read are
+	// refused too, and the session is closed after them.
+	Ending bool
 }
 
 // Lock locks the session.
--- a/transport/outbox/outbox.go
+++ b/transport/outbox/outbox.go
@@ -21,6 +21,7 @@
 	writing       bool // writeLoop is running
 	sealed        bool // Enqueue drops further bytes
 	closing       bool // the connection is closed when everything is written
+	readsStopped  bool // by StopReads
 	err           error
 }
 
@@ -77,6 +78,30 @@
 	}
 }
 
+// StopReads makes reads from the connection fail. Writes go on.
+func (o *Outbox) StopReads() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.readsStopped = true
+	if err := o.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		o.fail(err)
+	}
+}
+
+// AllowReads ends the effect of StopReads: reads fail after readTimeout. It reports false
+// if StopReads was not called or the connection has failed.
+func (o *Outbox) AllowReads(readTimeout time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.readsStopped || o.err != nil {
+		return false
+	}
+	if err := o.conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+		o.fail(err)
+	}
+	return o.err == nil
+}
+
 // CloseAfterFlush closes the connection after everything queued so far is written.
 func (o *Outbox) CloseAfterFlush() {
 	o.mu.Lock()
--- a/transport/pgserver/pgserver.go
+++ b/transport/pgserver/pgserver.go
@@ -50,8 +50,8 @@
 	// Request starts the next request. It blocks while the previous one runs, and
 	// returns false if the session has ended.
 	Request(b *pgwire.Batch) bool
-	// Disconnected ends the session after the client has closed the connection or
-	// the connection has failed.
+	// Disconnected ends the session after the client has closed the connection, the
+	// connection has failed, or Client.StopReading has taken effect.
 	Disconnected()
 }
 
@@ -100,6 +100,10 @@
 // closed immediately, the client would see a network error instead of the reason.
 func (c *Client) Finish() { c.out.StopWrites(lingerTimeout) }
 
+// StopReading ends the reading of requests. Those that have been received completely are
+// still passed to the session, which is then ended by Session.Disconnected.
+func (c *Client) StopReading() { c.out.StopReads() }
+
 // Abort closes the connection immediately and drops queued output.
 func (c *Client) Abort() { c.out.CloseNow() }
 
@@ -209,8 +213,13 @@
 		discardInput(backend)
 		return
 	}
-	defer sess.Disconnected()
 	readRequests(backend, client, sess)
+	sess.Disconnected()
+	if client.out.AllowReads(lingerTimeout) {
+		// The session ends by itself. If the connection was closed before the client has
+		// read the reason, the client would see a network error instead.
+		discardInput(backend)
+	}
 }
 
 // discardInput reads and drops messages until the client closes the connection or
--- a/transport/sessions/client.go
+++ b/transport/sessions/client.go
@@ -32,7 +32,8 @@
 	ended   chan struct{} // closed when the session has ended
 	endOnce sync.Once     // guards the clean-up in end
 
-	batch       *pgwire.Batch // the current request
+	ending      *session.Outcome // reason of EndSession; nil if the session is not ending
+	batch       *pgwire.Batch    // the current request
 	heldParts   [][]byte      // parts of the response, until FlushHeld or DropHeld
 	txStatus    byte          // status of the last ReadyForQuery; zero before the first
 	timer       *time.Timer
@@ -82,6 +83,9 @@
 			c.timer.Stop()
 		}
 		c.endSpans(session.Outcome{})
+		if c.ending != nil {
+			c.out.Send(pgwire.ErrorResponseFor(*c.ending, true))
+		}
 		c.out.Finish()
 		c.sessions.remove(c)
 		c.sessions.Tables.Sessions.Remove(c.st.ID)
@@ -181,6 +185,9 @@
 		s.limits.Advance(e.At)
 	case session.CloseClient:
 		c.closeWithError(e.Outcome)
+	case session.EndSession:
+		c.ending = &e.Outcome
+		c.out.StopReading()
 	}
 }
 
