--- a/coordination/sqlsession/session.go
+++ b/coordination/sqlsession/session.go
@@ -182,7 +182,7 @@
 	if s.phase != txNone {
 		return s.malformed("a transaction is open")
 	}
-	route, customer, _ := s.access(config)
+	route, customer, _ := s.access(config) // Handle has checked the access
 	s.phase, s.route, s.customer = txBegun, route, customer
 	s.readOnly = r.Verb == statement.BeginReadOnly
 	return Step{Answer: s.success(), Charge: true, Customer: customer, Route: route}
@@ -204,7 +204,7 @@
 		if r.Verb == statement.Commit {
 			return s.malformed("no transaction is open")
 		}
-		o.Route, o.Customer, _ = s.access(config)
+		o.Route, o.Customer, _ = s.access(config) // Handle has checked the access
 		o.Charge = true
 		o.NeedsPrimary = o.writes() || o.Route.Consistency == catalog.Latest
 		return Step{Run: o}
--- a/transport/pgserver/pgserver.go
+++ b/transport/pgserver/pgserver.go
@@ -216,8 +216,8 @@
 	readRequests(backend, client, sess)
 	sess.Disconnected()
 	if client.out.AllowReads(lingerTimeout) {
-		// The session ends by itself. If the connection was closed before the client has
-		// read the reason, the client would see a network error instead.
+		// StopReading ended the session. The client gets the time to read the reason, as
+		// after Finish.
 		discardInput(backend)
 	}
 }
--- a/transport/sessions/client.go
+++ b/transport/sessions/client.go
@@ -34,8 +34,8 @@
 
 	ending      *session.Outcome // reason of EndSession; nil if the session is not ending
 	batch       *pgwire.Batch    // the current request
-	heldParts   [][]byte      // parts of the response, until FlushHeld or DropHeld
-	txStatus    byte          // status of the last ReadyForQuery; zero before the first
+	heldParts   [][]byte         // parts of the response, until FlushHeld or DropHeld
+	txStatus    byte             // status of the last ReadyForQuery; zero before the first
 	timer       *time.Timer
 	scheduled   []session.SetTimer // future calls of Decider.HandleTimer
 	requestSpan trace.Span         // nil if no request runs
