Promotions: no orders by a VM without a majority or without fresh knowledge

Acknowledged commits were rolled back, and reads lacked others.

Cause: the VMs that were cut off took one of themselves for the failover coordinator. It began a switchover without a majority and without a recent leadership confirmation, and once the links were back its order for the primary to stay promoted the server that had been replaced.

Change: a VM in a minority is not the coordinator, sends no order, and waits as after a start when it reaches a majority again. A switchover needs a confirmation of the last second; orders to stay follow a new confirmation by the server. A replaced primary that registers as a replica is no longer taken for the primary. Logs that have diverged are the last choice for a promotion.

--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -75,7 +75,9 @@
 	designated  string // only server that may be the primary; "" if any may be
 	term        uint64
 	confirmedAt time.Duration
-	samples     []Sample // in ascending order, all of the current term
+	firstPoint  state.Point // end of the primary's log in the first confirmation of this primary
+	tookOver    bool        // the primary had not committed anything then, see Diverged
+	samples     []Sample    // in ascending order, all of the current term
 	servers     map[string]*serverStats
 	hedges      float64 // hedged reads that are allowed now
 	random      rand.PCG
@@ -133,6 +135,10 @@
 	if p.Term == g.term && id != g.primary && sentAt < g.confirmedAt {
 		return
 	}
+	if id != g.primary || p.Term > g.term && !g.tookOver {
+		g.firstPoint = p
+		g.tookOver = g.primary != "" && id != g.primary && p.Term == g.term
+	}
 	if p.Term > g.term {
 		g.samples = g.samples[:0]
 		g.term = p.Term
@@ -183,6 +189,23 @@
 // Term returns the highest confirmed term.
 func (g *Group) Term() uint64 { return g.term }
 
+// Diverged reports whether another server's log that ends at p has commits which are not in
+// the log of the server that confirmed its leadership last. They were dropped when that
+// server was promoted, so a server whose log has them must not be promoted if another one
+// can be. It reports false if that is not known.
+//
+// The term of a point is that of the last commit. So a log of an earlier term has diverged
+// if it is as long as the primary's was at its first confirmation. If the primary had
+// committed nothing by then, its log ended in the former term, and a longer log of that term
+// has diverged too.
+func (g *Group) Diverged(id string, p state.Point) bool {
+	if id == g.primary {
+		return false
+	}
+	first := g.firstPoint
+	return p.Term < first.Term && p.Position >= first.Position || g.tookOver && p.Term == first.Term && p.Position > first.Position
+}
+
 // MinReadPoint returns a point that includes every commit acknowledged more than
 // maxStale before now. It returns the oldest sample that is recent enough,
 // because that is the one that most replicas hold. It reports false if there is
@@ -227,7 +250,8 @@
 }
 
 // Primary returns the most likely primary, or nil. A server that denied being the
-// primary is considered again once it registers as the primary anew.
+// primary is considered again once it registers as the primary anew. A registration as a
+// replica, which a replaced primary sends, does not count.
 func (g *Group) Primary(servers []*catalog.Server, now time.Duration) *catalog.Server {
 	var best *catalog.Server
 	bestRank := -1
@@ -249,7 +273,7 @@
 	}
 	v := g.server(s.ID)
 	confirmed := s.ID == g.primary || s.ID == g.designated
-	if !confirmed && !s.Primary || v.denied && s.Revision <= v.deniedRevision {
+	if !confirmed && !s.Primary || v.denied && (s.Revision <= v.deniedRevision || !s.Primary) {
 		return -1
 	}
 	rank := 0
--- a/coordination/leadership/leadership_test.go
+++ b/coordination/leadership/leadership_test.go
@@ -198,3 +198,70 @@
 		}
 	})
 }
+
+// Guards against a replaced primary that counts as the primary again once it registers as
+// a replica, since it was the last that confirmed its leadership to this VM.
+func TestReplacedPrimaryIsNotThePrimary(t *testing.T) {
+	const now = time.Minute
+	table := NewTable()
+	table.With("g", func(g *Group) {
+		former := &catalog.Server{ID: "former", Primary: true, Revision: 5}
+		g.RecordConfirmation("former", state.Point{Term: 1, Position: 3}, now)
+		if g.Primary([]*catalog.Server{former}, now) != former {
+			t.Fatal("the confirmed primary is not the primary")
+		}
+		g.RecordNotPrimary(former)
+		asReplica := &catalog.Server{ID: "former", Revision: 6}
+		if s := g.Primary([]*catalog.Server{asReplica}, now); s != nil {
+			t.Errorf("%s is the primary after it denied that", s.ID)
+		}
+		again := &catalog.Server{ID: "former", Primary: true, Revision: 7}
+		if g.Primary([]*catalog.Server{again}, now) != again {
+			t.Error("a server that registers as the primary anew is not tried")
+		}
+		g.RecordNotPrimary(again)
+		g.RecordConfirmation("former", state.Point{Term: 3, Position: 4}, now)
+		if g.Primary([]*catalog.Server{{ID: "former", Revision: 8}}, now) == nil {
+			t.Error("a server that confirmed its leadership anew is not the primary")
+		}
+	})
+}
+
+// Guards against a log with dropped commits that passes for a longer one, and against a
+// complete log that passes for one with dropped commits.
+func TestDiverged(t *testing.T) {
+	type confirmation struct {
+		server string
+		point  state.Point
+	}
+	at := func(term, position uint64) state.Point { return state.Point{Term: term, Position: position} }
+	for name, tt := range map[string]struct {
+		confirmations []confirmation
+		point         state.Point // of the server "x"
+		want          bool
+	}{
+		"nothing is known":                        {nil, at(1, 9), false},
+		"first primary, longer log":               {[]confirmation{{"a", at(3, 350)}}, at(3, 354), false},
+		"first primary, former term, shorter":     {[]confirmation{{"a", at(3, 350)}}, at(2, 349), false},
+		"first primary, former term, as long":     {[]confirmation{{"a", at(3, 350)}}, at(2, 350), true},
+		"new primary without commits, longer":     {[]confirmation{{"a", at(3, 350)}, {"b", at(3, 354)}}, at(3, 374), true},
+		"new primary without commits, as long":    {[]confirmation{{"a", at(3, 350)}, {"b", at(3, 354)}}, at(3, 354), false},
+		"new primary committed, former longer":    {[]confirmation{{"a", at(3, 350)}, {"b", at(3, 354)}, {"b", at(4, 360)}}, at(3, 355), true},
+		"new primary committed, replica":          {[]confirmation{{"a", at(3, 350)}, {"b", at(3, 354)}, {"b", at(4, 360)}}, at(4, 370), false},
+		"new primary, first known with a commit":  {[]confirmation{{"a", at(3, 350)}, {"b", at(4, 356)}}, at(3, 356), true},
+		"before its first known commit":           {[]confirmation{{"a", at(3, 350)}, {"b", at(4, 356)}}, at(3, 355), false},
+		"late confirmation of the former primary": {[]confirmation{{"b", at(4, 356)}, {"a", at(3, 350)}}, at(3, 355), false},
+	} {
+		NewTable().With("g", func(g *Group) {
+			for i, c := range tt.confirmations {
+				g.RecordConfirmation(c.server, c.point, time.Duration(i+1)*time.Second)
+			}
+			if got := g.Diverged("x", tt.point); got != tt.want {
+				t.Errorf("%s: %v, want %v", name, got, tt.want)
+			}
+			if g.Diverged("b", at(1, 999)) && g.ConfirmedPrimary() == "b" {
+				t.Errorf("%s: the primary itself has diverged", name)
+			}
+		})
+	}
+}
--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -73,18 +73,22 @@
 	Replace             // replace a lost primary
 )
 
-// Decide returns the action that is due.
+// Decide returns the action that is due. A switchover begins only with a recent leadership
+// confirmation: a primary that is merely watched may have been replaced by another
+// coordinator meanwhile.
 func Decide(s GroupStatus) Action {
 	age := s.Now - max(s.ConfirmedAt, s.WatchedSince)
 	missing := s.Primary == nil && (s.ConfirmedAt != 0 || s.Now-s.RegisteredAt > registrationGrace)
 	lost := age > lostTimeout && (s.Failures >= minFailures || missing)
 	refusing := age > refusedTimeout && s.Refusals >= minFailures
+	leaving := s.Leaving && !s.Isolated
+	confirmed := s.Now-s.ConfirmedAt <= lostTimeout
 	switch {
 	case (lost || refusing) && !s.Isolated:
 		return Replace
-	case s.Leaving && age <= lostTimeout:
+	case leaving && confirmed:
 		return Switchover
-	case age > s.Interval && s.Primary != nil:
+	case s.Primary != nil && (age > s.Interval || leaving):
 		return QueryPrimary
 	}
 	return Nothing
@@ -95,6 +99,9 @@
 	Server   *catalog.Server
 	Received state.Point // end of its log
 	Usable   bool        // accepts new work
+	// Diverged says that the log has commits which a promotion dropped, see
+	// leadership.Group.Diverged. All other logs are better.
+	Diverged bool
 }
 
 // Survey holds what the servers of a group reported that may replace its primary.
@@ -122,26 +129,33 @@
 	}
 	best := usable
 	for _, c := range s.Candidates {
-		if !found || isLonger(c.Received, best.Received) {
+		if !found || c.isBetter(best) {
 			best, found = c, true
 		}
 	}
 	return best, found
 }
 
-// BestCandidate returns the usable candidate with the longest log. It reports
-// false if there is none.
+// BestCandidate returns the usable candidate with the longest log that has not diverged, or
+// else the longest one. It reports false if there is none.
 func BestCandidate(candidates []Candidate) (Candidate, bool) {
 	var best Candidate
 	found := false
 	for _, c := range candidates {
-		if c.Usable && (!found || isLonger(c.Received, best.Received)) {
+		if c.Usable && (!found || c.isBetter(best)) {
 			best, found = c, true
 		}
 	}
 	return best, found
 }
 
+func (c Candidate) isBetter(other Candidate) bool {
+	if c.Diverged != other.Diverged {
+		return other.Diverged
+	}
+	return isLonger(c.Received, other.Received)
+}
+
 func isLonger(a, b state.Point) bool {
 	return a.Term > b.Term || a.Term == b.Term && a.Position > b.Position
 }
--- a/coordination/succession/succession_test.go
+++ b/coordination/succession/succession_test.go
@@ -32,6 +32,9 @@
 		"lost while others register":        {GroupStatus{ConfirmedAt: now - 2*lostTimeout, RegisteredAt: now}, Replace},
 		"watched since now":                 {GroupStatus{ConfirmedAt: now - 2*lostTimeout, WatchedSince: now}, Nothing},
 		"leaving":                           {GroupStatus{Primary: primary, ConfirmedAt: now, Leaving: true}, Switchover},
+		"leaving, isolated":                 {GroupStatus{Primary: primary, ConfirmedAt: now, Leaving: true, Isolated: true}, Nothing},
+		"leaving, not confirmed lately":     {GroupStatus{Primary: primary, ConfirmedAt: now - 2*lostTimeout, WatchedSince: now, Leaving: true}, QueryPrimary},
+		"leaving, never confirmed":          {GroupStatus{Primary: primary, WatchedSince: now, Leaving: true}, QueryPrimary},
 		"leaving and lost":                  {GroupStatus{Primary: primary, ConfirmedAt: now - 2*lostTimeout, Failures: minFailures, Leaving: true}, Replace},
 	} {
 		tt.status.Now, tt.status.Interval = now, QueryInterval(3)
@@ -111,3 +114,23 @@
 		}
 	}
 }
+
+// Guards against the promotion of a former primary whose log is longer only because of
+// commits that an earlier promotion dropped: they would replace later ones.
+func TestDivergedLogIsNotPromoted(t *testing.T) {
+	former := Candidate{Server: &catalog.Server{ID: "former"}, Received: state.Point{Term: 3, Position: 374}, Usable: true, Diverged: true}
+	replica := Candidate{Server: &catalog.Server{ID: "replica"}, Received: state.Point{Term: 3, Position: 354}, Usable: true}
+	for _, candidates := range [][]Candidate{{former, replica}, {replica, former}} {
+		if best, ok := BestCandidate(candidates); !ok || best.Server.ID != "replica" {
+			t.Errorf("%v is promoted in place of the replica", best.Server)
+		}
+		for _, syncReplicas := range []int{0, 1} {
+			if best, ok := SelectSuccessor(Survey{Candidates: candidates}, syncReplicas); !ok || best.Server.ID != "replica" {
+				t.Errorf("syncReplicas %d: %v is promoted in place of the replica", syncReplicas, best.Server)
+			}
+		}
+	}
+	if best, ok := BestCandidate([]Candidate{former}); !ok || best.Server.ID != "former" {
+		t.Error("the only server is not promoted")
+	}
+}
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -20,18 +20,7 @@
 
 // queryPrimary requests a leadership confirmation from the primary.
 func (c *Coordinator) queryPrimary(group string, primary *catalog.Server, gs *groupState) {
-	sentAt := clock.Now()
-	c.runOnServer(group, primary, statement.RemoteStatement{
-		BeginsTx: true, Command: statement.Command{Verb: statement.Rollback},
-	}, func(r statement.Result) {
-		c.Leadership.With(group, func(l *leadership.Group) {
-			switch {
-			case r.PrimaryConfirmed:
-				l.RecordConfirmation(primary.ID, r.Answer.At, sentAt)
-			case r.Answer.Code == statement.ReadOnly:
-				l.RecordNotPrimary(primary)
-			}
-		})
+	c.queryLeadership(group, primary, func(r statement.Result) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		gs.queryPending = false
@@ -44,6 +33,38 @@
 	})
 }
 
+// queryLeadership requests a leadership confirmation from a server, records its answer and
+// then calls done.
+func (c *Coordinator) queryLeadership(group string, server *catalog.Server, done func(statement.Result)) {
+	sentAt := clock.Now()
+	c.runOnServer(group, server, statement.RemoteStatement{
+		BeginsTx: true, Command: statement.Command{Verb: statement.Rollback},
+	}, func(r statement.Result) {
+		c.Leadership.With(group, func(l *leadership.Group) {
+			switch {
+			case r.PrimaryConfirmed:
+				l.RecordConfirmation(server.ID, r.Answer.At, sentAt)
+			case r.Answer.Code == statement.ReadOnly:
+				l.RecordNotPrimary(server)
+			}
+		})
+		done(r)
+	})
+}
+
+// confirmsLeadership queries a server and reports whether it confirms that it is the
+// primary.
+func (c *Coordinator) confirmsLeadership(ctx context.Context, group string, server *catalog.Server) bool {
+	confirmed := make(chan bool, 1)
+	c.queryLeadership(group, server, func(r statement.Result) { confirmed <- r.PrimaryConfirmed })
+	select {
+	case <-ctx.Done():
+		return false
+	case isPrimary := <-confirmed:
+		return isPrimary
+	}
+}
+
 // runOnServer runs a command of the coordinator itself on a server. It uses a
 // connection of the customer with the highest rate, because that is the most
 // likely one to be open.
@@ -130,7 +151,7 @@
 	// An order that does not change the primary verifies that the platform
 	// responds. If the primary stepped down and no successor could be promoted,
 	// the group would have no primary.
-	if !c.giveOrder(ctx, group, primary, gs) {
+	if !c.orderToStay(ctx, group, primary, gs) {
 		return
 	}
 	select {
@@ -169,23 +190,10 @@
 	ordered := clock.Now()
 	deadline := time.Now().Add(succession.RepeatAfter)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		confirmed := make(chan bool, 1)
-		sentAt := clock.Now()
-		c.runOnServer(group, server, statement.RemoteStatement{BeginsTx: true, Command: statement.Command{Verb: statement.Rollback}}, func(r statement.Result) {
-			if r.PrimaryConfirmed {
-				c.Leadership.With(group, func(l *leadership.Group) { l.RecordConfirmation(server.ID, r.Answer.At, sentAt) })
-			}
-			confirmed <- r.PrimaryConfirmed
-		})
-		select {
-		case <-ctx.Done():
-			return false
-		case isPrimary := <-confirmed:
-			if isPrimary {
-				c.steps[stepConfirm].RecordDuration(clock.Now() - ordered)
-				c.Logger.WithFields(log.Fields{"group": group, "server": server.ID}).Info("promotion: the new primary has confirmed its leadership.")
-				return true
-			}
+		if c.confirmsLeadership(ctx, group, server) {
+			c.steps[stepConfirm].RecordDuration(clock.Now() - ordered)
+			c.Logger.WithFields(log.Fields{"group": group, "server": server.ID}).Info("promotion: the new primary has confirmed its leadership.")
+			return true
 		}
 		time.Sleep(pollInterval)
 	}
@@ -196,7 +204,14 @@
 // order whose response was lost then has no effect if it is executed late.
 func (c *Coordinator) supersedeOrder(ctx context.Context, group string, primary *catalog.Server, gs *groupState) {
 	defer c.finishPromotion(gs)
-	c.giveOrder(ctx, group, primary, gs)
+	c.orderToStay(ctx, group, primary, gs)
+}
+
+// orderToStay orders the primary to remain the primary, and reports whether the order was
+// executed. The server must confirm its leadership first: for one that was replaced, the
+// order would be a promotion, which drops the commits of its successor.
+func (c *Coordinator) orderToStay(ctx context.Context, group string, primary *catalog.Server, gs *groupState) bool {
+	return c.confirmsLeadership(ctx, group, primary) && c.giveOrder(ctx, group, primary, gs)
 }
 
 // giveOrder gives one order to the platform and reports whether it was
@@ -219,8 +234,14 @@
 }
 
 // sendOrder sends one order to the platform. Its errors are those of Platform.Promote;
-// ErrNotSent also if this VM has no fencing token left.
+// ErrNotSent also if this VM has no fencing token left, or no contact with a majority of the
+// VMs.
 func (c *Coordinator) sendOrder(ctx context.Context, group string, server *catalog.Server) error {
+	if c.View().InMinority() {
+		// The majority may have another coordinator.
+		c.Logger.WithFields(log.Fields{"group": group, "server": server.ID}).Warn("promotion: order not sent, no majority of the VMs is reachable.")
+		return ErrNotSent
+	}
 	token, ok := c.nextFencingToken()
 	if !ok {
 		return ErrNotSent
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -212,6 +212,12 @@
 // its holder keeps it.
 func (c *Coordinator) selected() bool {
 	view := c.View()
+	if view.InMinority() {
+		// The majority may have another coordinator. This VM waits for claimDelay once it
+		// reaches a majority, and learns what has changed meanwhile.
+		c.selectedSince = 0
+		return false
+	}
 	if !view.StoreReached() {
 		return c.holdsDuty()
 	}
--- a/transport/promotion/promotion_test.go
+++ b/transport/promotion/promotion_test.go
@@ -144,3 +144,64 @@
 		}
 	}
 }
+
+// replacedServers answer queries for reports, and deny that they are the primary.
+type replacedServers struct{ reportingRunner }
+
+// Run implements Runner.
+func (r replacedServers) Run(vm string, w *statement.RemoteStatement, done func(statement.Result)) {
+	if w.BeginsTx {
+		done(statement.Result{Answer: statement.Refusal(statement.ReadOnly, "")})
+		return
+	}
+	r.reportingRunner.Run(vm, w, done)
+}
+
+// Guards against orders of a VM that does not know of a promotion by another coordinator:
+// one to stay for a primary that was replaced, and any while it reaches no majority.
+func TestNoOrderWithoutKnowledgeOfOthers(t *testing.T) {
+	config := &catalog.Config{Routes: []catalog.Route{{Name: "r", Group: "g"}}, Groups: []catalog.Group{{Name: "g"}}}
+	config.Index()
+	table := catalog.NewTable()
+	table.Update(func(d catalog.Deployment) catalog.Deployment {
+		d.Config, d.Out = config, map[string]bool{"out": true}
+		d.Servers = map[string]*catalog.Server{
+			"former": {ID: "former", Group: "g", DataCentre: "out", Primary: true},
+			"new":    {ID: "new", Group: "g", DataCentre: "in"},
+		}
+		return d
+	})
+	former := table.Current().Servers["former"]
+	for _, alive := range []int{1, 3} {
+		platform := orderedServers{ids: make(chan string, 10)}
+		leaders := leadership.NewTable()
+		leaders.With("g", func(l *leadership.Group) {
+			l.RecordConfirmation("former", state.Point{Term: 1, Position: 1}, clock.Now())
+		})
+		view := &placement.View{Self: "vm-0", Members: 3}
+		for i, name := range []string{"vm-0", "vm-1", "vm-2"} {
+			view.VMs = append(view.VMs, placement.VM{Name: name, Alive: i < alive, Weight: 1, Incarnation: int64(i)})
+		}
+		c := New(Options{
+			Name: "vm-0", Platform: platform, Runner: replacedServers{}, Reports: emptyReports{}, Table: table, Leadership: leaders, Scope: tally.NoopScope,
+			View: func() *placement.View { return view }, Logger: &log.Logger{Handler: discard.Default},
+		})
+		c.exclusive, c.nextToken, c.endToken = true, 1, 100
+		ctx := context.Background()
+		c.switchOver(ctx, "g", former, &groupState{})
+		c.supersedeOrder(ctx, "g", former, &groupState{orderUnconfirmed: true})
+		if alive == 1 {
+			if c.selected() {
+				t.Error("a VM in a minority is the coordinator")
+			}
+			if c.giveOrder(ctx, "g", table.Current().Servers["new"], &groupState{}) {
+				t.Error("a VM in a minority gave an order")
+			}
+		}
+		select {
+		case id := <-platform.ids:
+			t.Errorf("%d of 3 VMs alive: an order to promote %s", alive, id)
+		default:
+		}
+	}
+}
--- a/transport/promotion/survey.go
+++ b/transport/promotion/survey.go
@@ -40,7 +40,9 @@
 				candidates <- nil
 				return
 			}
-			candidates <- &succession.Candidate{Server: server, Received: r.Received, Usable: d.Usable(server)}
+			candidate := &succession.Candidate{Server: server, Received: r.Received, Usable: d.Usable(server)}
+			c.Leadership.With(group, func(l *leadership.Group) { candidate.Diverged = l.Diverged(server.ID, r.Received) })
+			candidates <- candidate
 		}()
 	}
 	var s succession.Survey
@@ -85,7 +87,7 @@
 		entry.Error("promotion: no server can take over.")
 		return
 	}
-	entry.WithFields(log.Fields{"server": selected.Server.ID, "term": selected.Received.Term, "position": selected.Received.Position, "usable": selected.Usable}).
+	entry.WithFields(log.Fields{"server": selected.Server.ID, "term": selected.Received.Term, "position": selected.Received.Position, "usable": selected.Usable, "diverged": selected.Diverged}).
 		Info("promotion: successor selected.")
 }
 
