--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -16,7 +16,6 @@
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
-	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/lockrank"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
@@ -90,23 +89,6 @@
 	HasLease() bool
 }
 
-// Duty is the record in the store of the VM that orders promotions.
-type Duty struct {
-	Holder   string
-	NextFree uint64 // lowest fencing token that is not reserved
-	// Revision is that of the record. Its number is zero if the record does not exist yet.
-	Revision state.Revision
-}
-
-// Duties stores the record.
-type Duties interface {
-	// ReadDuty returns the current record.
-	ReadDuty(ctx context.Context) (Duty, error)
-	// WriteDuty replaces the record if its revision still is d.Revision. It fails if the
-	// store has another era: the same number may belong to another change there.
-	WriteDuty(ctx context.Context, d Duty) error
-}
-
 // Runner runs statements on the VMs of the fleet.
 type Runner interface {
 	Run(vm string, w *statement.RemoteStatement, done func(statement.Result))
@@ -207,134 +189,6 @@
 	}
 }
 
-// selected reports whether this VM has been selected as the coordinator for
-// claimDelay. While no VM can reach the store, no VM can claim the duty, and
-// its holder keeps it.
-func (c *Coordinator) selected() bool {
-	view := c.View()
-	if view.InMinority() {
-		// The majority may have another coordinator. This VM waits for claimDelay once it
-		// reaches a majority, and learns what has changed meanwhile.
-		c.selectedSince = 0
-		return false
-	}
-	if !view.StoreReached() {
-		return c.holdsDuty()
-	}
-	if view.FailoverCoordinator() != c.Name {
-		if c.selectedSince != 0 {
-			c.Logger.Info("promotion: another VM is the failover coordinator.")
-		}
-		c.selectedSince = 0
-		c.mu.Lock()
-		c.groups = make(map[string]*groupState)
-		c.dropTokens()
-		c.lostDuty = false
-		c.mu.Unlock()
-		return false
-	}
-	now := clock.Now()
-	if c.selectedSince == 0 {
-		c.selectedSince = now
-	}
-	return now-c.selectedSince >= claimDelay
-}
-
-// dropTokens makes this VM claim the duty again before its next order. The caller holds
-// mu.
-func (c *Coordinator) dropTokens() {
-	c.nextToken, c.endToken, c.exclusive = 0, 0, false
-}
-
-// holdsDuty reports whether this VM has reserved fencing tokens left, and no other VM
-// has claimed the duty since, as far as is known.
-func (c *Coordinator) holdsDuty() bool {
-	superseded := uint64(0)
-	if c.Fencer != nil {
-		superseded = c.Fencer.Claim()
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if superseded > c.firstToken {
-		c.dropTokens()
-	}
-	c.checkEra()
-	return c.nextToken < c.endToken
-}
-
-// claimDuty claims the duty unless this VM already holds it, and reports
-// whether this VM holds it.
-func (c *Coordinator) claimDuty(ctx context.Context, g *errgroup.Group) bool {
-	if c.holdsDuty() {
-		return true
-	}
-	if c.Table.Current().Config == nil {
-		return false
-	}
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	duty, err := c.Duties.ReadDuty(callCtx)
-	if err == nil {
-		if c.claimedByOther(duty) {
-			return false
-		}
-		duty.Holder = c.Name
-		first := max(duty.NextFree, fencing.FirstToken(duty.Revision.Era))
-		duty.NextFree = first + tokensPerClaim
-		if err = c.Duties.WriteDuty(callCtx, duty); err == nil {
-			c.mu.Lock()
-			c.firstToken, c.nextToken, c.endToken = first, first, duty.NextFree
-			c.tokenEra, c.lostDuty = duty.Revision.Era, false
-			c.exclusive = c.Fencer == nil
-			c.mu.Unlock()
-			c.Logger.WithFields(log.Fields{"token": first}).Info("promotion: this VM is the failover coordinator.")
-			if c.Fencer != nil {
-				g.Go(func() error { c.becomeExclusive(ctx, first); return nil })
-			}
-			return true
-		}
-	}
-	c.Logger.WithError(err).Warn("promotion: the coordinator role cannot be claimed.")
-	// The record may have been written although no response arrived. The tokens
-	// that it reserved remain unused.
-	c.selectedSince = clock.Now()
-	return false
-}
-
-// becomeExclusive waits until no earlier coordinator can send an order. If no majority
-// of the VMs responds, this VM claims the duty again.
-func (c *Coordinator) becomeExclusive(ctx context.Context, token uint64) {
-	alone := c.Fencer.AnnounceClaim(ctx, token, orderTimeout)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.firstToken != token:
-	case alone:
-		c.exclusive = true
-	default:
-		c.dropTokens()
-	}
-}
-
-// isExclusive reports whether no earlier coordinator can send an order.
-func (c *Coordinator) isExclusive() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.exclusive
-}
-
-// nextFencingToken returns a fencing token that has not been used before.
-func (c *Coordinator) nextFencingToken() (uint64, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.checkEra()
-	if c.nextToken >= c.endToken {
-		return 0, false
-	}
-	c.nextToken++
-	return c.nextToken - 1, true
-}
-
 // checkGroups evaluates each group that is used by a route.
 func (c *Coordinator) checkGroups(ctx context.Context, g *errgroup.Group) {
 	d := c.Table.Current()
--- a/transport/promotion/promotion_test.go
+++ b/transport/promotion/promotion_test.go
@@ -100,8 +100,9 @@
 	return ErrNotSent
 }
 
-// Guards against an order for a former primary that has not noticed its replacement.
-func TestFormerPrimaryIsNotPromotedByItsSwitchover(t *testing.T) {
+// leavingPrimary returns a deployment with one group, whose registered primary "former" is in
+// a data centre out of service. The other server is "new".
+func leavingPrimary() *catalog.Table {
 	config := &catalog.Config{Routes: []catalog.Route{{Name: "r", Group: "g"}}, Groups: []catalog.Group{{Name: "g"}}}
 	config.Index()
 	table := catalog.NewTable()
@@ -113,6 +114,12 @@
 		}
 		return d
 	})
+	return table
+}
+
+// Guards against an order for a former primary that has not noticed its replacement.
+func TestFormerPrimaryIsNotPromotedByItsSwitchover(t *testing.T) {
+	table := leavingPrimary()
 	leaders := leadership.NewTable()
 	leaders.With("g", func(l *leadership.Group) {
 		l.RecordConfirmation("former", state.Point{Term: 1, Position: 1}, clock.Now())
@@ -160,17 +167,7 @@
 // Guards against orders of a VM that does not know of a promotion by another coordinator:
 // one to stay for a primary that was replaced, and any while it reaches no majority.
 func TestNoOrderWithoutKnowledgeOfOthers(t *testing.T) {
-	config := &catalog.Config{Routes: []catalog.Route{{Name: "r", Group: "g"}}, Groups: []catalog.Group{{Name: "g"}}}
-	config.Index()
-	table := catalog.NewTable()
-	table.Update(func(d catalog.Deployment) catalog.Deployment {
-		d.Config, d.Out = config, map[string]bool{"out": true}
-		d.Servers = map[string]*catalog.Server{
-			"former": {ID: "former", Group: "g", DataCentre: "out", Primary: true},
-			"new":    {ID: "new", Group: "g", DataCentre: "in"},
-		}
-		return d
-	})
+	table := leavingPrimary()
 	former := table.Current().Servers["former"]
 	for _, alive := range []int{1, 3} {
 		platform := orderedServers{ids: make(chan string, 10)}
