--- a/review/testbed-3/main.go
+++ b/review/testbed-3/main.go
@@ -13,7 +13,6 @@
 var cases = map[string]func(rec *recorder, trouble bool, program string) (bool, error){
 	"11": syncCommitLost,
 	"12": lateOrderLost,
-	"13": refusedBegin,
 }
 
 // maxTime limits a run.
