--- a/review/testbed-3/case11.go
+++ b/review/testbed-3/case11.go
@@ -38,16 +38,27 @@
 		}
 	}
 	time.Sleep(4 * time.Second)
-	if trouble {
-		var faults sync.WaitGroup
-		for i, g := range t.groups {
-			down := time.Second + time.Duration(i/2)*50*time.Millisecond
-			faults.Go(func() { t.restartPrimary(g, i%2 == 0, down) })
-			time.Sleep(300 * time.Millisecond) // at most five primaries of 36 servers are down at once
+	for round := range 3 { // without a loss, the same again
+		if trouble {
+			var faults sync.WaitGroup
+			for i, g := range t.groups {
+				down := 900*time.Millisecond + time.Duration(i/2)*50*time.Millisecond
+				faults.Go(func() { t.restartPrimary(g, (i+round)%2 == 0, down) })
+				time.Sleep(300 * time.Millisecond) // at most four primaries of 36 servers are down at once
+			}
+			faults.Wait()
+		} else {
+			time.Sleep(groups*300*time.Millisecond + 6*time.Second)
+		}
+		time.Sleep(8 * time.Second)
+		mu.Lock()
+		lost := t.lost("", confirmed)
+		mu.Unlock()
+		rec.add("round %d: %d acknowledged writes are lost", round+1, len(lost))
+		if len(lost) > 0 {
+			break
 		}
-		faults.Wait()
 	}
-	time.Sleep(8 * time.Second)
 	stop()
 	wg.Wait()
 	return t.checkLost("", confirmed)
@@ -56,23 +67,30 @@
 // checkLost reports whether each write for which a client got a success is in the log of the
 // servers that were promoted later, in the named group or in all.
 func (t *testbed) checkLost(only string, confirmed map[string]bool) (bool, error) {
-	broken := 0
+	lost := t.lost(only, confirmed)
+	for _, l := range lost {
+		t.rec.add("LOST: %s, and the server that was promoted lacks it", l)
+	}
+	t.rec.add("%d writes were acknowledged, %d of them were lost", len(confirmed), len(lost))
+	fmt.Printf("%d writes were acknowledged, %d of them were lost\n", len(confirmed), len(lost))
+	if len(confirmed) < 100 {
+		return false, errSetup
+	}
+	return len(lost) == 0, nil
+}
+
+// lost names the writes for which a client got a success and which a later promotion dropped.
+func (t *testbed) lost(only string, confirmed map[string]bool) (lost []string) {
 	for _, g := range t.groups {
 		g.mu.Lock()
 		for _, id := range g.lost {
 			if confirmed[id] && (only == "" || only == g.name) {
-				broken++
-				t.rec.add("LOST: the write %s of group %s was acknowledged to its client, and the server that was promoted lacks it", id, g.name)
+				lost = append(lost, fmt.Sprintf("the write %s of group %s was acknowledged to its client", id, g.name))
 			}
 		}
 		g.mu.Unlock()
 	}
-	t.rec.add("%d writes were acknowledged, %d of them were lost", len(confirmed), broken)
-	fmt.Printf("%d writes were acknowledged, %d of them were lost\n", len(confirmed), broken)
-	if len(confirmed) < 100 {
-		return false, errSetup
-	}
-	return broken == 0, nil
+	return lost
 }
 
 // restartPrimary makes one of the replicas receive nothing for 6 s, crashes the primary and
