--- a/review/testbed-3/case11.go
+++ b/review/testbed-3/case11.go
@@ -21,7 +21,7 @@
 	if err := t.addGroups(groups, 1, 33); err != nil {
 		return false, err
 	}
-	t.putConfig(7, []tenant{{Name: "tenant1", APIKeys: []string{"key1"}, Priority: 1, RatePerS: 2000, Burst: 2000}})
+	t.putConfig(7)
 	if err := t.startAll(); err != nil {
 		return false, err
 	}
--- a/review/testbed-3/case12.go
+++ b/review/testbed-3/case12.go
@@ -27,7 +27,7 @@
 	if err := t.addGroups(groups, 1, 33); err != nil {
 		return false, err
 	}
-	t.putConfig(7, []tenant{{Name: "tenant1", APIKeys: []string{"key1"}, Priority: 1, RatePerS: 2000, Burst: 2000}})
+	t.putConfig(7)
 	late := make(chan [2]string, 1) // holder and group of the order that gets no answer
 	if trouble {
 		var once sync.Once
--- a/review/testbed-3/database.go
+++ b/review/testbed-3/database.go
@@ -118,8 +118,8 @@
 	if s.primary {
 		role = "primary"
 	}
-	spec := map[string]any{"service": g.name, "address": s.address, "zone": s.zone, "version": "v1", "slots": slotsPerServer, "state": "ready",
-		"coldLeftMs": 0, "dbRole": role, "seq": s.seq, "born": s.born}
+	spec := message("server.tmpl", map[string]any{"Service": g.name, "Address": s.address, "Zone": s.zone, "Slots": slotsPerServer,
+		"Role": role, "Seq": s.seq, "Born": s.born})
 	up := s.up
 	g.mu.Unlock()
 	if up {
@@ -387,7 +387,7 @@
 // query runs one query. It reports false if the connection has to be closed.
 func (x *dbSession) query(id, text string) (string, bool) {
 	s, g := x.s, x.s.group
-	if after, found := strings.CutPrefix(text, "AFTERLSN "); found {
+	if after, found := strings.CutPrefix(text, wire.After+" "); found {
 		var point string
 		point, text, _ = strings.Cut(after, " ")
 		g.mu.Lock()
--- a/review/testbed-3/testbed.go
+++ b/review/testbed-3/testbed.go
@@ -43,7 +43,6 @@
 // vm is a process of the system.
 type vm struct {
 	name, zone, ip string
-	settings       map[string]any
 	cmd            *exec.Cmd
 	log            *os.File
 }
@@ -61,7 +60,6 @@
 
 	frontPort, readyPort, controlPort, linkPort int
 	storeAddress, cloudAddress                  string
-	bounds                                      map[string]any
 }
 
 const zones = 3
@@ -111,11 +109,6 @@
 			return nil, err
 		}
 	}
-	t.bounds = map[string]any{
-		"seedLagS": 3, "addrReuseS": 2, "stableWindowMs": 4000, "ackMs": 5000, "catchUpS": 4, "drainMs": 7000, "graceS": 6, "lossSlackMs": 200,
-		"configApplyMs": 3000, "revertSlackMs": 250, "maxStretchMs": 12000, "strictRevoke": false, "revokeMs": 5000, "quotaWindowS": 5,
-		"quotaOverage": 0.1, "quotaSlack": 20, "coldOverage": 1.5, "coldSlack": 5, "evacuateMs": 5000, "recoveryS": 12, "requireFencing": true, "thawSlackMs": 300,
-	}
 	t.cloud = &cloud{t: t}
 	if t.storeAddress, err = t.serveHTTP(t.store); err != nil {
 		return nil, err
@@ -161,64 +154,42 @@
 	return nil
 }
 
-// tenant is a customer in the configuration.
-type tenant struct {
-	Name     string   `json:"name"`
-	APIKeys  []string `json:"apiKeys"`
-	Priority int      `json:"priority"`
-	RatePerS float64  `json:"ratePerS"`
-	Burst    float64  `json:"burst"`
-}
-
 // putConfig writes a version of the configuration: a route of kind primary and one of kind
-// read_own_writes for each group.
-func (t *testbed) putConfig(version int, tenants []tenant) {
-	var routes, services []map[string]any
-	for i, g := range t.groups {
-		routes = append(routes,
-			map[string]any{"name": fmt.Sprintf("r-p%d", i), "databaseName": fmt.Sprintf("p%d", i), "pathPrefix": "/", "routeKind": "primary", "timeoutMs": 1000, "targetLatencyMs": 200, "priority": 1, "service": g.name, "maxAttempts": 2, "public": false},
-			map[string]any{"name": fmt.Sprintf("r-o%d", i), "databaseName": fmt.Sprintf("o%d", i), "pathPrefix": "/", "routeKind": "read_own_writes", "timeoutMs": 1000, "targetLatencyMs": 400, "priority": 2, "service": g.name, "maxAttempts": 2, "maxStalenessMs": 2500, "public": false})
-		services = append(services, map[string]any{"name": g.name, "healthPath": "/health", "maxConns": g.maxConns, "protocol": "h1", "tls": false, "coldStartS": 0.0, "coldPerS": 0.0, "syncReplicas": g.sync})
+// read_own_writes for each group, and a tenant with the key "key1".
+func (t *testbed) putConfig(version int) {
+	type tenant struct {
+		Name, Key string
+		Rate      int
 	}
-	t.store.put("config", "main", map[string]any{"version": version, "routes": routes, "services": services,
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "txIdleMs": 3000},
-		"tenants": tenants})
+	type service struct {
+		Name           string
+		MaxConns, Sync int
+	}
+	var services []service
+	for _, g := range t.groups {
+		services = append(services, service{g.name, g.maxConns, g.sync})
+	}
+	t.store.put("config", "main", message("config.tmpl", map[string]any{"Version": version, "Groups": services, "Tenants": []tenant{{"tenant1", "key1", 2000}}}))
 }
 
 // startVM starts a process of the system with the command of the deploy file.
 func (t *testbed) startVM(v *vm, bootstrap bool) error {
-	zoneRegions := map[string]string{}
-	for z := range zones {
-		zoneRegions[fmt.Sprintf("z%d", z)] = "region"
-	}
 	var seeds []string
 	for i := 0; i < len(t.vms) && len(seeds) < 3; i += max(len(t.vms)/3, 1) {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", t.vms[i].ip, t.controlPort))
 	}
-	at := func(port int) string { return fmt.Sprintf("%s:%d", v.ip, port) }
-	settings := map[string]any{
-		"nodeName": v.name, "role": "vm", "machineClass": "front", "serves": []string{"front", "control"}, "ip": v.ip, "zone": v.zone, "region": "region", "zones": zoneRegions,
-		"listen":        map[string]any{"front": at(t.frontPort), "ready": at(t.readyPort), "control": at(t.controlPort)},
-		"internalPorts": []int{t.linkPort, t.linkPort + 15}, "seeds": seeds, "bootstrap": bootstrap, "inTolerance": false,
-		"limits":  map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4300, "linkMbps": 1000.0, "diskMb": 0},
-		"dataDir": nil, "discovery": "platform", "entryKind": "vip", "heartbeatMs": 1200,
-		"contracts":      []string{"base", "drain", "config", "cost", "recover", "sql", "tenants", "quota", "places", "platform"},
-		"faultTolerance": map[string]any{"machines": 1, "zones": 1, "regions": 0}, "bounds": t.bounds,
-		"platform": map[string]any{"address": t.storeAddress, "form": "objects", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "minTtlMs": 1000},
-		"cloudApi": map[string]any{"address": t.cloudAddress, "ratePerS": 50.0, "duties": []string{"failover"}, "dutyPerS": 50.0},
-	}
-	b, err := json.Marshal(settings) // JSON is YAML
-	if err != nil {
-		return err
-	}
+	settings := message("settings.tmpl", map[string]any{"Name": v.name, "IP": v.ip, "Zone": v.zone, "Front": t.frontPort, "Ready": t.readyPort, "Control": t.controlPort,
+		"LinkLow": t.linkPort, "LinkHigh": t.linkPort + 15, "Seeds": seeds, "Bootstrap": bootstrap, "Store": t.storeAddress, "Cloud": t.cloudAddress})
 	path := filepath.Join(t.folder, v.name+".yaml")
-	if err := os.WriteFile(path, b, 0o644); err != nil {
+	if err := os.WriteFile(path, settings, 0o644); err != nil {
 		return err
 	}
 	if v.log == nil {
-		if v.log, err = os.Create(filepath.Join(t.folder, v.name+".log")); err != nil {
+		l, err := os.Create(filepath.Join(t.folder, v.name+".log"))
+		if err != nil {
 			return err
 		}
+		v.log = l
 	}
 	v.cmd = exec.Command(t.program, "platform")
 	v.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "CHESTNUTDYKE_SETTINGS=" + path}
@@ -294,12 +265,12 @@
 // ServeHTTP implements http.Handler.
 func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var body struct{ Service, ID string }
-	token, err := strconv.ParseUint(r.Header.Get("X-Chestnutdyke-Fence-Token"), 10, 64)
+	token, err := strconv.ParseUint(r.Header.Get(wire.Token), 10, 64)
 	if r.URL.Path != "/promotion" || r.Method != http.MethodPost || err != nil || json.NewDecoder(r.Body).Decode(&body) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	holder := r.Header.Get("X-Chestnutdyke-Duty-Holder")
+	holder := r.Header.Get(wire.Holder)
 	var g *group
 	for _, other := range c.t.groups {
 		if other.name == body.Service {
