--- a/review/testbed-3/case12.go
+++ b/review/testbed-3/case12.go
@@ -4,20 +4,18 @@
 	"context"
 	"fmt"
 	"sync"
-	"syscall"
 	"time"
 )
 
-// lateOrderLost: groups whose commits wait for a replica (syncReplicas 1). The primaries of
-// five are down for a moment, and one of their replicas receives nothing for a while. The
-// platform leaves one of the orders without an answer and carries it out 4 s later. The
-// process that gave the orders is restarted as planned, and the primaries are back.
-func lateOrderLost(rec *recorder, trouble bool, program string) (bool, error) {
+// expiredReplicaLost: groups whose commits wait for a replica (syncReplicas 1). In two of them
+// a replica receives nothing for a second, and then the primary and the other replica are
+// down for 6.9 s. Both come back with their logs.
+func expiredReplicaLost(rec *recorder, trouble bool, program string) (bool, error) {
 	const (
-		groups    = 12
-		crashing  = 5 // of 36 servers
-		down      = 1300 * time.Millisecond
-		lateAfter = 4 * time.Second
+		groups   = 12
+		affected = 2 // four of 36 servers are down
+		deafFor  = time.Second
+		down     = 6900 * time.Millisecond
 	)
 	t, err := newTestbed(rec, trouble, program, 1)
 	if err != nil {
@@ -28,22 +26,6 @@
 		return false, err
 	}
 	t.putConfig(7)
-	late := make(chan [2]string, 1) // holder and group of the order that gets no answer
-	if trouble {
-		var once sync.Once
-		t.cloud.arrived = func(holder, service, id string, token uint64, carryOut func()) bool {
-			answered := true
-			if t.server(id).isDeaf() {
-				once.Do(func() {
-					answered = false
-					rec.add("platform: that order gets no answer and is carried out %v later", lateAfter)
-					time.AfterFunc(lateAfter, carryOut)
-					late <- [2]string{holder, service}
-				})
-			}
-			return answered
-		}
-	}
 	if err := t.startAll(); err != nil {
 		return false, err
 	}
@@ -60,51 +42,50 @@
 		}
 	}
 	time.Sleep(4 * time.Second)
-	checked := "" // group of the late order
 	if trouble {
 		var faults sync.WaitGroup
-		for i, g := range t.groups[:crashing] {
-			faults.Go(func() { t.restartPrimary(g, i%2 == 0, down) })
-		}
-		select {
-		case order := <-late:
-			checked = order[1]
-			time.Sleep(100 * time.Millisecond) // the orders for the other groups
-			for _, v := range t.vms {
-				if v.name == order[0] {
-					t.stopVM(v, syscall.SIGTERM)
-					if err := t.startVM(v, false); err != nil {
-						return false, err
-					}
-				}
-			}
-		case <-time.After(3 * time.Second):
-			return false, fmt.Errorf("%w: no order names a server that receives nothing", errSetup)
+		for _, g := range t.groups[:affected] {
+			faults.Go(func() { t.crashPair(g, deafFor, down) })
 		}
 		faults.Wait()
+	} else {
+		time.Sleep(deafFor + down)
 	}
-	time.Sleep(8 * time.Second)
+	time.Sleep(10 * time.Second)
 	stop()
 	wg.Wait()
-	return t.checkLost(checked, confirmed)
+	return t.checkLost("", confirmed)
 }
 
-func (t *testbed) server(id string) *server {
-	for _, g := range t.groups {
-		for _, s := range g.servers {
-			if s.id == id {
-				return s
-			}
+// crashPair makes a replica receive nothing for a while, crashes the primary and the other
+// replica at the end of it, and starts both again.
+func (t *testbed) crashPair(g *group, deafFor, down time.Duration) {
+	g.mu.Lock()
+	p := g.primary()
+	var replicas []*server
+	for _, s := range g.servers {
+		if s != p {
+			replicas = append(replicas, s)
 		}
 	}
-	return nil
-}
-
-func (s *server) isDeaf() bool {
-	if s == nil {
-		return false
+	deaf, other := replicas[0], replicas[1]
+	deaf.deaf = true
+	t.rec.add("server %s receives nothing from now on", deaf.id)
+	g.mu.Unlock()
+	time.Sleep(deafFor)
+	p.crash()
+	other.crash()
+	g.mu.Lock()
+	deaf.deaf = false
+	t.rec.add("server %s receives again, log %s", deaf.id, deaf.end())
+	g.mu.Unlock()
+	time.Sleep(down)
+	for _, s := range []*server{p, other} {
+		if err := s.start(); err != nil {
+			t.rec.add("server %s: %v", s.id, err)
+		}
+		g.mu.Lock()
+		t.rec.add("server %s is back after %v, primary %v, log %s", s.id, down, s.primary, s.end())
+		g.mu.Unlock()
 	}
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	return s.deaf
 }
--- a/review/testbed-3/database.go
+++ b/review/testbed-3/database.go
@@ -13,6 +13,8 @@
 
 const (
 	heartbeat = 1200 * time.Millisecond
+	// entryLifetime is how long an entry in the store stays without being written.
+	entryLifetime = 3 * heartbeat
 	// promoteDelay is the time from an accepted order until the server leads.
 	promoteDelay   = 300 * time.Millisecond
 	slotsPerServer = 3
@@ -61,6 +63,7 @@
 	listener                  net.Listener
 	born                      int64
 	seq                       int
+	wroteAt                   time.Time // its latest entry in the store
 	busy, waiting             int
 	slotFree                  *sync.Cond
 }
@@ -108,6 +111,18 @@
 	clear(s.conns)
 	g.received.Broadcast()
 	g.rec.add("server %s crashed, primary %v, log %s", s.id, s.primary, s.end())
+	time.AfterFunc(time.Until(s.wroteAt.Add(entryLifetime)), s.expire)
+}
+
+// expire removes the entry of a server that has been silent.
+func (s *server) expire() {
+	s.group.mu.Lock()
+	silent := !s.up && time.Since(s.wroteAt) >= entryLifetime
+	s.group.mu.Unlock()
+	if silent {
+		s.store.remove("servers", s.id)
+		s.group.rec.add("platform: the entry of server %s is removed", s.id)
+	}
 }
 
 func (s *server) register() {
@@ -121,6 +136,9 @@
 	spec := message("server.tmpl", map[string]any{"Service": g.name, "Address": s.address, "Zone": s.zone, "Slots": slotsPerServer,
 		"Role": role, "Seq": s.seq, "Born": s.born})
 	up := s.up
+	if up {
+		s.wroteAt = time.Now()
+	}
 	g.mu.Unlock()
 	if up {
 		s.store.put("servers", s.id, spec)
--- a/review/testbed-3/main.go
+++ b/review/testbed-3/main.go
@@ -12,7 +12,8 @@
 // cases maps the number of a case to its function, which reports whether the rule was kept.
 var cases = map[string]func(rec *recorder, trouble bool, program string) (bool, error){
 	"11": syncCommitLost,
-	"12": lateOrderLost,
+	"12": expiredReplicaLost,
+	"13": lateOrderLost,
 }
 
 // maxTime limits a run.
