--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -102,29 +102,33 @@
 	// Diverged says that the log has commits which a promotion dropped, see
 	// leadership.Group.Diverged. All other logs are better.
 	Diverged bool
+	Former   bool // is the lost primary, which has stepped down
 }
 
 // Survey holds what the servers of a group reported that may replace its primary.
 type Survey struct {
 	Candidates []Candidate
-	Silent     int // registered servers that did not report
+	// Silent counts the other members of the group, which did not report or whose log may
+	// still grow. The lost primary is one of them.
+	Silent int
+	Led    bool // a server reported that it is the primary
 }
 
 // SelectSuccessor returns the server to promote in place of a lost primary. It reports
-// false if there is none, or if a server that did not report may be the only one that
-// has all acknowledged commits.
+// false if there is none, if a server that did not report may be the only one that has all
+// acknowledged commits, or if the group has a primary.
 //
-// If a commit is acknowledged only once syncReplicas replicas have received it, the
-// longest of the reported logs has all acknowledged commits unless as many replicas are
-// silent. The server with that log is selected even if it is being taken out of
-// service. With syncReplicas zero no replica is sure to have them, so the usable server
-// with the longest log is selected.
+// If a commit is acknowledged only once syncReplicas replicas have received it, it is in
+// the logs of syncReplicas + 1 members. So the longest of the reported logs has all
+// acknowledged commits unless more than syncReplicas members are silent. The server with
+// that log is selected even if it is being taken out of service. With syncReplicas zero no
+// replica is sure to have them, so the usable server with the longest log is selected.
 func SelectSuccessor(s Survey, syncReplicas int) (Candidate, bool) {
 	usable, found := BestCandidate(s.Candidates)
 	if syncReplicas == 0 {
 		return usable, found
 	}
-	if s.Silent >= syncReplicas {
+	if s.Led || s.Silent > syncReplicas {
 		return Candidate{}, false
 	}
 	best := usable
@@ -153,6 +157,9 @@
 	if c.Diverged != other.Diverged {
 		return other.Diverged
 	}
+	if c.Received == other.Received {
+		return other.Former && !c.Former
+	}
 	return isLonger(c.Received, other.Received)
 }
 
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -94,13 +94,17 @@
 	group    *Group
 	primary  bool
 	received int    // length of the log prefix that a replica has received; see logLength
-	paused   bool   // replication to this server is paused
+	deaf     bool   // receives nothing, see SetReplicationPaused
+	paused   bool   // receives nothing until statement.Resume
 	draining bool   // registered as draining
+	born     int64  // number of starts, which the server registers as its start time
 	seq      uint64 // of the latest registration
 	down     bool
-	conns    map[net.Conn]bool
-	cancel   context.CancelFunc
-	ended    <-chan struct{} // closed by cancel
+	// ledTerm is the term that the server led until it crashed or stepped down.
+	ledTerm uint64
+	conns   map[net.Conn]bool
+	cancel  context.CancelFunc
+	ended   <-chan struct{} // closed by cancel
 	// answersToDrop is the number of coming commits after which the server closes
 	// the connection instead of answering.
 	answersToDrop int
@@ -146,8 +150,12 @@
 	s.group.supersededCommits[e.id] = true
 }
 
-// becomeReplica ends the role of a replaced primary. The caller holds the group's mu.
+// becomeReplica ends the role of a primary, which keeps its log. The caller holds the
+// group's mu.
 func (s *Server) becomeReplica() {
+	if s.primary && s.superseded == nil {
+		s.received, s.ledTerm = s.logLength(), s.group.term
+	}
 	s.primary, s.superseded = false, nil
 }
 
@@ -158,7 +166,7 @@
 	if s.primary {
 		return len(g.log)
 	}
-	if s.paused || s.down {
+	if s.deaf || s.paused || s.down || !g.logIsSent() {
 		return min(s.received, len(g.log))
 	}
 	now := time.Now()
@@ -170,6 +178,17 @@
 	return min(s.received, len(g.log))
 }
 
+// logIsSent reports whether the server that led the current term runs, so that replicas
+// receive its log. The caller holds mu.
+func (g *Group) logIsSent() bool {
+	for _, s := range g.servers {
+		if !s.down && (s.primary || s.ledTerm == g.term) {
+			return true
+		}
+	}
+	return false
+}
+
 // contains reports whether the server has the log up to a point, and the promotion
 // that ended the point's term did not drop it. The caller holds the group's mu.
 func (s *Server) contains(p state.Point) bool {
@@ -202,7 +221,7 @@
 func (g *Group) Add(ctx context.Context, id, zone string, l net.Listener, primary bool) *Server {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &Server{
-		ID: id, Zone: zone, Address: l.Addr().String(), group: g, primary: primary, conns: make(map[net.Conn]bool),
+		ID: id, Zone: zone, Address: l.Addr().String(), group: g, primary: primary, born: 1, conns: make(map[net.Conn]bool),
 		cancel: cancel, ended: ctx.Done(), executions: make(map[string]int), reaches: func(string) bool { return true },
 	}
 	g.mu.Lock()
@@ -253,7 +272,7 @@
 		}
 		other.received = min(other.received, kept)
 	}
-	s.primary, s.paused = true, false
+	s.primary, s.paused, s.deaf = true, false, false
 }
 
 // endWhenReplaced makes a replaced primary a replica once it can reach its successor for
--- a/standin/managed/database_session.go
+++ b/standin/managed/database_session.go
@@ -152,6 +152,14 @@
 			s.becomeReplica()
 		}
 		return statement.Answer{Rows: []string{g.Codec.EncodeReport(false, s.point(), len(s.conns))}}, false
+	case statement.Pause:
+		if !s.primary && c.Term > s.currentTerm() {
+			s.received, s.paused = s.logLength(), true
+		}
+		return statement.Answer{Rows: []string{g.Codec.EncodeReport(s.primary, s.point(), len(s.conns))}}, false
+	case statement.Resume:
+		s.paused = false
+		return statement.Answer{Rows: []string{g.Codec.EncodeReport(s.primary, s.point(), len(s.conns))}}, false
 	case statement.Status:
 		return statement.Answer{Rows: []string{g.Codec.EncodeReport(s.primary, s.point(), len(s.conns))}}, false
 	}
@@ -214,6 +222,9 @@
 // Group.SyncReplicas replicas. It returns false if the server ends, if a promotion ends
 // the term, or after maxSyncWait.
 func (s *Server) awaitReplicas(p state.Point) bool {
+	s.group.mu.Lock()
+	crashed := s.ended
+	s.group.mu.Unlock()
 	for deadline := time.Now().Add(maxSyncWait); time.Now().Before(deadline); {
 		s.group.mu.Lock()
 		received := 0
@@ -228,7 +239,7 @@
 			return !ended
 		}
 		select {
-		case <-s.ended:
+		case <-crashed:
 			return false
 		case <-time.After(time.Millisecond):
 		}
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -180,12 +180,31 @@
 	return s
 }
 
+// registrationLifetime is how long the registration of a server that has crashed stays in
+// the store.
+const registrationLifetime = 3600 * time.Millisecond
+
 // Report registers the server in the store, and updates the registration when the
-// server becomes primary or replica and when the store has a new era, until ctx is done.
+// server starts again, when it becomes primary or replica and when the store has a new
+// era, until ctx is done.
 func Report(ctx context.Context, store *Store, s *Server) {
 	registered, wasPrimary := false, false
 	era, rewriteAt := store.Era(), time.Time{}
-	for ctx.Err() == nil {
+	var expiresAt time.Time // of the registration of a server that is down
+	for ; ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+		if s.isDown() {
+			if expiresAt.IsZero() {
+				expiresAt = time.Now().Add(registrationLifetime)
+			}
+			if registered && !time.Now().Before(expiresAt) {
+				store.Put(directory.Servers, directory.Entry{Name: s.ID, Deleted: true})
+			}
+			registered = registered && time.Now().Before(expiresAt)
+			continue
+		}
+		if !expiresAt.IsZero() {
+			registered, expiresAt = false, time.Time{}
+		}
 		if now := store.Era(); now != era {
 			era, rewriteAt = now, time.Now().Add(rewriteDelay)
 		}
@@ -196,10 +215,15 @@
 			registered, wasPrimary = true, primary
 			register(store, s)
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+func (s *Server) isDown() bool {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.down
+}
+
 func (s *Server) isPrimary() bool {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
@@ -211,7 +235,7 @@
 	s.group.mu.Lock()
 	s.seq++
 	entry := catalog.Server{
-		ID: s.ID, Group: s.group.Name, Address: s.Address, DataCentre: s.Zone, Primary: s.primary, Draining: s.draining, Born: 1, Seq: s.seq,
+		ID: s.ID, Group: s.group.Name, Address: s.Address, DataCentre: s.Zone, Primary: s.primary, Draining: s.draining, Born: s.born, Seq: s.seq,
 	}
 	s.group.mu.Unlock()
 	store.Put(directory.Servers, directory.Entry{Name: s.ID, Server: &entry})
@@ -242,21 +266,48 @@
 	return nil
 }
 
-// Crash stops the server without a change of its registration and closes its
-// connections.
+// Crash stops the server and closes its connections. Its registration stays for
+// registrationLifetime.
 func (s *Server) Crash() {
 	s.group.mu.Lock()
-	s.received = s.logLength()
-	s.down, s.primary = true, false
-	conns := s.conns
+	for _, other := range s.group.servers {
+		other.received = other.logLength() // until now
+	}
+	s.becomeReplica()
+	s.down, s.paused = true, false
+	conns, cancel := s.conns, s.cancel
 	s.conns = make(map[net.Conn]bool)
 	s.group.mu.Unlock()
-	s.cancel()
+	cancel()
 	for c := range conns {
 		c.Close()
 	}
 }
 
+// RestartServer starts a server that has crashed.
+func (d *Deployment) RestartServer(s *Server) {
+	l, err := d.Net.Host(s.ID, s.Zone).Listen(s.Address)
+	if err != nil {
+		panic(err)
+	}
+	s.Restart(d.ctx, l)
+}
+
+// Restart starts a server that has crashed, with its log. It accepts connections from l
+// until ctx is done or Crash is called. A former primary is the primary again unless
+// another server was promoted.
+func (s *Server) Restart(ctx context.Context, l net.Listener) {
+	ctx, cancel := context.WithCancel(ctx)
+	g := s.group
+	g.mu.Lock()
+	s.cancel, s.ended = cancel, ctx.Done()
+	s.down, s.primary = false, s.ledTerm == g.term
+	s.born++
+	s.seq = 0
+	g.mu.Unlock()
+	go s.serve(ctx, l)
+}
+
 // LoseAnswers makes the server close the connection after each of its next n
 // commits, instead of answering.
 func (s *Server) LoseAnswers(n int) {
@@ -265,12 +316,12 @@
 	s.answersToDrop = n
 }
 
-// SetReplicationPaused pauses or resumes replication to the server.
+// SetReplicationPaused makes the network lose what the server would receive, or ends that.
 func (s *Server) SetReplicationPaused(paused bool) {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	s.logLength() // updates received
-	s.paused = paused
+	s.deaf = paused
 }
 
 // Replicas returns the replicas that are up, ordered by id.
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -39,6 +39,7 @@
 	outages       map[string]Outage // by name of the VM that is affected; "" affects all
 	answersToDrop int               // number of coming orders that are not answered and run after orderDelay
 	orderDelay    time.Duration
+	ordersLost    int  // orders that were not answered
 	refuseOrders  bool // orders do not reach the platform
 	orders        []Order
 	calls         int // of all VMs; a watch counts again whenever it is woken
@@ -135,6 +136,13 @@
 	s.answersToDrop, s.orderDelay = n, delay
 }
 
+// OrdersLost returns the number of orders that LoseOrders has left without an answer.
+func (s *Store) OrdersLost() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ordersLost
+}
+
 // RefuseOrders makes orders fail before they reach the platform, until it is called with
 // false.
 func (s *Store) RefuseOrders(refuse bool) {
@@ -372,6 +380,7 @@
 	delay := storeLatency
 	if dropAnswer {
 		c.answersToDrop--
+		c.ordersLost++
 		delay = c.orderDelay
 	}
 	c.mu.Unlock()
--- a/standin/managed/sync_test.go
+++ b/standin/managed/sync_test.go
@@ -1,6 +1,8 @@
 package managed
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -103,3 +105,49 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// underSyncFaults plays a test on each group of a deployment with synchronous replication
+// under load, and then checks that no acknowledged write is lost and that each group is
+// served.
+func underSyncFaults(t *testing.T, test func(d *Deployment, g *Group, index int)) {
+	t.Helper()
+	inDeployment(t, syncDeployment, func(d *Deployment) {
+		l := startLoad(t, d)
+		time.Sleep(2 * time.Second)
+		var wg sync.WaitGroup
+		for i := range syncDeployment.Groups {
+			wg.Go(func() { test(d, d.Groups[GroupName(i)], i) })
+		}
+		wg.Wait()
+		time.Sleep(8 * time.Second)
+		for i := range syncDeployment.Groups {
+			c := connect(t, d.VM("vm-1-0"), fmt.Sprintf("probe-%d", i), Database(Latest, i), 0)
+			if _, a := c.Do(statement.Write, "probe 1"); a.Code != statement.OK {
+				t.Errorf("%s: write after the faults: %s %s", GroupName(i), a.Code, a.Text)
+			}
+			c.Close()
+		}
+		l.finish()
+	})
+}
+
+// Guards against commits that a primary acknowledges when it is back between the order to
+// promote a replica and its effect.
+func TestSyncCommitsSurvivePrimaryBackDuringPromotion(t *testing.T) {
+	for _, down := range []time.Duration{700 * time.Millisecond, 800 * time.Millisecond, 900 * time.Millisecond, time.Second} {
+		for deaf := range 2 {
+			t.Run(fmt.Sprintf("%v replica %d", down, deaf), func(t *testing.T) {
+				underSyncFaults(t, func(d *Deployment, g *Group, _ int) {
+					g.PromoteDelay = 600 * time.Millisecond
+					replica, primary := g.Replicas()[deaf], g.Primary()
+					replica.SetReplicationPaused(true)
+					primary.Crash()
+					time.Sleep(down)
+					d.RestartServer(primary)
+					time.Sleep(6*time.Second - down)
+					replica.SetReplicationPaused(false)
+				})
+			})
+		}
+	}
+}
--- a/state/statement/statement.go
+++ b/state/statement/statement.go
@@ -23,6 +23,8 @@
 	Discard  // drops a connection's session variables and prepared statements
 	Status   // queries the role and position of a backend server
 	StepDown // orders the primary to give up its role
+	Pause    // stops a replica from receiving the primary's log, until Resume or its promotion
+	Resume   // ends Pause
 	verbCount
 )
 
@@ -61,7 +63,7 @@
 	Payload string
 	Writes  bool        // Prepare
 	After   state.Point // Read, Begin, BeginReadOnly: point that the server must hold; zero means none
-	Term    uint64      // StepDown: term of the successor
+	Term    uint64      // StepDown, Pause: term of the successor, above every term that the server knows
 }
 
 // Code is the outcome of a request.
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -11,7 +11,6 @@
 	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
 	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
-	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
@@ -109,15 +108,13 @@
 func (c *Coordinator) replacePrimary(ctx context.Context, group string, primary *catalog.Server, gs *groupState) {
 	defer c.finishPromotion(gs)
 	startedAt := clock.Now()
-	var end state.Point // of the primary's log, if it stepped down
-	steppedDown := false
-	if primary != nil && c.syncReplicas(group) > 0 {
-		// A primary that is only unreachable for most VMs must not acknowledge commits
-		// that its successor has not received.
-		end, steppedDown = c.stopPrimary(ctx, group, primary)
+	lost := lostPrimary{server: primary}
+	if c.syncReplicas(group) > 0 {
+		defer c.resumeReplicas(ctx, group, gs)
+		lost.steppedDown = primary != nil && c.retirePrimary(ctx, group, primary)
 	}
 	for range maxOrders {
-		best, ok := c.awaitSuccessor(ctx, group, primary, end, steppedDown)
+		best, ok := c.awaitSuccessor(ctx, group, lost, gs)
 		if !ok {
 			return
 		}
@@ -127,6 +124,22 @@
 	}
 }
 
+// lostPrimary is a primary that is to be replaced.
+type lostPrimary struct {
+	server      *catalog.Server // nil if none is known
+	steppedDown bool            // it answers, and is a replica now
+}
+
+// retirePrimary makes a primary that is lost to most VMs step down, and gives the replicas
+// time to receive the rest of its log. It reports false if the primary does not answer.
+func (c *Coordinator) retirePrimary(ctx context.Context, group string, primary *catalog.Server) bool {
+	end, ok := c.stopPrimary(ctx, group, primary)
+	if ok {
+		c.awaitCatchUp(ctx, group, primary, end)
+	}
+	return ok
+}
+
 // confirmedSince reports whether a primary has confirmed its leadership since then.
 func (c *Coordinator) confirmedSince(group string, since time.Duration) bool {
 	confirmed := false
@@ -181,7 +194,13 @@
 // promote orders a promotion, waits for it to take effect, and reports whether
 // the server has become the primary.
 func (c *Coordinator) promote(ctx context.Context, group string, candidate succession.Candidate, gs *groupState) bool {
-	return c.giveOrder(ctx, group, candidate.Server, gs) && c.awaitLeadership(ctx, group, candidate.Server)
+	if !c.giveOrder(ctx, group, candidate.Server, gs) || !c.awaitLeadership(ctx, group, candidate.Server) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	gs.ordersEndAt = 0
+	return true
 }
 
 // awaitLeadership waits until the server confirms its leadership, for at most
@@ -223,6 +242,7 @@
 	switch {
 	case err == nil:
 		gs.orderUnconfirmed = false
+		gs.ordersEndAt = clock.Now() + maxPromoteDelay
 	case errors.Is(err, ErrRefused):
 		// Another VM may have claimed the duty, so this VM has to claim it
 		// again.
--- /dev/null
+++ b/transport/promotion/pause.go
@@ -0,0 +1,134 @@
+package promotion
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/leadership"
+	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+	"github.com/chestnutdyke/chestnutdyke/state/statement"
+	"github.com/chestnutdyke/chestnutdyke/transport/clock"
+	"github.com/chestnutdyke/chestnutdyke/transport/sqlback"
+)
+
+// Where commits wait for replicas, a promotion rests on logs that do not change until it
+// takes effect. So replicas are paused before they report their positions, and resumed
+// once no order may still be carried out. docs/design/promotion-evidence.md has the rules.
+
+// resumeInterval separates attempts to resume replicas that did not answer.
+const resumeInterval = time.Second
+
+// errLeads states that a server can't be paused because it is the primary.
+var errLeads = eris.New("the server is the primary")
+
+// freeze pauses the group's servers and returns the ends of their logs. Servers that could
+// not be paused count as silent, and so does a lost primary that has not stepped down.
+func (c *Coordinator) freeze(ctx context.Context, group string, lost lostPrimary, gs *groupState) succession.Survey {
+	term := uint64(0)
+	c.Leadership.With(group, func(l *leadership.Group) { term = l.Term() + 1 })
+	except := lost.server
+	if lost.steppedDown {
+		except = nil
+	}
+	survey := c.surveyWith(ctx, group, except, func(server *catalog.Server) (sqlback.Report, error) {
+		return c.pauseServer(ctx, group, server, term, gs)
+	})
+	for i, candidate := range survey.Candidates {
+		survey.Candidates[i].Former = lost.server != nil && candidate.Server.ID == lost.server.ID
+	}
+	return survey
+}
+
+// pauseServer pauses a replica and returns the report that it gave then.
+func (c *Coordinator) pauseServer(ctx context.Context, group string, server *catalog.Server, term uint64, gs *groupState) (sqlback.Report, error) {
+	c.mu.Lock()
+	gs.paused[server.ID] = true
+	c.mu.Unlock()
+	const attempts = 2 // the first one tells the term of a server that knows a later one
+	for range attempts {
+		r, err := c.queryServer(ctx, group, server, statement.Command{Verb: statement.Pause, Term: term})
+		switch {
+		case err != nil:
+			return r, err
+		case r.Primary:
+			c.queryLeadership(group, server, func(statement.Result) {})
+			return r, errLeads
+		case r.Term < term:
+			return r, nil
+		}
+		term = r.Term + 1
+	}
+	return sqlback.Report{}, eris.New("the server knows a later term at each attempt")
+}
+
+// mayResume reports whether replicas of the group may be paused and no order may still be
+// carried out. The caller holds the coordinator's mu.
+func (gs *groupState) mayResume(now time.Duration) bool {
+	return len(gs.paused) > 0 && !gs.orderUnconfirmed && now >= gs.ordersEndAt
+}
+
+// resumeReplicas resumes the replicas that may be paused. Those that are not registered or
+// do not answer stay in gs.paused.
+func (c *Coordinator) resumeReplicas(ctx context.Context, group string, gs *groupState) {
+	c.mu.Lock()
+	var ids []string
+	if gs.mayResume(clock.Now()) {
+		ids = slices.Sorted(maps.Keys(gs.paused))
+	}
+	gs.resumeAt = clock.Now() + resumeInterval
+	c.mu.Unlock()
+	registered := c.Table.Current().Servers
+	answers := make(chan string, len(ids))
+	asked := 0
+	for _, id := range ids {
+		server := registered[id]
+		if server == nil || server.Group != group {
+			continue
+		}
+		asked++
+		go func() {
+			if _, err := c.queryServer(ctx, group, server, statement.Command{Verb: statement.Resume}); err != nil {
+				c.Logger.WithError(err).WithFields(log.Fields{"group": group, "server": id}).Warn("promotion: a replica could not be resumed.")
+				answers <- ""
+				return
+			}
+			answers <- id
+		}()
+	}
+	for range asked {
+		if id := <-answers; id != "" {
+			c.mu.Lock()
+			delete(gs.paused, id)
+			c.mu.Unlock()
+		}
+	}
+}
+
+// endPause resumes replicas outside of a promotion.
+func (c *Coordinator) endPause(ctx context.Context, group string, gs *groupState) {
+	c.resumeReplicas(ctx, group, gs)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	gs.promoting = false
+}
+
+// awaitFrozenSuccessor is like awaitSuccessor where commits wait for replicas. It repeats
+// the survey for at most catchUpTimeout, until enough logs are frozen.
+func (c *Coordinator) awaitFrozenSuccessor(ctx context.Context, group string, lost lostPrimary, gs *groupState) (succession.Candidate, bool) {
+	deadline := time.Now().Add(catchUpTimeout)
+	for {
+		survey := c.freeze(ctx, group, lost, gs)
+		best, ok := succession.SelectSuccessor(survey, c.syncReplicas(group))
+		if ok || survey.Led || !time.Now().Before(deadline) || ctx.Err() != nil {
+			c.logSelection(group, survey, best, ok)
+			return best, ok
+		}
+		time.Sleep(pollInterval)
+	}
+}
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -157,11 +157,15 @@
 	refusals     int // failures that were refused connections, see succession.GroupStatus
 	queriedAt    time.Duration
 	queryPending bool
-	promoting    bool // a promotion, or an order to keep the primary, is in progress
+	promoting    bool // a promotion, an order to keep the primary, or the end of a pause is in progress
 	// orderUnconfirmed is set after an order whose outcome is unknown. It may
 	// still be executed, until a newer order has been.
 	orderUnconfirmed bool
 	switchoverAt     time.Duration // earliest time of the next switchover, after one that failed
+	// ordersEndAt is when the latest accepted order has taken effect at the latest.
+	ordersEndAt time.Duration
+	paused      map[string]bool // servers that may be paused, by ID
+	resumeAt    time.Duration   // earliest time of the next attempt to resume them
 }
 
 // New returns a Coordinator that is not running yet.
@@ -252,6 +256,8 @@
 		})
 	case actionSupersede:
 		g.Go(func() error { c.supersedeOrder(ctx, group, status.Primary, gs); return nil })
+	case actionResume:
+		g.Go(func() error { c.endPause(ctx, group, gs); return nil })
 	}
 }
 
@@ -264,6 +270,7 @@
 	actionSwitchover        // replace a leaving primary
 	actionReplace           // replace a lost primary
 	actionSupersede         // supersede an order whose outcome is unknown
+	actionResume            // resume replicas that may be paused
 )
 
 // decide completes the status with the coordinator's own records and returns the action
@@ -277,7 +284,13 @@
 		// watchedSince is the start of this VM rather than of its duty, because a
 		// VM that takes over the duty has already received confirmations: those
 		// from its own data centre and, in a small fleet, from the others too.
-		gs = &groupState{watchedSince: c.started}
+		gs = &groupState{watchedSince: c.started, paused: make(map[string]bool)}
+		if c.Fencer == nil && c.syncReplicas(group) > 0 {
+			// An earlier coordinator may have paused them.
+			for _, server := range c.Table.Current().GroupServers(group) {
+				gs.paused[server.ID] = true
+			}
+		}
 		c.groups[group] = gs
 	}
 	if gs.promoting {
@@ -291,6 +304,10 @@
 		gs.failures, gs.refusals = 0, 0
 	}
 	status.Failures, status.Refusals, status.WatchedSince = gs.failures, gs.refusals, gs.watchedSince
+	if gs.mayResume(status.Now) && status.Now >= gs.resumeAt {
+		gs.promoting = true
+		return gs, actionResume
+	}
 	switch succession.Decide(*status) {
 	case succession.QueryPrimary:
 		if gs.queryPending || !mayQuery {
--- a/transport/promotion/survey.go
+++ b/transport/promotion/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/apex/log"
@@ -12,6 +13,7 @@
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
+	"github.com/chestnutdyke/chestnutdyke/transport/sqlback"
 )
 
 // syncReplicas returns the number of replicas that a commit of the group waits for.
@@ -22,61 +24,61 @@
 	return 0
 }
 
-// survey queries the group's servers except the primary for their positions.
-func (c *Coordinator) survey(ctx context.Context, group string, primary *catalog.Server) succession.Survey {
+// survey queries the group's servers except the given one for their positions.
+func (c *Coordinator) survey(ctx context.Context, group string, except *catalog.Server) succession.Survey {
+	return c.surveyWith(ctx, group, except, func(server *catalog.Server) (sqlback.Report, error) {
+		return c.queryServer(ctx, group, server, statement.Command{Verb: statement.Status})
+	})
+}
+
+// surveyWith queries the group's servers except the given one.
+func (c *Coordinator) surveyWith(ctx context.Context, group string, except *catalog.Server, query func(*catalog.Server) (sqlback.Report, error)) succession.Survey {
 	d := c.Table.Current()
-	var others []*catalog.Server
-	for _, server := range d.GroupServers(group) {
-		if primary == nil || server.ID != primary.ID {
-			others = append(others, server)
-		}
+	type answer struct {
+		candidate succession.Candidate
+		err       error
 	}
-	candidates := make(chan *succession.Candidate, len(others))
-	for _, server := range others {
+	servers := d.GroupServers(group)
+	answers := make(chan answer, len(servers))
+	asked := 0
+	for _, server := range servers {
+		if except != nil && server.ID == except.ID {
+			continue
+		}
+		asked++
 		go func() {
-			r, err := c.queryServer(ctx, group, server, statement.Command{Verb: statement.Status})
+			r, err := query(server)
+			candidate := succession.Candidate{Server: server, Received: r.Received, Usable: d.Usable(server)}
 			if err != nil {
 				c.Logger.WithError(err).WithFields(log.Fields{"group": group, "server": server.ID}).Warn("promotion: a server did not report its position.")
-				candidates <- nil
-				return
+			} else {
+				c.Leadership.With(group, func(l *leadership.Group) { candidate.Diverged = l.Diverged(server.ID, r.Received) })
 			}
-			candidate := &succession.Candidate{Server: server, Received: r.Received, Usable: d.Usable(server)}
-			c.Leadership.With(group, func(l *leadership.Group) { candidate.Diverged = l.Diverged(server.ID, r.Received) })
-			candidates <- candidate
+			answers <- answer{candidate, err}
 		}()
 	}
 	var s succession.Survey
-	for range others {
-		if candidate := <-candidates; candidate != nil {
-			s.Candidates = append(s.Candidates, *candidate)
-		} else {
-			s.Silent++
+	for range asked {
+		switch a := <-answers; {
+		case a.err == nil:
+			s.Candidates = append(s.Candidates, a.candidate)
+		case errors.Is(a.err, errLeads):
+			s.Led = true
 		}
 	}
+	s.Silent = len(servers) - len(s.Candidates)
 	return s
 }
 
-// awaitSuccessor selects the server to promote in place of the lost primary. Where
-// commits wait for replicas, it repeats the survey for at most catchUpTimeout, until the
-// server has all acknowledged commits. A primary that stepped down, with a log up to end,
-// is promoted again if no other server can take over.
-func (c *Coordinator) awaitSuccessor(ctx context.Context, group string, primary *catalog.Server, end state.Point, steppedDown bool) (succession.Candidate, bool) {
-	syncReplicas := c.syncReplicas(group)
-	deadline := time.Now().Add(catchUpTimeout)
-	for {
-		survey := c.survey(ctx, group, primary)
-		best, ok := succession.SelectSuccessor(survey, syncReplicas)
-		complete := ok && succession.Holds(best.Received, end)
-		if !complete && syncReplicas > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
-			time.Sleep(pollInterval)
-			continue
-		}
-		if !complete && steppedDown {
-			best, ok = succession.Candidate{Server: primary, Received: end}, true
-		}
-		c.logSelection(group, survey, best, ok)
-		return best, ok
+// awaitSuccessor selects the server to promote in place of the lost primary.
+func (c *Coordinator) awaitSuccessor(ctx context.Context, group string, lost lostPrimary, gs *groupState) (succession.Candidate, bool) {
+	if c.syncReplicas(group) > 0 {
+		return c.awaitFrozenSuccessor(ctx, group, lost, gs)
 	}
+	survey := c.survey(ctx, group, lost.server)
+	best, ok := succession.SelectSuccessor(survey, 0)
+	c.logSelection(group, survey, best, ok)
+	return best, ok
 }
 
 // logSelection logs which server is to take over, or that none can, with the inputs of
--- a/transport/sqlback/dialect.go
+++ b/transport/sqlback/dialect.go
@@ -19,13 +19,15 @@
 	// ReadAnswer reads the complete answer to a command. It returns an
 	// error if the connection ends or the bytes are not a valid answer.
 	ReadAnswer(r *bufio.Reader) (statement.Answer, error)
-	// DecodeReport decodes the row that answers the Status and StepDown commands.
+	// DecodeReport decodes the row that answers the Status, StepDown, Pause and Resume
+	// commands.
 	DecodeReport(row string) (Report, error)
 }
 
 // Report is the status that a backend server reports.
 type Report struct {
 	Primary     bool
+	Term        uint64      // newest term that the server knows
 	Received    state.Point // end of the received replication log
 	Connections int         // open client connections
 }
