--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -108,9 +108,9 @@
 // Survey holds what the servers of a group reported that may replace its primary.
 type Survey struct {
 	Candidates []Candidate
-	// Silent counts the other members of the group, which did not report or whose log may
-	// still grow. The lost primary is one of them.
-	Silent int
+	// Silent has the IDs of the other members of the group, which did not report or whose
+	// log may still grow. The lost primary is one of them.
+	Silent []string
 	Led    bool // a server reported that it is the primary
 }
 
@@ -128,7 +128,7 @@
 	if syncReplicas == 0 {
 		return usable, found
 	}
-	if s.Led || s.Silent > syncReplicas {
+	if s.Led || len(s.Silent) > syncReplicas {
 		return Candidate{}, false
 	}
 	best := usable
--- a/standin/managed/sync_test.go
+++ b/standin/managed/sync_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/standin/memnet"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/state/statement"
 )
 
@@ -151,3 +152,83 @@
 		}
 	}
 }
+
+// crashPair makes a replica of the group receive nothing for a second, then crashes the
+// primary and the other replica, and starts both again after the given time.
+func crashPair(d *Deployment, g *Group, down time.Duration) {
+	replicas, primary := g.Replicas(), g.Primary()
+	replicas[0].SetReplicationPaused(true)
+	time.Sleep(time.Second)
+	primary.Crash()
+	replicas[1].Crash()
+	replicas[0].SetReplicationPaused(false)
+	time.Sleep(down)
+	d.RestartServer(primary)
+	d.RestartServer(replicas[1])
+}
+
+// Guards against the promotion of a replica that lacks acknowledged commits once the
+// registration of the crashed one that has them has expired.
+func TestSyncCommitsSurviveExpiredRegistration(t *testing.T) {
+	underSyncFaults(t, func(d *Deployment, g *Group, _ int) { crashPair(d, g, 9*time.Second) })
+}
+
+// Guards against the same loss by a failover coordinator that starts after the
+// registrations have expired.
+func TestSyncCommitsSurviveNewCoordinatorAfterExpiry(t *testing.T) {
+	for name, all := range map[string]bool{"the coordinator": false, "all VMs": true} {
+		t.Run(name, func(t *testing.T) {
+			underSyncFaults(t, func(d *Deployment, g *Group, index int) {
+				if index > 0 {
+					return
+				}
+				time.AfterFunc(6500*time.Millisecond, func() { // after the crash, beyond the grace for missing registrations
+					for name, vm := range d.VMs {
+						if all || name == d.Store.DutyHolder() {
+							vm.Kill()
+							d.StartVM(name, vm.Zone)
+						}
+					}
+				})
+				crashPair(d, g, 12*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a group that gets no new primary because a replica that is gone for good
+// still counts, although all others have had its commits for long.
+func TestSyncGroupOutlivesLostReplica(t *testing.T) {
+	underSyncLoad(t, syncDeployment, func(d *Deployment, g *Group, old *Server) {
+		g.Replicas()[0].Crash()
+		time.Sleep(9 * time.Second) // its registration expires, and the others show that they have its commits
+		old.Crash()
+		time.Sleep(4 * time.Second)
+		if g.Primary() == nil {
+			t.Error("the last replica was not promoted")
+		}
+		d.RestartServer(old) // commits wait for a replica
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// Guards against operators who cannot bring a group back whose primary and replica are
+// gone for good.
+func TestOperatorsGiveUpLostServers(t *testing.T) {
+	inDeployment(t, syncDeployment, func(d *Deployment) {
+		time.Sleep(2 * time.Second)
+		g := d.Groups[GroupName(0)]
+		g.Replicas()[0].Crash()
+		g.Primary().Crash()
+		time.Sleep(10 * time.Second)
+		if now := g.Primary(); now != nil {
+			t.Errorf("%s was promoted without a decision of the operators", now.ID)
+		}
+		d.Configure(func(c *catalog.Config) { c.Groups[0].SyncReplicas = 0 })
+		g.SyncReplicas = 0
+		time.Sleep(4 * time.Second)
+		if g.Primary() == nil {
+			t.Error("no server was promoted")
+		}
+	})
+}
--- a/transport/promotion/duty.go
+++ b/transport/promotion/duty.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/apex/log"
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/fencing"
@@ -14,7 +15,8 @@
 // Duty is the record in the store of the VM that orders promotions.
 type Duty struct {
 	Holder   string
-	NextFree uint64 // lowest fencing token that is not reserved
+	NextFree uint64                 // lowest fencing token that is not reserved
+	Groups   map[string]GroupRecord // by group; immutable
 	// Revision is that of the record. Its number is zero if the record does not exist yet.
 	Revision state.Revision
 }
@@ -28,6 +30,9 @@
 	WriteDuty(ctx context.Context, d Duty) error
 }
 
+// errNotHolder states that the record names another VM, or other tokens.
+var errNotHolder = eris.New("another VM has claimed the duty")
+
 // selected reports whether this VM has been selected as the coordinator for
 // claimDelay. While no VM can reach the store, no VM can claim the duty, and
 // its holder keeps it.
@@ -48,7 +53,7 @@
 		}
 		c.selectedSince = 0
 		c.mu.Lock()
-		c.groups = make(map[string]*groupState)
+		c.groups, c.record, c.recordChanged = make(map[string]*groupState), nil, false
 		c.dropTokens()
 		c.lostDuty = false
 		c.mu.Unlock()
@@ -106,6 +111,7 @@
 			c.mu.Lock()
 			c.firstToken, c.nextToken, c.endToken = first, first, duty.NextFree
 			c.tokenEra, c.lostDuty = duty.Revision.Era, false
+			c.adoptRecord(duty.Groups)
 			c.exclusive = c.Fencer == nil
 			c.mu.Unlock()
 			c.Logger.WithFields(log.Fields{"token": first}).Info("promotion: this VM is the failover coordinator.")
--- a/transport/promotion/fenced.go
+++ b/transport/promotion/fenced.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -92,11 +93,11 @@
 // promote it may be pending, and else the one that succession.SelectSuccessor selects.
 // It skips those in tried, which the platform refused to promote.
 func bestUntried(survey succession.Survey, syncReplicas int, tried map[string]bool, awaited string) (succession.Candidate, bool) {
-	left := succession.Survey{Silent: survey.Silent}
+	left := succession.Survey{Silent: slices.Clone(survey.Silent)}
 	for _, candidate := range survey.Candidates {
 		switch {
 		case tried[candidate.Server.ID]:
-			left.Silent++
+			left.Silent = append(left.Silent, candidate.Server.ID)
 		case candidate.Server.ID == awaited:
 			return candidate, true
 		default:
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -127,6 +127,11 @@
 	lostDuty   bool           // the store has a new era, and this VM has not claimed the duty in it
 	exclusive  bool           // no earlier coordinator can send an order
 	groups     map[string]*groupState
+	// record is what the duty record says about groups, as far as this VM knows.
+	record        map[string]GroupRecord
+	recordChanged bool          // groups has something that record lacks
+	saving        bool          // the record is being written
+	saveAt        time.Duration // earliest time of the next attempt to write it
 }
 
 // step is a step of a change of primary.
@@ -152,6 +157,7 @@
 
 // groupState is what the coordinator records about a group.
 type groupState struct {
+	claim        uint64        // first token of the claim for which the state was prepared, see inherit
 	watchedSince time.Duration // start of monitoring, or end of the last promotion
 	failures     int
 	refusals     int // failures that were refused connections, see succession.GroupStatus
@@ -166,6 +172,9 @@
 	ordersEndAt time.Duration
 	paused      map[string]bool // servers that may be paused, by ID
 	resumeAt    time.Duration   // earliest time of the next attempt to resume them
+	members     succession.Members
+	reviewing   bool          // members that are gone are being dropped
+	reviewAt    time.Duration // earliest time of the next attempt to do so
 }
 
 // New returns a Coordinator that is not running yet.
@@ -189,6 +198,7 @@
 		}
 		if c.selected() && c.claimDuty(ctx, g) {
 			c.checkGroups(ctx, g)
+			c.saveRecord(ctx, g)
 		}
 	}
 }
@@ -218,17 +228,18 @@
 // without mu, because their callbacks take it.
 func (c *Coordinator) checkGroup(ctx context.Context, g *errgroup.Group, check *groupCheck, group string) {
 	now, d := clock.Now(), check.deployment
+	registered := d.GroupServers(group)
 	status := succession.GroupStatus{Now: now, Isolated: c.View().InMinority(), Interval: check.interval, RegisteredAt: d.RegisteredAt}
 	awaited := ""
 	c.Leadership.With(group, func(l *leadership.Group) {
-		status.Primary = l.Primary(d.GroupServers(group), now)
+		status.Primary = l.Primary(registered, now)
 		status.ConfirmedAt = l.ConfirmedAt()
 		status.Confirmed = status.Primary != nil && status.Primary.ID == l.ConfirmedPrimary()
 		awaited = l.AwaitsDesignated()
 	})
 	status.Leaving = status.Confirmed && !d.Usable(status.Primary)
 	noLease := c.Fencer != nil && !c.Fencer.HasLease()
-	gs, action := c.decide(group, &status, noLease, check.queriesLeft > 0)
+	gs, action := c.decide(group, &status, registered, noLease, check.queriesLeft > 0)
 	switch action {
 	case actionQuery:
 		check.queriesLeft--
@@ -258,6 +269,9 @@
 		g.Go(func() error { c.supersedeOrder(ctx, group, status.Primary, gs); return nil })
 	case actionResume:
 		g.Go(func() error { c.endPause(ctx, group, gs); return nil })
+	case actionReview:
+		check.queriesLeft -= len(registered)
+		g.Go(func() error { c.reviewMembers(ctx, group, status.Primary, gs); return nil })
 	}
 }
 
@@ -271,12 +285,14 @@
 	actionReplace           // replace a lost primary
 	actionSupersede         // supersede an order whose outcome is unknown
 	actionResume            // resume replicas that may be paused
+	actionReview            // drop members of the group that are gone
 )
 
 // decide completes the status with the coordinator's own records and returns the action
 // that is due for the group, which is recorded as begun. noLease says that queries fail
 // for lack of a lease, mayQuery that a query may be sent.
-func (c *Coordinator) decide(group string, status *succession.GroupStatus, noLease, mayQuery bool) (*groupState, action) {
+func (c *Coordinator) decide(group string, status *succession.GroupStatus, registered []*catalog.Server, noLease, mayQuery bool) (*groupState, action) {
+	synchronous := c.syncReplicas(group) > 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	gs := c.groups[group]
@@ -284,15 +300,16 @@
 		// watchedSince is the start of this VM rather than of its duty, because a
 		// VM that takes over the duty has already received confirmations: those
 		// from its own data centre and, in a small fleet, from the others too.
-		gs = &groupState{watchedSince: c.started, paused: make(map[string]bool)}
-		if c.Fencer == nil && c.syncReplicas(group) > 0 {
-			// An earlier coordinator may have paused them.
-			for _, server := range c.Table.Current().GroupServers(group) {
-				gs.paused[server.ID] = true
-			}
-		}
+		gs = &groupState{watchedSince: c.started}
+		c.inherit(group, gs, registered)
 		c.groups[group] = gs
 	}
+	if gs.claim != c.firstToken {
+		c.inherit(group, gs, registered)
+	}
+	if synchronous {
+		c.addMembers(gs, registered)
+	}
 	if gs.promoting {
 		return gs, actionNone
 	}
@@ -332,5 +349,9 @@
 		gs.promoting = true
 		return gs, actionSupersede
 	}
+	if synchronous && mayQuery && gs.needsReview(status, registered) {
+		gs.reviewing = true
+		return gs, actionReview
+	}
 	return gs, actionNone
 }
--- /dev/null
+++ b/transport/promotion/record_test.go
@@ -0,0 +1,73 @@
+package promotion
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
+	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
+)
+
+// setGroup makes the coordinator's deployment one group with the servers, whose commits
+// wait for a replica.
+func setGroup(c *Coordinator, servers ...*catalog.Server) {
+	config := &catalog.Config{Routes: []catalog.Route{{Name: "r", Group: "g"}}, Groups: []catalog.Group{{Name: "g", SyncReplicas: 1}}}
+	config.Index()
+	c.Table.Update(func(d catalog.Deployment) catalog.Deployment {
+		d.Config, d.Servers = config, make(map[string]*catalog.Server)
+		for _, s := range servers {
+			d.Servers[s.ID] = s
+		}
+		return d
+	})
+}
+
+// observe makes the coordinator look at its group, and write what it learned.
+func observe(t *testing.T, c *Coordinator) {
+	t.Helper()
+	registered := c.Table.Current().GroupServers("g")
+	c.decide("g", &succession.GroupStatus{Now: time.Hour}, registered, true, false)
+	var g errgroup.Group
+	c.saveRecord(context.Background(), &g)
+	if err := g.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a failover coordinator that does not know of a server whose registration
+// expired before it claimed the duty, also if the store has lost the latest record.
+func TestMembersOutliveTheirCoordinator(t *testing.T) {
+	a, b, late := &catalog.Server{ID: "a", Group: "g", Born: 1}, &catalog.Server{ID: "b", Group: "g", Born: 2}, &catalog.Server{ID: "late", Group: "g", Born: 3}
+	record := &dutyRecord{era: 1}
+	first, second := newHolder("first", record), newHolder("second", record)
+	setGroup(first, a, b)
+	setGroup(second, a)
+	mustClaim(t, first)
+	observe(t, first)
+	mustClaim(t, second)
+	observe(t, second)
+	want := map[string]GroupRecord{"g": {Members: succession.Members{"a": 1, "b": 2}}}
+	if diff := cmp.Diff(want, record.duty.Groups); diff != "" {
+		t.Errorf("record (-want +got):\n%s", diff)
+	}
+	setGroup(first, a, b, late)
+	observe(t, first) // it has lost the duty, but does not know that
+	if diff := cmp.Diff(want, record.duty.Groups); diff != "" {
+		t.Errorf("record after the former holder tried to write it (-want +got):\n%s", diff)
+	}
+	setGroup(second, a, late)
+	observe(t, second)
+	record.duty, record.era = Duty{Holder: "second", NextFree: 2001, Revision: state.Revision{Number: 2}, Groups: map[string]GroupRecord{"g": {Members: succession.Members{"a": 1}}}}, 2
+	second.groups = make(map[string]*groupState)
+	mustClaim(t, second)
+	setGroup(second, a)
+	observe(t, second)
+	if got := second.membersOf("g"); !cmp.Equal(got, succession.Members{"a": 1, "b": 2, "late": 3}) {
+		t.Errorf("members after a restore of the store: %v", got)
+	}
+}
--- a/transport/promotion/survey.go
+++ b/transport/promotion/survey.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -38,7 +39,7 @@
 		candidate succession.Candidate
 		err       error
 	}
-	servers := d.GroupServers(group)
+	servers, members := d.GroupServers(group), c.membersOf(group)
 	answers := make(chan answer, len(servers))
 	asked := 0
 	for _, server := range servers {
@@ -57,16 +58,19 @@
 			answers <- answer{candidate, err}
 		}()
 	}
-	var s succession.Survey
+	s := succession.Survey{Silent: members.Missing(servers)}
+	if except != nil && d.Servers[except.ID] != nil {
+		s.Silent = append(s.Silent, except.ID)
+	}
 	for range asked {
-		switch a := <-answers; {
-		case a.err == nil:
+		a := <-answers
+		if a.err == nil && !members.HasLostLog(a.candidate.Server, a.candidate.Received) {
 			s.Candidates = append(s.Candidates, a.candidate)
-		case errors.Is(a.err, errLeads):
-			s.Led = true
+			continue
 		}
+		s.Silent = append(s.Silent, a.candidate.Server.ID)
+		s.Led = s.Led || errors.Is(a.err, errLeads)
 	}
-	s.Silent = len(servers) - len(s.Candidates)
 	return s
 }
 
@@ -84,7 +88,7 @@
 // logSelection logs which server is to take over, or that none can, with the inputs of
 // the decision.
 func (c *Coordinator) logSelection(group string, s succession.Survey, selected succession.Candidate, ok bool) {
-	entry := c.Logger.WithFields(log.Fields{"group": group, "reports": len(s.Candidates), "silent": s.Silent, "sync_replicas": c.syncReplicas(group)})
+	entry := c.Logger.WithFields(log.Fields{"group": group, "reports": len(s.Candidates), "silent": strings.Join(s.Silent, " "), "sync_replicas": c.syncReplicas(group)})
 	if !ok {
 		entry.Error("promotion: no server can take over.")
 		return
