--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -62,6 +62,12 @@
 	Now          time.Duration
 }
 
+// RecentlyConfirmed reports whether the primary has confirmed its leadership within the
+// time after which it would count as lost.
+func (s *GroupStatus) RecentlyConfirmed() bool {
+	return s.Confirmed && s.Now-s.ConfirmedAt <= lostTimeout
+}
+
 // Action is the coordinator's action on a group.
 type Action uint8
 
--- a/standin/managed/sync_test.go
+++ b/standin/managed/sync_test.go
@@ -232,3 +232,40 @@
 		}
 	})
 }
+
+// Guards against an order without an answer that is carried out after its coordinator was
+// stopped, and replaces a healthy primary.
+func TestLateOrderOfStoppedCoordinatorHasNoEffect(t *testing.T) {
+	for name, o := range map[string]Options{"commits wait for a replica": syncDeployment, "commits wait for none": smallDeployment} {
+		t.Run(name, func(t *testing.T) {
+			o.Groups = 2
+			inDeployment(t, o, func(d *Deployment) {
+				l := startLoad(t, d)
+				time.Sleep(2 * time.Second)
+				g := d.Groups[GroupName(0)]
+				primary, replicas := g.Primary(), g.Replicas()
+				d.Store.LoseOrders(1, 4*time.Second)
+				for _, s := range replicas {
+					s.SetReplicationPaused(true)
+				}
+				primary.Crash()
+				for d.Store.OrdersLost() == 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				d.RestartServer(primary)
+				holder := d.Store.DutyHolder()
+				zone := d.VM(holder).Zone
+				d.VM(holder).Terminate()
+				d.StartVM(holder, zone)
+				for _, s := range replicas {
+					s.SetReplicationPaused(false)
+				}
+				time.Sleep(7 * time.Second)
+				if now := g.Primary(); now != primary {
+					t.Error("the primary was replaced by a late order")
+				}
+				l.finish()
+			})
+		})
+	}
+}
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -222,7 +222,7 @@
 // supersedeOrder orders the current primary to remain the primary. An earlier
 // order whose response was lost then has no effect if it is executed late.
 func (c *Coordinator) supersedeOrder(ctx context.Context, group string, primary *catalog.Server, gs *groupState) {
-	defer c.finishPromotion(gs)
+	defer c.finishStep(gs)
 	c.orderToStay(ctx, group, primary, gs)
 }
 
@@ -236,9 +236,12 @@
 // giveOrder gives one order to the platform and reports whether it was
 // executed.
 func (c *Coordinator) giveOrder(ctx context.Context, group string, server *catalog.Server, gs *groupState) bool {
+	c.recordOrder(ctx, group, gs)
 	err := c.sendOrder(ctx, group, server)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	gs.ordering = false
+	c.recordChanged = true
 	switch {
 	case err == nil:
 		gs.orderUnconfirmed = false
@@ -253,6 +256,19 @@
 	return err == nil
 }
 
+// recordOrder begins to record that an order may be carried out even if this VM ends. The
+// order doesn't wait for that: the store may be slow or unavailable. Where commits wait for
+// replicas, a successor assumes that an order is out.
+func (c *Coordinator) recordOrder(ctx context.Context, group string, gs *groupState) {
+	if c.syncReplicas(group) > 0 {
+		return
+	}
+	c.mu.Lock()
+	gs.ordering, c.recordChanged = true, true
+	c.mu.Unlock()
+	c.saveRecord(ctx)
+}
+
 // sendOrder sends one order to the platform. Its errors are those of Platform.Promote;
 // ErrNotSent also if this VM has no fencing token left, or no contact with a majority of the
 // VMs.
@@ -281,6 +297,13 @@
 	return nil
 }
 
+// finishStep ends a step after which the group is watched as before.
+func (c *Coordinator) finishStep(gs *groupState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	gs.promoting = false
+}
+
 func (c *Coordinator) finishPromotion(gs *groupState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/transport/promotion/pause.go
+++ b/transport/promotion/pause.go
@@ -112,10 +112,8 @@
 
 // endPause resumes replicas outside of a promotion.
 func (c *Coordinator) endPause(ctx context.Context, group string, gs *groupState) {
+	defer c.finishStep(gs)
 	c.resumeReplicas(ctx, group, gs)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	gs.promoting = false
 }
 
 // awaitFrozenSuccessor is like awaitSuccessor where commits wait for replicas. It repeats
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -36,6 +37,9 @@
 	// all groups of a large deployment would be queried at once when the duty
 	// moves to another VM.
 	maxQueriesPerTick = 20
+	// maxSupersedesPerTick limits the orders to stay to 20 per second, when a VM claims the
+	// duty. Platforms accept some 50 orders per second.
+	maxSupersedesPerTick = 2
 	// orderTimeout limits a call to the platform, which takes milliseconds, or
 	// some hundreds of them if the platform is slow.
 	orderTimeout = 500 * time.Millisecond
@@ -118,6 +122,7 @@
 	selectedSince time.Duration // zero while another VM is selected; used by Run only
 	orderCount    tally.Counter
 	steps         map[step]tally.Histogram
+	saves         sync.WaitGroup // writes of the record
 
 	mu         lockrank.Mutex // guards the fields below
 	firstToken uint64         // first of the reserved fencing tokens
@@ -164,9 +169,12 @@
 	queriedAt    time.Duration
 	queryPending bool
 	promoting    bool // a promotion, an order to keep the primary, or the end of a pause is in progress
-	// orderUnconfirmed is set after an order whose outcome is unknown. It may
-	// still be executed, until a newer order has been.
+	// orderUnconfirmed is set after an order whose outcome is unknown, and when an earlier
+	// coordinator may have given one. It may still be executed, until a newer order has
+	// been.
 	orderUnconfirmed bool
+	ordering         bool          // an order is being sent
+	supersedeAt      time.Duration // earliest time to supersede an earlier coordinator's orders
 	switchoverAt     time.Duration // earliest time of the next switchover, after one that failed
 	// ordersEndAt is when the latest accepted order has taken effect at the latest.
 	ordersEndAt time.Duration
@@ -190,6 +198,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer c.saves.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -198,7 +207,7 @@
 		}
 		if c.selected() && c.claimDuty(ctx, g) {
 			c.checkGroups(ctx, g)
-			c.saveRecord(ctx, g)
+			c.saveRecord(ctx)
 		}
 	}
 }
@@ -206,7 +215,7 @@
 // checkGroups evaluates each group that is used by a route.
 func (c *Coordinator) checkGroups(ctx context.Context, g *errgroup.Group) {
 	d := c.Table.Current()
-	check := groupCheck{deployment: d, interval: succession.QueryInterval(len(d.Config.Groups)), queriesLeft: maxQueriesPerTick}
+	check := groupCheck{deployment: d, interval: succession.QueryInterval(len(d.Config.Groups)), queriesLeft: maxQueriesPerTick, supersedesLeft: maxSupersedesPerTick}
 	seen := make(map[string]bool)
 	for _, route := range d.Config.Routes {
 		if seen[route.Group] || len(d.GroupServers(route.Group)) == 0 {
@@ -222,6 +231,8 @@
 	deployment  *catalog.Deployment
 	interval    time.Duration // see succession.QueryInterval
 	queriesLeft int           // queries that may still be sent
+	// supersedesLeft limits the orders that supersede earlier ones.
+	supersedesLeft int
 }
 
 // checkGroup starts what is due for the group. Calls to other components are made
@@ -239,7 +250,7 @@
 	})
 	status.Leaving = status.Confirmed && !d.Usable(status.Primary)
 	noLease := c.Fencer != nil && !c.Fencer.HasLease()
-	gs, action := c.decide(group, &status, registered, noLease, check.queriesLeft > 0)
+	gs, action := c.decide(group, &status, registered, noLease, check)
 	switch action {
 	case actionQuery:
 		check.queriesLeft--
@@ -290,8 +301,9 @@
 
 // decide completes the status with the coordinator's own records and returns the action
 // that is due for the group, which is recorded as begun. noLease says that queries fail
-// for lack of a lease, mayQuery that a query may be sent.
-func (c *Coordinator) decide(group string, status *succession.GroupStatus, registered []*catalog.Server, noLease, mayQuery bool) (*groupState, action) {
+// for lack of a lease; check limits what may be started.
+func (c *Coordinator) decide(group string, status *succession.GroupStatus, registered []*catalog.Server, noLease bool, check *groupCheck) (*groupState, action) {
+	mayQuery := check.queriesLeft > 0
 	synchronous := c.syncReplicas(group) > 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -345,7 +357,8 @@
 		gs.promoting = true
 		return gs, actionReplace
 	}
-	if c.Fencer == nil && gs.orderUnconfirmed && status.Confirmed && status.ConfirmedAt >= gs.queriedAt {
+	if c.Fencer == nil && gs.orderUnconfirmed && status.RecentlyConfirmed() && status.ConfirmedAt >= gs.queriedAt && status.Now >= gs.supersedeAt && check.supersedesLeft > 0 {
+		check.supersedesLeft--
 		gs.promoting = true
 		return gs, actionSupersede
 	}
--- a/transport/promotion/promotion_test.go
+++ b/transport/promotion/promotion_test.go
@@ -41,7 +41,7 @@
 	})
 	runner := &unlinkedRunner{}
 	c := New(Options{
-		Name: "vm", Runner: runner, Table: table, Leadership: leadership.NewTable(), Scope: tally.NoopScope,
+		Name: "vm", Duties: &dutyRecord{}, Runner: runner, Table: table, Leadership: leadership.NewTable(), Scope: tally.NoopScope,
 		View: func() *placement.View {
 			return &placement.View{Self: "vm", VMs: []placement.VM{{Name: "vm", Alive: true}}}
 		},
@@ -129,7 +129,7 @@
 	platform := orderedServers{ids: make(chan string, 10)}
 	for name, unconfirmed := range map[string]bool{"switchover": false, "order without an answer": true} {
 		c := New(Options{
-			Name: "vm", Platform: platform, Runner: reportingRunner{}, Reports: emptyReports{}, Table: table, Leadership: leaders, Scope: tally.NoopScope,
+			Name: "vm", Duties: &dutyRecord{}, Platform: platform, Runner: reportingRunner{}, Reports: emptyReports{}, Table: table, Leadership: leaders, Scope: tally.NoopScope,
 			View: func() *placement.View {
 				return &placement.View{Self: "vm", VMs: []placement.VM{{Name: "vm", Alive: true}}}
 			},
@@ -180,7 +180,7 @@
 			view.VMs = append(view.VMs, placement.VM{Name: name, Alive: i < alive, Weight: 1, Incarnation: int64(i)})
 		}
 		c := New(Options{
-			Name: "vm-0", Platform: platform, Runner: replacedServers{}, Reports: emptyReports{}, Table: table, Leadership: leaders, Scope: tally.NoopScope,
+			Name: "vm-0", Duties: &dutyRecord{}, Platform: platform, Runner: replacedServers{}, Reports: emptyReports{}, Table: table, Leadership: leaders, Scope: tally.NoopScope,
 			View: func() *placement.View { return view }, Logger: &log.Logger{Handler: discard.Default},
 		})
 		c.exclusive, c.nextToken, c.endToken = true, 1, 100
--- a/transport/promotion/record.go
+++ b/transport/promotion/record.go
@@ -5,8 +5,6 @@
 	"maps"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
@@ -16,6 +14,9 @@
 type GroupRecord struct {
 	// Members is set where commits wait for replicas.
 	Members succession.Members
+	// OrderOpen says that an order may still be carried out. It is set where commits wait
+	// for no replica; elsewhere a successor assumes that without a record.
+	OrderOpen bool
 }
 
 // saveRetryDelay separates attempts to write the record after a failed one.
@@ -24,7 +25,8 @@
 // inherit prepares the state of a group for a duty that this VM has just claimed. The
 // caller holds mu.
 func (c *Coordinator) inherit(group string, gs *groupState, registered []*catalog.Server) {
-	gs.claim = c.firstToken
+	gs.claim, gs.supersedeAt = c.firstToken, clock.Now()+maxPromoteDelay
+	gs.orderUnconfirmed = gs.orderUnconfirmed || c.record[group].OrderOpen
 	if gs.paused == nil {
 		gs.paused, gs.members = make(map[string]bool), make(succession.Members)
 	}
@@ -36,7 +38,8 @@
 	if c.Fencer != nil || c.syncReplicas(group) == 0 {
 		return
 	}
-	// An earlier coordinator may have paused them.
+	// An earlier coordinator may have paused the servers, and its orders may still be out.
+	gs.orderUnconfirmed = true
 	for _, server := range registered {
 		gs.paused[server.ID] = true
 	}
@@ -56,14 +59,14 @@
 		r := merged[group]
 		members := maps.Clone(known.Members)
 		maps.Copy(members, r.Members)
-		r.Members = members
+		r.Members, r.OrderOpen = members, r.OrderOpen || known.OrderOpen
 		merged[group] = r
 	}
 	c.record = merged
 }
 
 // saveRecord starts to write the record if it has changed.
-func (c *Coordinator) saveRecord(ctx context.Context, g *errgroup.Group) {
+func (c *Coordinator) saveRecord(ctx context.Context) {
 	c.mu.Lock()
 	due := c.recordChanged && !c.saving && clock.Now() >= c.saveAt
 	if due {
@@ -73,7 +76,7 @@
 	if !due {
 		return
 	}
-	g.Go(func() error {
+	c.saves.Go(func() {
 		err := c.writeRecord(ctx)
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -82,7 +85,6 @@
 			c.recordChanged, c.saveAt = true, clock.Now()+saveRetryDelay
 			c.Logger.WithError(err).Warn("promotion: the record of the groups cannot be written.")
 		}
-		return nil
 	})
 }
 
@@ -108,8 +110,14 @@
 		}
 	}
 	for group, gs := range c.groups {
-		if len(gs.members) > 0 {
-			next[group] = GroupRecord{Members: maps.Clone(gs.members)}
+		r := GroupRecord{Members: maps.Clone(gs.members)}
+		if g := config.Group(group); g != nil && g.SyncReplicas == 0 {
+			r.OrderOpen = gs.ordering || gs.orderUnconfirmed
+		}
+		if len(r.Members) > 0 || r.OrderOpen {
+			next[group] = r
+		} else {
+			delete(next, group)
 		}
 	}
 	c.mu.Unlock()
--- a/transport/promotion/record_test.go
+++ b/transport/promotion/record_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
 	"github.com/chestnutdyke/chestnutdyke/state"
@@ -31,12 +30,9 @@
 func observe(t *testing.T, c *Coordinator) {
 	t.Helper()
 	registered := c.Table.Current().GroupServers("g")
-	c.decide("g", &succession.GroupStatus{Now: time.Hour}, registered, true, false)
-	var g errgroup.Group
-	c.saveRecord(context.Background(), &g)
-	if err := g.Wait(); err != nil {
-		t.Fatal(err)
-	}
+	c.decide("g", &succession.GroupStatus{Now: time.Hour}, registered, true, &groupCheck{})
+	c.saveRecord(context.Background())
+	c.saves.Wait()
 }
 
 // Guards against a failover coordinator that does not know of a server whose registration
@@ -71,3 +67,45 @@
 		t.Errorf("members after a restore of the store: %v", got)
 	}
 }
+
+// lostOrders leaves orders without an answer while lost is set.
+type lostOrders struct{ lost bool }
+
+// Promote implements Platform.
+func (o *lostOrders) Promote(ctx context.Context, _, _, _ string, _ uint64) error {
+	if o.lost {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+// Guards against an order without an answer that no successor knows of, in a group whose
+// commits wait for no replica, and against a record of it that stays for ever.
+func TestOrderWithoutAnswerOutlivesItsCoordinator(t *testing.T) {
+	server := &catalog.Server{ID: "a", Group: "g", Born: 1}
+	record, platform := &dutyRecord{era: 1}, &lostOrders{lost: true}
+	first, second := newHolder("first", record), newHolder("second", record)
+	for _, c := range []*Coordinator{first, second} {
+		setGroup(c, server)
+		c.Table.Current().Config.Group("g").SyncReplicas = 0
+		c.Platform = platform
+	}
+	mustClaim(t, first)
+	observe(t, first)
+	first.giveOrder(t.Context(), "g", server, first.groups["g"])
+	first.saves.Wait()
+	if !record.duty.Groups["g"].OrderOpen {
+		t.Fatalf("record %+v after an order without an answer", record.duty)
+	}
+	mustClaim(t, second)
+	observe(t, second)
+	if !second.groups["g"].orderUnconfirmed {
+		t.Fatal("the successor does not know of the order")
+	}
+	platform.lost = false
+	second.giveOrder(t.Context(), "g", server, second.groups["g"])
+	observe(t, second)
+	if len(record.duty.Groups) != 0 {
+		t.Errorf("record %+v after a newer order", record.duty)
+	}
+}
