--- a/cmd/chestnutsoak/soak/soak.go
+++ b/cmd/chestnutsoak/soak/soak.go
@@ -176,7 +176,48 @@
 	return tb.publishConfig
 }}
 
+// crashFault crashes the primary of the group whose commits wait for a replica, while one
+// replica receives nothing, and sometimes the other replica too, until their registrations
+// have expired. The servers start again with their logs. An order that follows may be
+// carried out late.
+var crashFault = fault{"deaf-crash", func(tb *testbed, rng *rand.Rand) func() {
+	g := tb.groups[managed.GroupName(syncGroup)]
+	primary, replicas := g.Primary(), g.Replicas()
+	if primary == nil || len(replicas) < zoneCount-1 {
+		return func() {} // another fault has crashed a server
+	}
+	deaf := rng.IntN(len(replicas))
+	crashed, outage := []*managed.Server{primary}, time.Duration(0)
+	if rng.Float64() < pairCrashShare {
+		crashed, outage = append(crashed, replicas[1-deaf]), expiryTime
+	}
+	if rng.Float64() < lateOrderShare {
+		tb.store.LoseOrders(1, lateOrderDelay)
+	}
+	replicas[deaf].SetReplicationPaused(true)
+	time.Sleep(replicationLag)
+	for _, s := range crashed {
+		s.Crash()
+	}
+	return func() {
+		time.Sleep(outage)
+		for _, s := range crashed {
+			if err := tb.restartServer(s); err != nil {
+				panic(err)
+			}
+		}
+		replicas[deaf].SetReplicationPaused(false)
+	}
+}}
+
 const (
+	// crashShare is the share of faults beside which crashFault is injected.
+	crashShare     = 0.15
+	pairCrashShare = 0.3
+	lateOrderShare = 0.4
+	lateOrderDelay = 4 * time.Second
+	// expiryTime exceeds the time after which VMs drop a server that has crashed.
+	expiryTime = 7 * time.Second
 	maxCopyAge = 8 * time.Second
 	// restoreShare is the share of faults beside which the store is restored.
 	restoreShare = 0.1
@@ -186,9 +227,10 @@
 // It returns when all of them have ended.
 func (tb *testbed) injectFaults(r *Report) {
 	rng := rand.New(rand.NewPCG(tb.options.Seed, 1))
-	// Restores have random numbers of their own, so that seeds that once failed still play
-	// the same other faults.
+	// Restores and crashes have random numbers of their own, so that seeds that once failed
+	// still play the same other faults.
 	restores := rand.New(rand.NewPCG(tb.options.Seed, 2))
+	crashes := rand.New(rand.NewPCG(tb.options.Seed, 3))
 	end := time.Now().Add(tb.options.Time)
 	var wg sync.WaitGroup
 	for time.Now().Before(end) {
@@ -196,6 +238,9 @@
 		if restores.Float64() < restoreShare {
 			tb.inject(restoreFault, restores, r, &wg)
 		}
+		if crashes.Float64() < crashShare {
+			tb.inject(crashFault, crashes, r, &wg)
+		}
 		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
 	}
 	wg.Wait()
--- a/cmd/chestnutsoak/soak/testbed.go
+++ b/cmd/chestnutsoak/soak/testbed.go
@@ -26,6 +26,7 @@
 const (
 	zoneCount      = 3 // data centres, which the platform calls zones
 	groupCount     = 2
+	syncGroup      = 1 // the group whose commits wait for a replica
 	customerCount  = 4
 	customerRate   = 400 // operations/s per customer; the workload stays below it
 	maxServerConns = 24
@@ -103,7 +104,7 @@
 	}
 	for g := range groupCount {
 		group := managed.NewGroup(managed.GroupName(g), maxServerConns, replicationLag, serverCodec{})
-		group.Unfenced = !o.enforcesFencing()
+		group.Unfenced, group.SyncReplicas = !o.enforcesFencing(), syncReplicas(g)
 		tb.groups[group.Name] = group
 		tb.store.AddGroup(group)
 		for z := range zoneCount {
@@ -146,6 +147,24 @@
 	return nil
 }
 
+// restartServer starts a server that has crashed, at the same address.
+func (tb *testbed) restartServer(s *managed.Server) error {
+	l, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return eris.Wrap(err, "listen for a server that starts again")
+	}
+	s.Restart(tb.ctx, l)
+	return nil
+}
+
+// syncReplicas returns the number of replicas that a commit of the group waits for.
+func syncReplicas(group int) int {
+	if group == syncGroup {
+		return 1
+	}
+	return 0
+}
+
 func zoneName(z int) string { return fmt.Sprintf("zone-%d", z) }
 
 // configVersion returns a version of the configuration. The store may go back to an
@@ -164,7 +183,7 @@
 	c := standin.Config{Version: tb.config.Version + 3, TxIdle: 3 * time.Second}
 	for g := range groupCount {
 		name := managed.GroupName(g)
-		c.Groups = append(c.Groups, catalog.Group{Name: name, MaxConnections: maxServerConns})
+		c.Groups = append(c.Groups, catalog.Group{Name: name, MaxConnections: maxServerConns, SyncReplicas: syncReplicas(g)})
 		c.Routes = append(c.Routes,
 			catalog.Route{Database: managed.Database(managed.Latest, g), Consistency: catalog.Latest},
 			catalog.Route{Database: managed.Database(managed.Own, g), Consistency: catalog.ReadYourWrites, MaxStaleness: readYourWritesStaleness})
--- a/transport/promotion/record.go
+++ b/transport/promotion/record.go
@@ -19,6 +19,10 @@
 	OrderOpen bool
 }
 
+func (r GroupRecord) equal(other GroupRecord) bool {
+	return r.OrderOpen == other.OrderOpen && maps.Equal(r.Members, other.Members)
+}
+
 // saveRetryDelay separates attempts to write the record after a failed one.
 const saveRetryDelay = time.Second
 
@@ -121,9 +125,11 @@
 		}
 	}
 	c.mu.Unlock()
-	duty.Groups = next
-	if err := c.Duties.WriteDuty(ctx, duty); err != nil {
-		return err
+	if !maps.EqualFunc(duty.Groups, next, GroupRecord.equal) {
+		duty.Groups = next
+		if err := c.Duties.WriteDuty(ctx, duty); err != nil {
+			return err
+		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
