--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -108,7 +108,6 @@
 	// Diverged says that the log has commits which a promotion dropped, see
 	// leadership.Group.Diverged. All other logs are better.
 	Diverged bool
-	Former   bool // is the lost primary, which has stepped down
 }
 
 // Survey holds what the servers of a group reported that may replace its primary.
@@ -117,7 +116,7 @@
 	// Silent has the IDs of the other members of the group, which did not report or whose
 	// log may still grow. The lost primary is one of them.
 	Silent []string
-	Led    bool // a server reported that it is the primary
+	Led    bool // another server than the lost primary reported that it leads
 }
 
 // SelectSuccessor returns the server to promote in place of a lost primary. It reports
@@ -163,9 +162,6 @@
 	if c.Diverged != other.Diverged {
 		return other.Diverged
 	}
-	if c.Received == other.Received {
-		return other.Former && !c.Former
-	}
 	return isLonger(c.Received, other.Received)
 }
 
--- a/standin/managed/sync_test.go
+++ b/standin/managed/sync_test.go
@@ -269,3 +269,38 @@
 		})
 	}
 }
+
+// isPaused reports whether a replica waits for statement.Resume.
+func (s *Server) isPaused() bool {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.paused
+}
+
+// Guards against commits that wait for ever, because the failover coordinator that paused
+// the replicas was killed before it ended the pause.
+func TestNextCoordinatorResumesReplicas(t *testing.T) {
+	underSyncFaults(t, func(d *Deployment, g *Group, index int) {
+		if index > 0 {
+			return
+		}
+		primary, replicas := g.Primary(), g.Replicas()
+		d.Store.RefuseOrders(true)
+		primary.Crash()
+		for !replicas[0].isPaused() || !replicas[1].isPaused() {
+			time.Sleep(time.Millisecond)
+		}
+		vm := d.VM(d.Store.DutyHolder())
+		vm.Kill()
+		d.RestartServer(primary)
+		d.Store.RefuseOrders(false)
+		if !replicas[0].isPaused() || !replicas[1].isPaused() {
+			t.Error("the replicas were resumed before the coordinator was killed")
+		}
+		d.StartVM(vm.Name, vm.Zone)
+		time.Sleep(6 * time.Second)
+		if replicas[0].isPaused() || replicas[1].isPaused() {
+			t.Error("a replica is still paused")
+		}
+	})
+}
--- a/transport/promotion/members.go
+++ b/transport/promotion/members.go
@@ -31,9 +31,14 @@
 	return nil
 }
 
-// addMembers makes registered servers members of their group. The caller holds mu.
-func (c *Coordinator) addMembers(gs *groupState, registered []*catalog.Server) {
-	if gs.members.Add(registered) {
+// updateMembers makes registered servers members of their group, or drops all members if
+// its commits wait for no replica. The caller holds mu.
+func (c *Coordinator) updateMembers(gs *groupState, registered []*catalog.Server, synchronous bool) {
+	switch {
+	case synchronous && gs.members.Add(registered):
+		c.recordChanged = true
+	case !synchronous && len(gs.members) > 0:
+		clear(gs.members)
 		c.recordChanged = true
 	}
 }
@@ -41,7 +46,7 @@
 // needsReview reports whether a member is gone or has started again, and the group has a
 // primary that can show what the others have. The caller holds mu.
 func (gs *groupState) needsReview(status *succession.GroupStatus, registered []*catalog.Server) bool {
-	return !gs.reviewing && status.Confirmed && status.Now >= gs.reviewAt && !gs.members.Match(registered)
+	return !gs.reviewing && status.RecentlyConfirmed() && status.Now >= gs.reviewAt && !gs.members.Match(registered)
 }
 
 // reviewMembers drops the members that are not registered, once the primary and enough
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -108,13 +108,11 @@
 func (c *Coordinator) replacePrimary(ctx context.Context, group string, primary *catalog.Server, gs *groupState) {
 	defer c.finishPromotion(gs)
 	startedAt := clock.Now()
-	lost := lostPrimary{server: primary}
 	if c.syncReplicas(group) > 0 {
 		defer c.resumeReplicas(ctx, group, gs)
-		lost.steppedDown = primary != nil && c.retirePrimary(ctx, group, primary)
 	}
 	for range maxOrders {
-		best, ok := c.awaitSuccessor(ctx, group, lost, gs)
+		best, ok := c.awaitSuccessor(ctx, group, primary, gs)
 		if !ok {
 			return
 		}
@@ -124,22 +122,6 @@
 	}
 }
 
-// lostPrimary is a primary that is to be replaced.
-type lostPrimary struct {
-	server      *catalog.Server // nil if none is known
-	steppedDown bool            // it answers, and is a replica now
-}
-
-// retirePrimary makes a primary that is lost to most VMs step down, and gives the replicas
-// time to receive the rest of its log. It reports false if the primary does not answer.
-func (c *Coordinator) retirePrimary(ctx context.Context, group string, primary *catalog.Server) bool {
-	end, ok := c.stopPrimary(ctx, group, primary)
-	if ok {
-		c.awaitCatchUp(ctx, group, primary, end)
-	}
-	return ok
-}
-
 // confirmedSince reports whether a primary has confirmed its leadership since then.
 func (c *Coordinator) confirmedSince(group string, since time.Duration) bool {
 	confirmed := false
@@ -219,6 +201,12 @@
 	return false
 }
 
+// needsSupersede reports whether an order may still be carried out although the primary
+// works. The caller holds the coordinator's mu.
+func (gs *groupState) needsSupersede(status *succession.GroupStatus) bool {
+	return gs.orderUnconfirmed && status.Now >= gs.supersedeAt && status.RecentlyConfirmed() && status.ConfirmedAt >= gs.queriedAt
+}
+
 // supersedeOrder orders the current primary to remain the primary. An earlier
 // order whose response was lost then has no effect if it is executed late.
 func (c *Coordinator) supersedeOrder(ctx context.Context, group string, primary *catalog.Server, gs *groupState) {
--- a/transport/promotion/pause.go
+++ b/transport/promotion/pause.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -24,28 +25,27 @@
 // resumeInterval separates attempts to resume replicas that did not answer.
 const resumeInterval = time.Second
 
-// errLeads states that a server can't be paused because it is the primary.
-var errLeads = eris.New("the server is the primary")
+var (
+	errLeads      = eris.New("the server is the primary")
+	errOtherLeads = eris.New("another server is the primary")
+)
 
 // freeze pauses the group's servers and returns the ends of their logs. Servers that could
-// not be paused count as silent, and so does a lost primary that has not stepped down.
-func (c *Coordinator) freeze(ctx context.Context, group string, lost lostPrimary, gs *groupState) succession.Survey {
+// not be paused count as silent. primary is the lost primary, or nil.
+func (c *Coordinator) freeze(ctx context.Context, group string, primary *catalog.Server, gs *groupState) succession.Survey {
 	term := uint64(0)
 	c.Leadership.With(group, func(l *leadership.Group) { term = l.Term() + 1 })
-	except := lost.server
-	if lost.steppedDown {
-		except = nil
-	}
-	survey := c.surveyWith(ctx, group, except, func(server *catalog.Server) (sqlback.Report, error) {
-		return c.pauseServer(ctx, group, server, term, gs)
+	return c.surveyWith(ctx, group, nil, func(server *catalog.Server) (sqlback.Report, error) {
+		r, err := c.pauseServer(ctx, group, server, term, gs)
+		if errors.Is(err, errLeads) && (primary == nil || server.ID != primary.ID) {
+			err = errOtherLeads
+		}
+		return r, err
 	})
-	for i, candidate := range survey.Candidates {
-		survey.Candidates[i].Former = lost.server != nil && candidate.Server.ID == lost.server.ID
-	}
-	return survey
 }
 
-// pauseServer pauses a replica and returns the report that it gave then.
+// pauseServer pauses a replica and returns the report that it gave then. It fails with
+// errLeads if the server is the primary.
 func (c *Coordinator) pauseServer(ctx context.Context, group string, server *catalog.Server, term uint64, gs *groupState) (sqlback.Report, error) {
 	c.mu.Lock()
 	gs.paused[server.ID] = true
@@ -118,10 +118,10 @@
 
 // awaitFrozenSuccessor is like awaitSuccessor where commits wait for replicas. It repeats
 // the survey for at most catchUpTimeout, until enough logs are frozen.
-func (c *Coordinator) awaitFrozenSuccessor(ctx context.Context, group string, lost lostPrimary, gs *groupState) (succession.Candidate, bool) {
+func (c *Coordinator) awaitFrozenSuccessor(ctx context.Context, group string, primary *catalog.Server, gs *groupState) (succession.Candidate, bool) {
 	deadline := time.Now().Add(catchUpTimeout)
 	for {
-		survey := c.freeze(ctx, group, lost, gs)
+		survey := c.freeze(ctx, group, primary, gs)
 		best, ok := succession.SelectSuccessor(survey, c.syncReplicas(group))
 		if ok || survey.Led || !time.Now().Before(deadline) || ctx.Err() != nil {
 			c.logSelection(group, survey, best, ok)
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -319,9 +319,7 @@
 	if gs.claim != c.firstToken {
 		c.inherit(group, gs, registered)
 	}
-	if synchronous {
-		c.addMembers(gs, registered)
-	}
+	c.updateMembers(gs, registered, synchronous)
 	if gs.promoting {
 		return gs, actionNone
 	}
@@ -345,11 +343,10 @@
 		gs.queryPending, gs.queriedAt = true, status.Now
 		return gs, actionQuery
 	case succession.Switchover:
-		if !c.exclusive || status.Now < gs.switchoverAt {
-			return gs, actionNone
+		if c.exclusive && status.Now >= gs.switchoverAt {
+			gs.promoting = true
+			return gs, actionSwitchover
 		}
-		gs.promoting = true
-		return gs, actionSwitchover
 	case succession.Replace:
 		if !c.exclusive {
 			return gs, actionNone
@@ -357,7 +354,7 @@
 		gs.promoting = true
 		return gs, actionReplace
 	}
-	if c.Fencer == nil && gs.orderUnconfirmed && status.RecentlyConfirmed() && status.ConfirmedAt >= gs.queriedAt && status.Now >= gs.supersedeAt && check.supersedesLeft > 0 {
+	if c.Fencer == nil && check.supersedesLeft > 0 && gs.needsSupersede(status) {
 		check.supersedesLeft--
 		gs.promoting = true
 		return gs, actionSupersede
--- a/transport/promotion/record.go
+++ b/transport/promotion/record.go
@@ -61,7 +61,8 @@
 	}
 	for group, known := range c.record {
 		r := merged[group]
-		members := maps.Clone(known.Members)
+		members := make(succession.Members)
+		maps.Copy(members, known.Members)
 		maps.Copy(members, r.Members)
 		r.Members, r.OrderOpen = members, r.OrderOpen || known.OrderOpen
 		merged[group] = r
@@ -114,10 +115,11 @@
 		}
 	}
 	for group, gs := range c.groups {
-		r := GroupRecord{Members: maps.Clone(gs.members)}
-		if g := config.Group(group); g != nil && g.SyncReplicas == 0 {
-			r.OrderOpen = gs.ordering || gs.orderUnconfirmed
+		g := config.Group(group)
+		if g == nil {
+			continue
 		}
+		r := GroupRecord{Members: maps.Clone(gs.members), OrderOpen: g.SyncReplicas == 0 && (gs.ordering || gs.orderUnconfirmed)}
 		if len(r.Members) > 0 || r.OrderOpen {
 			next[group] = r
 		} else {
--- a/transport/promotion/survey.go
+++ b/transport/promotion/survey.go
@@ -69,17 +69,17 @@
 			continue
 		}
 		s.Silent = append(s.Silent, a.candidate.Server.ID)
-		s.Led = s.Led || errors.Is(a.err, errLeads)
+		s.Led = s.Led || errors.Is(a.err, errOtherLeads)
 	}
 	return s
 }
 
 // awaitSuccessor selects the server to promote in place of the lost primary.
-func (c *Coordinator) awaitSuccessor(ctx context.Context, group string, lost lostPrimary, gs *groupState) (succession.Candidate, bool) {
+func (c *Coordinator) awaitSuccessor(ctx context.Context, group string, primary *catalog.Server, gs *groupState) (succession.Candidate, bool) {
 	if c.syncReplicas(group) > 0 {
-		return c.awaitFrozenSuccessor(ctx, group, lost, gs)
+		return c.awaitFrozenSuccessor(ctx, group, primary, gs)
 	}
-	survey := c.survey(ctx, group, lost.server)
+	survey := c.survey(ctx, group, primary)
 	best, ok := succession.SelectSuccessor(survey, 0)
 	c.logSelection(group, survey, best, ok)
 	return best, ok
