--- a/transport/promotion/duty.go
+++ b/transport/promotion/duty.go
@@ -53,7 +53,8 @@
 		}
 		c.selectedSince = 0
 		c.mu.Lock()
-		c.groups, c.record, c.recordChanged = make(map[string]*groupState), nil, false
+		c.abandonGroups()
+		c.record, c.recordChanged = nil, false
 		c.dropTokens()
 		c.lostDuty = false
 		c.mu.Unlock()
--- a/transport/promotion/pause.go
+++ b/transport/promotion/pause.go
@@ -25,6 +25,10 @@
 // resumeInterval separates attempts to resume replicas that did not answer.
 const resumeInterval = time.Second
 
+// handoverDelay is how long a VM that has lost the duty leaves replicas paused. It exceeds
+// the time in which another VM claims the duty and supersedes the orders of this one.
+const handoverDelay = 5 * time.Second
+
 var (
 	errLeads      = eris.New("the server is the primary")
 	errOtherLeads = eris.New("another server is the primary")
@@ -110,6 +114,52 @@
 	}
 }
 
+// endPromotion resumes the replicas that a promotion has paused, as far as that is allowed.
+func (c *Coordinator) endPromotion(ctx context.Context, group string, gs *groupState) {
+	c.resumeReplicas(ctx, group, gs)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.groups[group] != gs && len(gs.paused) > 0 {
+		c.abandoned[group] = gs
+	}
+}
+
+// abandonGroups forgets the groups, because this VM is no longer the coordinator. The
+// caller holds mu.
+func (c *Coordinator) abandonGroups() {
+	for group, gs := range c.groups {
+		if len(gs.paused) > 0 && !gs.promoting {
+			c.abandoned[group] = gs
+		}
+	}
+	c.groups = make(map[string]*groupState)
+}
+
+// resumeAbandoned resumes, after handoverDelay, replicas that this VM paused and that its
+// successor may have resumed before that: the successor doesn't know of a later pause.
+func (c *Coordinator) resumeAbandoned(ctx context.Context) {
+	c.mu.Lock()
+	abandoned := c.abandoned
+	c.abandoned = make(map[string]*groupState)
+	c.mu.Unlock()
+	for group, gs := range abandoned {
+		c.background.Go(func() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(handoverDelay):
+			}
+			c.mu.Lock()
+			isCoordinator := c.groups[group] != nil
+			gs.orderUnconfirmed, gs.ordersEndAt = false, 0
+			c.mu.Unlock()
+			if !isCoordinator { // otherwise the group's new state has the replicas too
+				c.resumeReplicas(ctx, group, gs)
+			}
+		})
+	}
+}
+
 // endPause resumes replicas outside of a promotion.
 func (c *Coordinator) endPause(ctx context.Context, group string, gs *groupState) {
 	defer c.finishStep(gs)
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -122,7 +122,7 @@
 	selectedSince time.Duration // zero while another VM is selected; used by Run only
 	orderCount    tally.Counter
 	steps         map[step]tally.Histogram
-	saves         sync.WaitGroup // writes of the record
+	background    sync.WaitGroup // writes of the record, and replicas that are resumed later
 
 	mu         lockrank.Mutex // guards the fields below
 	firstToken uint64         // first of the reserved fencing tokens
@@ -132,6 +132,7 @@
 	lostDuty   bool           // the store has a new era, and this VM has not claimed the duty in it
 	exclusive  bool           // no earlier coordinator can send an order
 	groups     map[string]*groupState
+	abandoned  map[string]*groupState // former groups in which replicas may be paused
 	// record is what the duty record says about groups, as far as this VM knows.
 	record        map[string]GroupRecord
 	recordChanged bool          // groups has something that record lacks
@@ -189,7 +190,7 @@
 func New(o Options) *Coordinator {
 	return &Coordinator{
 		Options: o, started: clock.Now(), orderCount: o.Scope.Counter("promotions_ordered"), steps: newSteps(o.Scope),
-		mu: lockrank.New(lockrank.Session), groups: make(map[string]*groupState),
+		mu: lockrank.New(lockrank.Session), groups: make(map[string]*groupState), abandoned: make(map[string]*groupState),
 	}
 }
 
@@ -198,7 +199,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	defer c.saves.Wait()
+	defer c.background.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -209,6 +210,7 @@
 			c.checkGroups(ctx, g)
 			c.saveRecord(ctx)
 		}
+		c.resumeAbandoned(ctx)
 	}
 }
 
--- a/transport/promotion/record.go
+++ b/transport/promotion/record.go
@@ -81,7 +81,7 @@
 	if !due {
 		return
 	}
-	c.saves.Go(func() {
+	c.background.Go(func() {
 		err := c.writeRecord(ctx)
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/transport/promotion/record_test.go
+++ b/transport/promotion/record_test.go
@@ -32,7 +32,7 @@
 	registered := c.Table.Current().GroupServers("g")
 	c.decide("g", &succession.GroupStatus{Now: time.Hour}, registered, true, &groupCheck{})
 	c.saveRecord(context.Background())
-	c.saves.Wait()
+	c.background.Wait()
 }
 
 // Guards against a failover coordinator that does not know of a server whose registration
@@ -93,7 +93,7 @@
 	mustClaim(t, first)
 	observe(t, first)
 	first.giveOrder(t.Context(), "g", server, first.groups["g"])
-	first.saves.Wait()
+	first.background.Wait()
 	if !record.duty.Groups["g"].OrderOpen {
 		t.Fatalf("record %+v after an order without an answer", record.duty)
 	}
