--- a/cmd/chestnutsoak/soak/testbed.go
+++ b/cmd/chestnutsoak/soak/testbed.go
@@ -80,12 +80,12 @@
 func (serverCodec) AppendAnswer(dst []byte, a *statement.Answer) []byte {
 	return platform.AppendAnswer(dst, a)
 }
-func (serverCodec) EncodeReport(primary bool, p state.Point, connections int) string {
+func (serverCodec) EncodeReport(primary bool, p state.Point, pausedBy uint64, connections int) string {
 	role := "replica"
 	if primary {
 		role = "primary"
 	}
-	return fmt.Sprintf("%s %d %d.%d 0 0 0 %d", role, p.Term, p.Term, p.Position, connections)
+	return fmt.Sprintf("%s %d %d.%d %d 0 0 %d", role, p.Term, p.Term, p.Position, pausedBy, connections)
 }
 
 func newTestbed(ctx context.Context, o Options) (*testbed, error) {
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -27,7 +27,9 @@
 	ReadCommand(r *bufio.Reader) (statement.Command, error)
 	AppendOpened(dst []byte, a *statement.Answer) []byte
 	AppendAnswer(dst []byte, a *statement.Answer) []byte
-	EncodeReport(primary bool, p state.Point, connections int) string
+	// EncodeReport encodes a report. pausedBy is the term of the Pause that holds the server,
+	// or zero.
+	EncodeReport(primary bool, p state.Point, pausedBy uint64, connections int) string
 }
 
 // Group models a database group: one log, and servers that have each received a
@@ -95,7 +97,7 @@
 	primary  bool
 	received int    // length of the log prefix that a replica has received; see logLength
 	deaf     bool   // receives nothing, see SetReplicationPaused
-	paused   bool   // receives nothing until statement.Resume
+	pausedBy uint64 // term of the statement.Pause that holds the server, or zero
 	draining bool   // registered as draining
 	born     int64  // number of starts, which the server registers as its start time
 	seq      uint64 // of the latest registration
@@ -166,7 +168,7 @@
 	if s.primary {
 		return len(g.log)
 	}
-	if s.deaf || s.paused || s.down || !g.logIsSent() {
+	if s.deaf || s.pausedBy > 0 || s.down || !g.logIsSent() {
 		return min(s.received, len(g.log))
 	}
 	now := time.Now()
@@ -272,7 +274,7 @@
 		}
 		other.received = min(other.received, kept)
 	}
-	s.primary, s.paused, s.deaf = true, false, false
+	s.primary, s.pausedBy, s.deaf = true, 0, false
 }
 
 // endWhenReplaced makes a replaced primary a replica once it can reach its successor for
--- a/standin/managed/database_session.go
+++ b/standin/managed/database_session.go
@@ -114,7 +114,7 @@
 // apply executes a command. Like run, it reports whether the answer is to be
 // dropped. The caller holds the group's mu.
 func (sess *session) apply(c *statement.Command) (statement.Answer, bool) {
-	s, g := sess.server, sess.server.group
+	s := sess.server
 	if sess.failed && c.Verb != statement.Rollback && c.Verb != statement.Commit {
 		return statement.Refusal(statement.Malformed, ""), false
 	}
@@ -151,21 +151,26 @@
 		if c.Term > s.currentTerm() {
 			s.becomeReplica()
 		}
-		return statement.Answer{Rows: []string{g.Codec.EncodeReport(false, s.point(), len(s.conns))}}, false
+		return s.report(), false
 	case statement.Pause:
 		if !s.primary && c.Term > s.currentTerm() {
-			s.received, s.paused = s.logLength(), true
+			s.received, s.pausedBy = s.logLength(), c.Term
 		}
-		return statement.Answer{Rows: []string{g.Codec.EncodeReport(s.primary, s.point(), len(s.conns))}}, false
+		return s.report(), false
 	case statement.Resume:
-		s.paused = false
-		return statement.Answer{Rows: []string{g.Codec.EncodeReport(s.primary, s.point(), len(s.conns))}}, false
+		s.pausedBy = 0
+		return s.report(), false
 	case statement.Status:
-		return statement.Answer{Rows: []string{g.Codec.EncodeReport(s.primary, s.point(), len(s.conns))}}, false
+		return s.report(), false
 	}
 	return statement.Answer{}, false
 }
 
+// report returns the answer to a query for a report. The caller holds the group's mu.
+func (s *Server) report() statement.Answer {
+	return statement.Answer{Rows: []string{s.group.Codec.EncodeReport(s.primary, s.point(), s.pausedBy, len(s.conns))}}
+}
+
 func (sess *session) beginTransaction() {
 	g := sess.server.group
 	g.transactions++
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -274,7 +274,7 @@
 		other.received = other.logLength() // until now
 	}
 	s.becomeReplica()
-	s.down, s.paused = true, false
+	s.down, s.pausedBy = true, 0
 	conns, cancel := s.conns, s.cancel
 	s.conns = make(map[net.Conn]bool)
 	s.group.mu.Unlock()
--- a/standin/managed/dialect.go
+++ b/standin/managed/dialect.go
@@ -95,8 +95,8 @@
 func (Servers) DecodeReport(row string) (sqlback.Report, error) {
 	var r sqlback.Report
 	var role string
-	_, err := fmt.Sscanf(row, "%s %d %d %d", &role, &r.Received.Term, &r.Received.Position, &r.Connections)
-	r.Primary = role == "primary"
+	_, err := fmt.Sscanf(row, "%s %d %d %d %d", &role, &r.Received.Term, &r.Received.Position, &r.PausedBy, &r.Connections)
+	r.Primary, r.Term = role == "primary", r.Received.Term
 	return r, err
 }
 
@@ -122,10 +122,10 @@
 func (Backend) AppendAnswer(dst []byte, a *statement.Answer) []byte { return appendJSON(dst, a) }
 
 // EncodeReport implements Codec.
-func (Backend) EncodeReport(primary bool, p state.Point, connections int) string {
+func (Backend) EncodeReport(primary bool, p state.Point, pausedBy uint64, connections int) string {
 	role := "replica"
 	if primary {
 		role = "primary"
 	}
-	return fmt.Sprintf("%s %d %d %d", role, p.Term, p.Position, connections)
+	return fmt.Sprintf("%s %d %d %d %d", role, p.Term, p.Position, pausedBy, connections)
 }
--- a/standin/managed/sync_test.go
+++ b/standin/managed/sync_test.go
@@ -274,7 +274,7 @@
 func (s *Server) isPaused() bool {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
-	return s.paused
+	return s.pausedBy > 0
 }
 
 // Guards against commits that wait for ever, because the failover coordinator that paused
@@ -304,3 +304,20 @@
 		}
 	})
 }
+
+// Guards against commits that wait for ever, because the network held up a PAUSE of a
+// former coordinator until its successor had resumed the replicas.
+func TestReplicasPausedLateAreResumed(t *testing.T) {
+	underSyncFaults(t, func(_ *Deployment, g *Group, _ int) {
+		replicas := g.Replicas()
+		g.mu.Lock()
+		for _, s := range replicas {
+			s.pausedBy = g.term + 1
+		}
+		g.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		if replicas[0].isPaused() || replicas[1].isPaused() {
+			t.Error("a replica is still paused")
+		}
+	})
+}
--- a/transport/promotion/duty.go
+++ b/transport/promotion/duty.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/rotisserie/eris"
@@ -9,6 +11,7 @@
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/fencing"
 	"github.com/chestnutdyke/chestnutdyke/state"
+	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
 
@@ -30,6 +33,13 @@
 	WriteDuty(ctx context.Context, d Duty) error
 }
 
+const (
+	// verifyTimeout is shorter than storeTimeout, since no group is watched meanwhile.
+	verifyTimeout = 200 * time.Millisecond
+	// verifyInterval separates attempts to read the record for verifyDuty.
+	verifyInterval = time.Second
+)
+
 // errNotHolder states that the record names another VM, or other tokens.
 var errNotHolder = eris.New("another VM has claimed the duty")
 
@@ -42,6 +52,9 @@
 		// The majority may have another coordinator. This VM waits for claimDelay once it
 		// reaches a majority, and learns what has changed meanwhile.
 		c.selectedSince = 0
+		c.mu.Lock()
+		c.unverified = c.anyGroupWaits()
+		c.mu.Unlock()
 		return false
 	}
 	if !view.StoreReached() {
@@ -53,8 +66,7 @@
 		}
 		c.selectedSince = 0
 		c.mu.Lock()
-		c.abandonGroups()
-		c.record, c.recordChanged = nil, false
+		c.groups, c.record, c.recordChanged = make(map[string]*groupState), nil, false
 		c.dropTokens()
 		c.lostDuty = false
 		c.mu.Unlock()
@@ -89,10 +101,44 @@
 	return c.nextToken < c.endToken
 }
 
+// anyGroupWaits reports whether commits of any group wait for replicas.
+func (c *Coordinator) anyGroupWaits() bool {
+	config := c.Table.Current().Config
+	return config != nil && slices.ContainsFunc(config.Groups, func(g catalog.Group) bool { return g.SyncReplicas > 0 })
+}
+
+// verifyDuty reports whether this VM may go on with the duty after it has reached no majority
+// of the VMs. Another one may have claimed the duty meanwhile, and given orders that may
+// still be carried out. While the store does not answer, this VM goes on.
+func (c *Coordinator) verifyDuty(ctx context.Context) bool {
+	c.mu.Lock()
+	due := c.unverified && clock.Now() >= c.verifyAt
+	c.mu.Unlock()
+	if !due {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	duty, err := c.Duties.ReadDuty(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.verifyAt = clock.Now() + verifyInterval
+	if err != nil {
+		return true
+	}
+	c.unverified = false
+	if duty.Holder == c.Name && duty.NextFree == c.endToken {
+		return true
+	}
+	c.Logger.WithField("holder", duty.Holder).Info("promotion: another VM has claimed the coordinator role meanwhile.")
+	c.dropTokens()
+	return false
+}
+
 // claimDuty claims the duty unless this VM already holds it, and reports
 // whether this VM holds it.
 func (c *Coordinator) claimDuty(ctx context.Context, g *errgroup.Group) bool {
-	if c.holdsDuty() {
+	if c.holdsDuty() && c.verifyDuty(ctx) {
 		return true
 	}
 	if c.Table.Current().Config == nil {
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -109,7 +109,7 @@
 	defer c.finishPromotion(gs)
 	startedAt := clock.Now()
 	if c.syncReplicas(group) > 0 {
-		defer c.endPromotion(ctx, group, gs)
+		defer c.resumeReplicas(ctx, group, gs)
 	}
 	for range maxOrders {
 		best, ok := c.awaitSuccessor(ctx, group, primary, gs)
--- a/transport/promotion/pause.go
+++ b/transport/promotion/pause.go
@@ -5,6 +5,8 @@
 	"errors"
 	"maps"
 	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -22,12 +24,14 @@
 // takes effect. So replicas are paused before they report their positions, and resumed
 // once no order may still be carried out. docs/design/promotion-evidence.md has the rules.
 
-// resumeInterval separates attempts to resume replicas that did not answer.
-const resumeInterval = time.Second
-
-// handoverDelay is how long a VM that has lost the duty leaves replicas paused. It exceeds
-// the time in which another VM claims the duty and supersedes the orders of this one.
-const handoverDelay = 5 * time.Second
+const (
+	// resumeInterval separates attempts to resume replicas that did not answer.
+	resumeInterval = time.Second
+	// pauseCheckRatio is the interval between searches for replicas that are paused without
+	// this VM's knowledge, in intervals of queries for leadership confirmations. In a large
+	// deployment they take a third of the queries that the coordinator may send.
+	pauseCheckRatio = 8
+)
 
 var (
 	errLeads      = eris.New("the server is the primary")
@@ -114,50 +118,37 @@
 	}
 }
 
-// endPromotion resumes the replicas that a promotion has paused, as far as that is allowed.
-func (c *Coordinator) endPromotion(ctx context.Context, group string, gs *groupState) {
-	c.resumeReplicas(ctx, group, gs)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.groups[group] != gs && len(gs.paused) > 0 {
-		c.abandoned[group] = gs
-	}
+// needsPauseCheck reports whether it is time to look for paused replicas. The caller holds
+// the coordinator's mu.
+func (gs *groupState) needsPauseCheck(status *succession.GroupStatus) bool {
+	return !gs.checkingPause && len(gs.paused) == 0 && status.Now >= gs.pauseCheckAt
 }
 
-// abandonGroups forgets the groups, because this VM is no longer the coordinator. The
-// caller holds mu.
-func (c *Coordinator) abandonGroups() {
-	for group, gs := range c.groups {
-		if len(gs.paused) > 0 && !gs.promoting {
-			c.abandoned[group] = gs
+// findPaused looks for replicas that are paused although no promotion is in progress. A
+// former coordinator may have paused them after this VM has claimed the duty, for example
+// with a command that the network held up.
+func (c *Coordinator) findPaused(ctx context.Context, group string, gs *groupState) {
+	var mu sync.Mutex
+	var found []string
+	c.surveyWith(ctx, group, nil, func(server *catalog.Server) (sqlback.Report, error) {
+		r, err := c.queryServer(ctx, group, server, statement.Command{Verb: statement.Status})
+		if err == nil && r.PausedBy > 0 {
+			mu.Lock()
+			defer mu.Unlock()
+			found = append(found, server.ID)
 		}
-	}
-	c.groups = make(map[string]*groupState)
-}
-
-// resumeAbandoned resumes, after handoverDelay, replicas that this VM paused and that its
-// successor may have resumed before that: the successor doesn't know of a later pause.
-func (c *Coordinator) resumeAbandoned(ctx context.Context) {
+		return r, err
+	})
 	c.mu.Lock()
-	abandoned := c.abandoned
-	c.abandoned = make(map[string]*groupState)
-	c.mu.Unlock()
-	for group, gs := range abandoned {
-		c.background.Go(func() {
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(handoverDelay):
-			}
-			c.mu.Lock()
-			isCoordinator := c.groups[group] != nil
-			gs.orderUnconfirmed, gs.ordersEndAt = false, 0
-			c.mu.Unlock()
-			if !isCoordinator { // otherwise the group's new state has the replicas too
-				c.resumeReplicas(ctx, group, gs)
-			}
-		})
+	defer c.mu.Unlock()
+	gs.checkingPause = false
+	if len(found) == 0 || gs.promoting {
+		return
+	}
+	for _, id := range found {
+		gs.paused[id] = true
 	}
+	c.Logger.WithFields(log.Fields{"group": group, "servers": strings.Join(found, " ")}).Info("promotion: paused replicas found.")
 }
 
 // endPause resumes replicas outside of a promotion.
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -122,7 +122,7 @@
 	selectedSince time.Duration // zero while another VM is selected; used by Run only
 	orderCount    tally.Counter
 	steps         map[step]tally.Histogram
-	background    sync.WaitGroup // writes of the record, and replicas that are resumed later
+	background    sync.WaitGroup // writes of the record
 
 	mu         lockrank.Mutex // guards the fields below
 	firstToken uint64         // first of the reserved fencing tokens
@@ -130,9 +130,10 @@
 	endToken   uint64         // end of the reserved fencing tokens, exclusive
 	tokenEra   uint64         // era of the store in which they were reserved
 	lostDuty   bool           // the store has a new era, and this VM has not claimed the duty in it
+	unverified bool           // another VM may have claimed the duty, see verifyDuty
+	verifyAt   time.Duration  // earliest time of the next attempt to verify it
 	exclusive  bool           // no earlier coordinator can send an order
 	groups     map[string]*groupState
-	abandoned  map[string]*groupState // former groups in which replicas may be paused
 	// record is what the duty record says about groups, as far as this VM knows.
 	record        map[string]GroupRecord
 	recordChanged bool          // groups has something that record lacks
@@ -181,16 +182,19 @@
 	ordersEndAt time.Duration
 	paused      map[string]bool // servers that may be paused, by ID
 	resumeAt    time.Duration   // earliest time of the next attempt to resume them
-	members     succession.Members
-	reviewing   bool          // members that are gone are being dropped
-	reviewAt    time.Duration // earliest time of the next attempt to do so
+	// checkingPause and pauseCheckAt are for findPaused.
+	checkingPause bool
+	pauseCheckAt  time.Duration
+	members       succession.Members
+	reviewing     bool          // members that are gone are being dropped
+	reviewAt      time.Duration // earliest time of the next attempt to do so
 }
 
 // New returns a Coordinator that is not running yet.
 func New(o Options) *Coordinator {
 	return &Coordinator{
 		Options: o, started: clock.Now(), orderCount: o.Scope.Counter("promotions_ordered"), steps: newSteps(o.Scope),
-		mu: lockrank.New(lockrank.Session), groups: make(map[string]*groupState), abandoned: make(map[string]*groupState),
+		mu: lockrank.New(lockrank.Session), groups: make(map[string]*groupState),
 	}
 }
 
@@ -210,7 +214,6 @@
 			c.checkGroups(ctx, g)
 			c.saveRecord(ctx)
 		}
-		c.resumeAbandoned(ctx)
 	}
 }
 
@@ -285,6 +288,9 @@
 	case actionReview:
 		check.queriesLeft -= len(registered)
 		g.Go(func() error { c.reviewMembers(ctx, group, status.Primary, gs); return nil })
+	case actionFindPaused:
+		check.queriesLeft -= len(registered)
+		g.Go(func() error { c.findPaused(ctx, group, gs); return nil })
 	}
 }
 
@@ -299,6 +305,7 @@
 	actionSupersede         // supersede an order whose outcome is unknown
 	actionResume            // resume replicas that may be paused
 	actionReview            // drop members of the group that are gone
+	actionFindPaused        // look for replicas that are paused
 )
 
 // decide completes the status with the coordinator's own records and returns the action
@@ -365,5 +372,9 @@
 		gs.reviewing = true
 		return gs, actionReview
 	}
+	if synchronous && c.Fencer == nil && mayQuery && gs.needsPauseCheck(status) {
+		gs.checkingPause, gs.pauseCheckAt = true, status.Now+pauseCheckRatio*status.Interval
+		return gs, actionFindPaused
+	}
 	return gs, actionNone
 }
--- a/transport/promotion/record.go
+++ b/transport/promotion/record.go
@@ -105,6 +105,7 @@
 	config := c.Table.Current().Config
 	c.mu.Lock()
 	if duty.Holder != c.Name || duty.NextFree != c.endToken {
+		c.unverified = true
 		c.mu.Unlock()
 		return errNotHolder
 	}
--- a/transport/promotion/record_test.go
+++ b/transport/promotion/record_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/chestnutdyke/chestnutdyke/coordination/placement"
 	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
 	"github.com/chestnutdyke/chestnutdyke/state"
 	"github.com/chestnutdyke/chestnutdyke/state/catalog"
@@ -109,3 +110,29 @@
 		t.Errorf("record %+v after a newer order", record.duty)
 	}
 }
+
+// Guards against a VM that goes on with the duty after it was cut off, although another one
+// has claimed it meanwhile: it would not supersede the orders of that one.
+func TestDutyIsVerifiedAfterMinority(t *testing.T) {
+	for name, claimed := range map[string]bool{"another VM has claimed the duty": true, "nobody has": false} {
+		record := &dutyRecord{era: 1}
+		first, second := newHolder("first", record), newHolder("second", record)
+		setGroup(first, &catalog.Server{ID: "a", Group: "g", Born: 1})
+		mustClaim(t, first)
+		token := first.firstToken
+		first.View = func() *placement.View { return &placement.View{Self: "first", Members: 3} }
+		if first.selected() {
+			t.Fatal("a VM in a minority is selected")
+		}
+		if claimed {
+			mustClaim(t, second)
+		}
+		mustClaim(t, first)
+		if again := first.firstToken != token; again != claimed {
+			t.Errorf("%s: claimed again %v", name, again)
+		}
+		if claimed && first.firstToken <= second.firstToken {
+			t.Errorf("token %d after %d", first.firstToken, second.firstToken)
+		}
+	}
+}
--- a/transport/sqlback/dialect.go
+++ b/transport/sqlback/dialect.go
@@ -28,6 +28,7 @@
 type Report struct {
 	Primary     bool
 	Term        uint64      // newest term that the server knows
+	PausedBy    uint64      // term of the Pause that holds the server; zero if none does
 	Received    state.Point // end of the received replication log
 	Connections int         // open client connections
 }
