--- a/transport/promotion/duty.go
+++ b/transport/promotion/duty.go
@@ -117,6 +117,13 @@
 	if !due {
 		return true
 	}
+	holds, err := c.holdsRecord(ctx)
+	return holds || err != nil
+}
+
+// holdsRecord reports whether the duty record names this VM with its present tokens. If it
+// doesn't, this VM claims the duty again before it acts.
+func (c *Coordinator) holdsRecord(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
 	duty, err := c.Duties.ReadDuty(ctx)
@@ -124,15 +131,15 @@
 	defer c.mu.Unlock()
 	c.verifyAt = clock.Now() + verifyInterval
 	if err != nil {
-		return true
+		return false, err
 	}
 	c.unverified = false
 	if duty.Holder == c.Name && duty.NextFree == c.endToken {
-		return true
+		return true, nil
 	}
 	c.Logger.WithField("holder", duty.Holder).Info("promotion: another VM has claimed the coordinator role meanwhile.")
 	c.dropTokens()
-	return false
+	return false, nil
 }
 
 // claimDuty claims the duty unless this VM already holds it, and reports
--- a/transport/promotion/pause.go
+++ b/transport/promotion/pause.go
@@ -81,6 +81,13 @@
 	return len(gs.paused) > 0 && !gs.orderUnconfirmed && now >= gs.ordersEndAt
 }
 
+// mayEndPause reports whether no other VM can be promoting a server that rests on paused
+// replicas: this VM holds the duty, or no VM reaches the store to claim it.
+func (c *Coordinator) mayEndPause(ctx context.Context) bool {
+	holds, err := c.holdsRecord(ctx)
+	return holds || err != nil && !c.View().StoreReached()
+}
+
 // resumeReplicas resumes the replicas that may be paused. Those that are not registered or
 // do not answer stay in gs.paused.
 func (c *Coordinator) resumeReplicas(ctx context.Context, group string, gs *groupState) {
@@ -91,6 +98,9 @@
 	}
 	gs.resumeAt = clock.Now() + resumeInterval
 	c.mu.Unlock()
+	if len(ids) == 0 || !c.mayEndPause(ctx) {
+		return
+	}
 	registered := c.Table.Current().Servers
 	answers := make(chan string, len(ids))
 	asked := 0
