--- a/cmd/chestnutsoak/soak/soak_test.go
+++ b/cmd/chestnutsoak/soak/soak_test.go
@@ -13,6 +13,9 @@
 	// Statements ran in other clients' transactions after a VM had been killed. The
 	// lengths of faults are random, so a run met the fault only sometimes.
 	{Seed: 28002, VMs: 6, Time: 15 * time.Second},
+	// The store came back without the members of a group, and the next coordinator promoted
+	// a server that lacked an acknowledged write.
+	{Seed: 49308, VMs: 6, Time: 20 * time.Second},
 }
 
 // Guards against violations of the consistency guarantees by the chestnutdyke
--- a/transport/promotion/record.go
+++ b/transport/promotion/record.go
@@ -68,6 +68,7 @@
 		merged[group] = r
 	}
 	c.record = merged
+	c.recordChanged = len(merged) > 0 // the store may have lost a part
 }
 
 // saveRecord starts to write the record if it has changed.
--- a/transport/promotion/record_test.go
+++ b/transport/promotion/record_test.go
@@ -64,6 +64,10 @@
 	mustClaim(t, second)
 	setGroup(second, a)
 	observe(t, second)
+	want["g"] = GroupRecord{Members: succession.Members{"a": 1, "b": 2, "late": 3}}
+	if diff := cmp.Diff(want, record.duty.Groups); diff != "" {
+		t.Errorf("record after a restore of the store (-want +got):\n%s", diff)
+	}
 	if got := second.membersOf("g"); !cmp.Equal(got, succession.Members{"a": 1, "b": 2, "late": 3}) {
 		t.Errorf("members after a restore of the store: %v", got)
 	}
