--- a/cmd/chestnutsoak/soak/testbed.go
+++ b/cmd/chestnutsoak/soak/testbed.go
@@ -104,7 +104,8 @@
 	}
 	for g := range groupCount {
 		group := managed.NewGroup(managed.GroupName(g), maxServerConns, replicationLag, serverCodec{})
-		group.Unfenced, group.SyncReplicas = !o.enforcesFencing(), syncReplicas(g)
+		group.Unfenced = !o.enforcesFencing()
+		group.SetSyncReplicas(syncReplicas(g))
 		tb.groups[group.Name] = group
 		tb.store.AddGroup(group)
 		for z := range zoneCount {
--- a/standin/managed/check.go
+++ b/standin/managed/check.go
@@ -99,8 +99,8 @@
 }
 
 // Violations checks the complete logs for rejected writes, for repeated ones, and for
-// lost ones where commits wait for replicas, and returns all violations that were found. It is called once, after the last
-// write.
+// lost ones where commits wait for replicas, and returns all violations that were found.
+// It is called once, after the last write.
 func (c *Checker) Violations(groups map[string]*Group) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -111,7 +111,7 @@
 	}
 	for item, acks := range c.acked {
 		for _, a := range acks {
-			if a.group.SyncReplicas > 0 && a.group.Commits(a.id) == 0 {
+			if a.group.waitsForReplicas() && a.group.Commits(a.id) == 0 {
 				c.addViolation("write %d of %s was acknowledged and then lost", a.value, item)
 			}
 			for _, g := range groups {
--- a/standin/managed/database.go
+++ b/standin/managed/database.go
@@ -35,19 +35,19 @@
 // Group models a database group: one log, and servers that have each received a
 // prefix of it.
 type Group struct {
-	Name         string
-	Lag          time.Duration // replication lag of the replicas
-	PromoteDelay time.Duration // between an accepted order and the change of primary
-	MaxConns     int           // that each server accepts
-	Work         time.Duration // time that a statement takes
-	Handshake    time.Duration // time that opening a connection takes
-	Codec        Codec
-	Unfenced     bool // a replaced primary goes on, see Options.Unfenced
-	SyncReplicas int  // replicas that must have received a commit before it is acknowledged
-	Capacity     Capacity
+	Name      string
+	Lag       time.Duration // replication lag of the replicas
+	MaxConns  int           // that each server accepts
+	Work      time.Duration // time that a statement takes
+	Handshake time.Duration // time that opening a connection takes
+	Codec     Codec
+	Unfenced  bool // a replaced primary goes on, see Options.Unfenced
+	Capacity  Capacity
 
-	mu   sync.Mutex // guards the fields below and those of the servers
-	term uint64
+	mu           sync.Mutex    // guards the fields below and those of the servers
+	promoteDelay time.Duration // between an accepted order and the change of primary
+	syncReplicas int           // replicas that must have received a commit before it is acknowledged
+	term         uint64
 	// termStarts maps each term to the length of the log at its start.
 	termStarts map[uint64]uint64
 	log        []logEntry
@@ -212,7 +212,7 @@
 // NewGroup returns a group without servers, in term 1 and with an empty log.
 func NewGroup(name string, maxConns int, lag time.Duration, codec Codec) *Group {
 	return &Group{
-		Name: name, Lag: lag, PromoteDelay: 300 * time.Millisecond, MaxConns: maxConns, Work: 5 * time.Millisecond,
+		Name: name, Lag: lag, promoteDelay: 300 * time.Millisecond, MaxConns: maxConns, Work: 5 * time.Millisecond,
 		Handshake: 10 * time.Millisecond, Codec: codec, term: 1, termStarts: map[uint64]uint64{1: 0}, servers: make(map[string]*Server),
 		supersededCommits: make(map[string]bool),
 	}
@@ -233,6 +233,30 @@
 	return s
 }
 
+// SetPromoteDelay sets the time between an accepted order to promote a server of the group
+// and the change of primary.
+func (g *Group) SetPromoteDelay(delay time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.promoteDelay = delay
+}
+
+// SetSyncReplicas sets the number of replicas that must have received a commit before it
+// is acknowledged. It also applies to commits that wait.
+func (g *Group) SetSyncReplicas(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.syncReplicas = n
+}
+
+// waitsForReplicas reports whether a commit is acknowledged only once replicas have
+// received it.
+func (g *Group) waitsForReplicas() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.syncReplicas > 0
+}
+
 // ConnectionsRefused returns how many connections its servers refused beyond MaxConns.
 func (g *Group) ConnectionsRefused() int {
 	g.mu.Lock()
--- a/standin/managed/database_session.go
+++ b/standin/managed/database_session.go
@@ -223,9 +223,9 @@
 // maxSyncWait is how long a commit waits for replicas before its connection is closed.
 const maxSyncWait = 1500 * time.Millisecond
 
-// awaitReplicas waits until the commit at the point has been received by
-// Group.SyncReplicas replicas. It returns false if the server ends, if a promotion ends
-// the term, or after maxSyncWait.
+// awaitReplicas waits until the commit at the point has been received by as many replicas
+// as the group needs. It returns false if the server ends, if a promotion ends the term,
+// or after maxSyncWait.
 func (s *Server) awaitReplicas(p state.Point) bool {
 	s.group.mu.Lock()
 	crashed := s.ended
@@ -238,9 +238,9 @@
 				received++
 			}
 		}
-		ended := s.down || s.group.term != p.Term
+		ended, acknowledged := s.down || s.group.term != p.Term, received >= s.group.syncReplicas
 		s.group.mu.Unlock()
-		if ended || received >= s.group.SyncReplicas {
+		if ended || acknowledged {
 			return !ended
 		}
 		select {
--- a/standin/managed/deployment.go
+++ b/standin/managed/deployment.go
@@ -148,7 +148,8 @@
 
 func (d *Deployment) startGroup(name string, index int) {
 	g := NewGroup(name, d.MaxConns, d.Lag, Backend{})
-	g.Unfenced, g.SyncReplicas, g.Capacity = d.Unfenced, d.SyncReplicas, d.Capacity
+	g.Unfenced, g.Capacity = d.Unfenced, d.Capacity
+	g.SetSyncReplicas(d.SyncReplicas)
 	d.Groups[name] = g
 	d.Store.AddGroup(g)
 	for z := range d.Zones {
--- a/standin/managed/store.go
+++ b/standin/managed/store.go
@@ -397,7 +397,7 @@
 }
 
 // execute runs an order to promote and reports whether the platform accepts it. An
-// accepted order promotes the server after the group's PromoteDelay.
+// accepted order promotes the server after the group's delay.
 func (c client) execute(g *Group, o Order) bool {
 	c.mu.Lock()
 	o.Refused = g == nil || !g.Unfenced && o.Token < c.fencingTokens[o.Group]
@@ -409,6 +409,9 @@
 	}
 	// Whether the server already is the primary is decided when the order takes
 	// effect.
-	time.AfterFunc(g.PromoteDelay, func() { g.promote(o.Server) })
+	g.mu.Lock()
+	delay := g.promoteDelay
+	g.mu.Unlock()
+	time.AfterFunc(delay, func() { g.promote(o.Server) })
 	return true
 }
--- a/standin/managed/sync_random_test.go
+++ b/standin/managed/sync_random_test.go
@@ -159,7 +159,7 @@
 			inDeployment(t, syncDeployment, func(d *Deployment) {
 				rng := rand.New(rand.NewPCG(uint64(seed), 1))
 				for _, g := range d.Groups {
-					g.PromoteDelay = 600 * time.Millisecond
+					g.SetPromoteDelay(600 * time.Millisecond)
 				}
 				l := startLoad(t, d)
 				time.Sleep(2 * time.Second)
--- a/standin/managed/sync_test.go
+++ b/standin/managed/sync_test.go
@@ -139,7 +139,7 @@
 		for deaf := range 2 {
 			t.Run(fmt.Sprintf("%v replica %d", down, deaf), func(t *testing.T) {
 				underSyncFaults(t, func(d *Deployment, g *Group, _ int) {
-					g.PromoteDelay = 600 * time.Millisecond
+					g.SetPromoteDelay(600 * time.Millisecond)
 					replica, primary := g.Replicas()[deaf], g.Primary()
 					replica.SetReplicationPaused(true)
 					primary.Crash()
@@ -225,7 +225,7 @@
 			t.Errorf("%s was promoted without a decision of the operators", now.ID)
 		}
 		d.Configure(func(c *catalog.Config) { c.Groups[0].SyncReplicas = 0 })
-		g.SyncReplicas = 0
+		g.SetSyncReplicas(0)
 		time.Sleep(4 * time.Second)
 		if g.Primary() == nil {
 			t.Error("no server was promoted")
