--- a/standin/managed/connections_test.go
+++ b/standin/managed/connections_test.go
@@ -140,6 +140,11 @@
 	}
 	if statements > 1 {
 		do(statement.Commit, "")
+		if !ok {
+			// Otherwise the failed transaction fails all later operations of the session, and
+			// one refusal counts more than 20 times.
+			c.Do(statement.Rollback, "")
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -153,9 +158,10 @@
 // Guards against customers that are refused because their owner has a small share, while
 // other owners have connections that nobody uses.
 func TestUnevenDemandOfManyOwners(t *testing.T) {
-	// With one connection per customer, 863 and 913 of 2000 operations are not served. Which
-	// lenders are asked first is random, so the bounds leave room.
-	for vms, most := range map[int]int{6: 20, 20: 200} {
+	// Without loans, 2 and 10 of 2000 operations are not served, and without loans and with
+	// 20 owners of the server, 102. The order of goroutines decides which lenders are asked
+	// first, so the bounds leave room: up to 2 and 6 were not served in 80 runs.
+	for vms, most := range map[int]int{6: 5, 20: 9} {
 		o := manyCustomers()
 		o.VMs, o.Customers, o.MaxConns = vms, 72, 59
 		inDeployment(t, o, func(d *Deployment) {
