--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -106,8 +106,18 @@
 	Received state.Point // end of its log
 	Usable   bool        // accepts new work
 	// Diverged says that the log has commits which a promotion dropped, see
-	// leadership.Group.Diverged. All other logs are better.
-	Diverged bool
+	// leadership.Group.Diverged and Promotions.Diverged. All other logs are better.
+	Diverged  bool
+	LeadsTerm uint64 // term of which it says that it is the primary, or zero
+	KnownTerm uint64 // newest term that any server knows
+}
+
+// BeginsTerm returns a lower bound of the term that a promotion of the candidate begins,
+// where known is the newest term that the fleet knows. It reports false if the candidate
+// already leads the newest one.
+func (c Candidate) BeginsTerm(known uint64) (uint64, bool) {
+	newest := max(known, c.KnownTerm)
+	return newest + 1, c.LeadsTerm == 0 || c.LeadsTerm < newest
 }
 
 // Survey holds what the servers of a group reported that may replace its primary.
--- a/transport/promotion/fenced.go
+++ b/transport/promotion/fenced.go
@@ -61,7 +61,7 @@
 		survey := c.survey(ctx, group, former)
 		best, ok := bestUntried(survey, syncReplicas, tried, awaited)
 		c.logSelection(group, survey, best, ok)
-		return best, ok
+		return best, ok && (syncReplicas > 0 || best.Server.ID == awaited || c.mayPromote(group, best))
 	}
 	for range maxOrders {
 		best, ok := selectUntried()
@@ -82,7 +82,7 @@
 			}
 			best = last
 		}
-		if c.promoteDesignated(ctx, group, best.Server, former) != notRunning {
+		if c.promoteDesignated(ctx, group, best, former, gs) != notRunning {
 			return
 		}
 		tried[best.Server.ID] = true
@@ -112,9 +112,8 @@
 func (c *Coordinator) switchOverFenced(ctx context.Context, group string, primary *catalog.Server, gs *groupState) {
 	defer c.finishPromotion(gs)
 	defer c.delaySwitchover(gs)
-	best, ok := succession.BestCandidate(c.survey(ctx, group, primary).Candidates)
+	best, ok := c.bestReplica(ctx, group, primary)
 	if !ok {
-		c.Logger.WithField("group", group).Error("promotion: no server can take over from the leaving primary.")
 		return
 	}
 	if !c.designate(ctx, group, best.Server, switchoverDrain) {
@@ -130,13 +129,13 @@
 		c.designate(ctx, group, primary, 0)
 		return
 	}
-	if caughtUp.Server == nil {
+	if caughtUp.Server == nil || caughtUp.Diverged {
 		caughtUp = best
 	}
 	if caughtUp.Server.ID != best.Server.ID && !c.designate(ctx, group, caughtUp.Server, 0) {
 		return
 	}
-	switch c.promoteDesignated(ctx, group, caughtUp.Server, primary) {
+	switch c.promoteDesignated(ctx, group, caughtUp, primary, gs) {
 	case notOrdered, notRunning:
 		// The leaving primary still is the primary.
 		c.designate(ctx, group, primary, 0)
@@ -160,7 +159,20 @@
 
 // promoteDesignated orders the promotion of a server that the VMs have accepted, until
 // it confirms its leadership. former is the previous primary, or nil.
-func (c *Coordinator) promoteDesignated(ctx context.Context, group string, server, former *catalog.Server) orderResult {
+func (c *Coordinator) promoteDesignated(ctx context.Context, group string, candidate succession.Candidate, former *catalog.Server, gs *groupState) orderResult {
+	before := c.beginTerm(group, candidate, gs)
+	result := c.orderDesignated(ctx, group, candidate.Server, former)
+	switch result {
+	case promoted:
+		c.refineTerm(group, candidate.Server.ID, gs)
+	case notRunning, notOrdered:
+		c.setPromotions(gs, before)
+	}
+	return result
+}
+
+// orderDesignated gives the orders of promoteDesignated.
+func (c *Coordinator) orderDesignated(ctx context.Context, group string, server, former *catalog.Server) orderResult {
 	result := notOrdered
 	for begin := clock.Now(); clock.Now()-begin < settleTimeout && ctx.Err() == nil; time.Sleep(pollInterval) {
 		err := c.sendFencedOrder(ctx, group, server)
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -134,8 +134,7 @@
 // log.
 func (c *Coordinator) switchOver(ctx context.Context, group string, primary *catalog.Server, gs *groupState) {
 	defer c.finishPromotion(gs)
-	if _, ok := succession.BestCandidate(c.survey(ctx, group, primary).Candidates); !ok {
-		c.Logger.WithField("group", group).Error("promotion: no server can take over from the leaving primary.")
+	if _, ok := c.bestReplica(ctx, group, primary); !ok {
 		return
 	}
 	synchronous := c.syncReplicas(group) > 0
@@ -161,7 +160,11 @@
 		return
 	}
 	best, complete := c.awaitCatchUp(ctx, group, primary, end)
-	if synchronous && !complete {
+	if best.Diverged && !steppedDown {
+		c.delaySwitchover(gs) // the primary may still work
+		return
+	}
+	if synchronous && !complete || best.Diverged {
 		c.Logger.WithFields(log.Fields{"group": group, "server": primary.ID}).Warn("promotion: no replica caught up, the leaving primary is kept.")
 		c.delaySwitchover(gs)
 		best = succession.Candidate{Server: primary, Received: end}
@@ -176,9 +179,15 @@
 // promote orders a promotion, waits for it to take effect, and reports whether
 // the server has become the primary.
 func (c *Coordinator) promote(ctx context.Context, group string, candidate succession.Candidate, gs *groupState) bool {
-	if !c.giveOrder(ctx, group, candidate.Server, gs) || !c.awaitLeadership(ctx, group, candidate.Server) {
+	before := c.beginTerm(group, candidate, gs)
+	err := c.giveOrder(ctx, group, candidate.Server, gs)
+	if errors.Is(err, ErrRefused) || errors.Is(err, ErrNotSent) {
+		c.setPromotions(gs, before)
+	}
+	if err != nil || !c.awaitLeadership(ctx, group, candidate.Server) {
 		return false
 	}
+	c.refineTerm(group, candidate.Server.ID, gs)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	gs.ordersEndAt = 0
@@ -218,12 +227,15 @@
 // executed. The server must confirm its leadership first: for one that was replaced, the
 // order would be a promotion, which drops the commits of its successor.
 func (c *Coordinator) orderToStay(ctx context.Context, group string, primary *catalog.Server, gs *groupState) bool {
-	return c.confirmsLeadership(ctx, group, primary) && c.giveOrder(ctx, group, primary, gs)
+	if !c.confirmsLeadership(ctx, group, primary) || c.giveOrder(ctx, group, primary, gs) != nil {
+		return false
+	}
+	c.dropFailedPromotions(group, primary.ID, gs)
+	return true
 }
 
-// giveOrder gives one order to the platform and reports whether it was
-// executed.
-func (c *Coordinator) giveOrder(ctx context.Context, group string, server *catalog.Server, gs *groupState) bool {
+// giveOrder gives one order to the platform. Its errors are those of sendOrder.
+func (c *Coordinator) giveOrder(ctx context.Context, group string, server *catalog.Server, gs *groupState) error {
 	c.recordOrder(ctx, group, gs)
 	err := c.sendOrder(ctx, group, server)
 	c.mu.Lock()
@@ -241,7 +253,7 @@
 	case !errors.Is(err, ErrNotSent):
 		gs.orderUnconfirmed = true
 	}
-	return err == nil
+	return err
 }
 
 // recordOrder begins to record that an order may be carried out even if this VM ends. The
--- a/transport/promotion/promotion.go
+++ b/transport/promotion/promotion.go
@@ -185,6 +185,7 @@
 	// checkingPause and pauseCheckAt are for findPaused.
 	checkingPause bool
 	pauseCheckAt  time.Duration
+	promotions    succession.Promotions
 	members       succession.Members
 	reviewing     bool          // members that are gone are being dropped
 	reviewAt      time.Duration // earliest time of the next attempt to do so
--- a/transport/promotion/promotion_test.go
+++ b/transport/promotion/promotion_test.go
@@ -191,7 +191,7 @@
 			if c.selected() {
 				t.Error("a VM in a minority is the coordinator")
 			}
-			if c.giveOrder(ctx, "g", table.Current().Servers["new"], &groupState{}) {
+			if c.giveOrder(ctx, "g", table.Current().Servers["new"], &groupState{}) == nil {
 				t.Error("a VM in a minority gave an order")
 			}
 		}
--- a/transport/promotion/record.go
+++ b/transport/promotion/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/succession"
@@ -17,10 +18,17 @@
 	// OrderOpen says that an order may still be carried out. It is set where commits wait
 	// for no replica; elsewhere a successor assumes that without a record.
 	OrderOpen bool
+	// Promotions has the latest ones, also those whose outcome is unknown.
+	Promotions succession.Promotions
+}
+
+// isEmpty reports whether the record says nothing.
+func (r GroupRecord) isEmpty() bool {
+	return len(r.Members) == 0 && !r.OrderOpen && len(r.Promotions) == 0
 }
 
 func (r GroupRecord) equal(other GroupRecord) bool {
-	return r.OrderOpen == other.OrderOpen && maps.Equal(r.Members, other.Members)
+	return r.OrderOpen == other.OrderOpen && maps.Equal(r.Members, other.Members) && slices.Equal(r.Promotions, other.Promotions)
 }
 
 // saveRetryDelay separates attempts to write the record after a failed one.
@@ -31,6 +39,7 @@
 func (c *Coordinator) inherit(group string, gs *groupState, registered []*catalog.Server) {
 	gs.claim, gs.supersedeAt = c.firstToken, clock.Now()+maxPromoteDelay
 	gs.orderUnconfirmed = gs.orderUnconfirmed || c.record[group].OrderOpen
+	gs.promotions = gs.promotions.Merge(c.record[group].Promotions)
 	if gs.paused == nil {
 		gs.paused, gs.members = make(map[string]bool), make(succession.Members)
 	}
@@ -53,7 +62,8 @@
 }
 
 // adoptRecord takes over the record of earlier coordinators. This VM may know of more
-// members if it was one of them and the store has lost changes since. The caller holds mu.
+// members and promotions if it was one of them and the store has lost changes since. The
+// caller holds mu.
 func (c *Coordinator) adoptRecord(stored map[string]GroupRecord) {
 	merged := maps.Clone(stored)
 	if merged == nil {
@@ -65,6 +75,7 @@
 		maps.Copy(members, known.Members)
 		maps.Copy(members, r.Members)
 		r.Members, r.OrderOpen = members, r.OrderOpen || known.OrderOpen
+		r.Promotions = r.Promotions.Merge(known.Promotions)
 		merged[group] = r
 	}
 	c.record = merged
@@ -121,11 +132,13 @@
 		if g == nil {
 			continue
 		}
-		r := GroupRecord{Members: maps.Clone(gs.members), OrderOpen: g.SyncReplicas == 0 && (gs.ordering || gs.orderUnconfirmed)}
-		if len(r.Members) > 0 || r.OrderOpen {
-			next[group] = r
-		} else {
+		r := GroupRecord{
+			Members: maps.Clone(gs.members), OrderOpen: g.SyncReplicas == 0 && (gs.ordering || gs.orderUnconfirmed), Promotions: gs.promotions,
+		}
+		if r.isEmpty() {
 			delete(next, group)
+		} else {
+			next[group] = r
 		}
 	}
 	c.mu.Unlock()
--- a/transport/promotion/survey.go
+++ b/transport/promotion/survey.go
@@ -37,9 +37,13 @@
 	d := c.Table.Current()
 	type answer struct {
 		candidate succession.Candidate
+		report    sqlback.Report
 		err       error
 	}
-	servers, members := d.GroupServers(group), c.membersOf(group)
+	servers, members, promotions := d.GroupServers(group), c.membersOf(group), c.promotionsOf(group)
+	if c.syncReplicas(group) > 0 {
+		promotions = nil // the longest log is among those that report
+	}
 	answers := make(chan answer, len(servers))
 	asked := 0
 	for _, server := range servers {
@@ -54,16 +58,22 @@
 				c.Logger.WithError(err).WithFields(log.Fields{"group": group, "server": server.ID}).Warn("promotion: a server did not report its position.")
 			} else {
 				c.Leadership.With(group, func(l *leadership.Group) { candidate.Diverged = l.Diverged(server.ID, r.Received) })
+				candidate.Diverged = candidate.Diverged || promotions.Diverged(server.ID, r.Received)
 			}
-			answers <- answer{candidate, err}
+			answers <- answer{candidate, r, err}
 		}()
 	}
 	s := succession.Survey{Silent: members.Missing(servers)}
 	if except != nil && d.Servers[except.ID] != nil {
 		s.Silent = append(s.Silent, except.ID)
 	}
+	newest := uint64(0)
 	for range asked {
 		a := <-answers
+		newest = max(newest, a.report.Term)
+		if a.report.Primary {
+			a.candidate.LeadsTerm = a.report.Term
+		}
 		if a.err == nil && !members.HasLostLog(a.candidate.Server, a.candidate.Received) {
 			s.Candidates = append(s.Candidates, a.candidate)
 			continue
@@ -71,6 +81,9 @@
 		s.Silent = append(s.Silent, a.candidate.Server.ID)
 		s.Led = s.Led || errors.Is(a.err, errOtherLeads)
 	}
+	for i := range s.Candidates {
+		s.Candidates[i].KnownTerm = newest
+	}
 	return s
 }
 
@@ -82,7 +95,7 @@
 	survey := c.survey(ctx, group, primary)
 	best, ok := succession.SelectSuccessor(survey, 0)
 	c.logSelection(group, survey, best, ok)
-	return best, ok
+	return best, ok && c.mayPromote(group, best)
 }
 
 // logSelection logs which server is to take over, or that none can, with the inputs of
@@ -97,6 +110,17 @@
 		Info("promotion: successor selected.")
 }
 
+// bestReplica returns the usable server to take over from a leaving primary. It reports
+// false if there is none whose log is not known to have diverged.
+func (c *Coordinator) bestReplica(ctx context.Context, group string, primary *catalog.Server) (succession.Candidate, bool) {
+	best, ok := succession.BestCandidate(c.survey(ctx, group, primary).Candidates)
+	if !ok || best.Diverged {
+		c.Logger.WithField("group", group).Error("promotion: no server can take over from the leaving primary.")
+		return succession.Candidate{}, false
+	}
+	return best, true
+}
+
 // awaitCatchUp waits until a usable server has the log of the leaving primary up to end,
 // for at most catchUpTimeout. It returns the usable server with the longest log, with a
 // nil Server if there is none, and reports whether it has all of that log.
