--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -186,6 +186,10 @@
 // ConfirmedPrimary returns the server that confirmed its leadership last, or "".
 func (g *Group) ConfirmedPrimary() string { return g.primary }
 
+// FirstPoint returns the end of the log of the server that confirmed its leadership last, in
+// the first of its confirmations. It may end in the former term.
+func (g *Group) FirstPoint() state.Point { return g.firstPoint }
+
 // Term returns the highest confirmed term.
 func (g *Group) Term() uint64 { return g.term }
 
--- a/transport/promotion/duty.go
+++ b/transport/promotion/duty.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -11,7 +10,6 @@
 
 	"github.com/chestnutdyke/chestnutdyke/coordination/fencing"
 	"github.com/chestnutdyke/chestnutdyke/state"
-	"github.com/chestnutdyke/chestnutdyke/state/catalog"
 	"github.com/chestnutdyke/chestnutdyke/transport/clock"
 )
 
@@ -53,7 +51,7 @@
 		// reaches a majority, and learns what has changed meanwhile.
 		c.selectedSince = 0
 		c.mu.Lock()
-		c.unverified = c.anyGroupWaits()
+		c.unverified = true
 		c.mu.Unlock()
 		return false
 	}
@@ -101,15 +99,9 @@
 	return c.nextToken < c.endToken
 }
 
-// anyGroupWaits reports whether commits of any group wait for replicas.
-func (c *Coordinator) anyGroupWaits() bool {
-	config := c.Table.Current().Config
-	return config != nil && slices.ContainsFunc(config.Groups, func(g catalog.Group) bool { return g.SyncReplicas > 0 })
-}
-
 // verifyDuty reports whether this VM may go on with the duty after it has reached no majority
-// of the VMs. Another one may have claimed the duty meanwhile, and given orders that may
-// still be carried out. While the store does not answer, this VM goes on.
+// of the VMs. Another one may have claimed the duty meanwhile, and promoted servers without
+// this VM's knowledge or given orders that may still be carried out. While the store does not answer, this VM goes on.
 func (c *Coordinator) verifyDuty(ctx context.Context) bool {
 	c.mu.Lock()
 	due := c.unverified && clock.Now() >= c.verifyAt
@@ -197,6 +189,13 @@
 	}
 }
 
+// claim returns the first token of this VM's latest claim of the duty.
+func (c *Coordinator) claim() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.firstToken
+}
+
 // isExclusive reports whether no earlier coordinator can send an order.
 func (c *Coordinator) isExclusive() bool {
 	c.mu.Lock()
--- a/transport/promotion/order.go
+++ b/transport/promotion/order.go
@@ -112,7 +112,11 @@
 		defer c.resumeReplicas(ctx, group, gs)
 	}
 	for range maxOrders {
+		claim := c.claim()
 		best, ok := c.awaitSuccessor(ctx, group, primary, gs)
+		if c.claim() != claim {
+			continue // another VM held the duty meanwhile, and may have promoted a server
+		}
 		if !ok {
 			return
 		}
--- a/transport/promotion/record.go
+++ b/transport/promotion/record.go
@@ -79,6 +79,9 @@
 		merged[group] = r
 	}
 	c.record = merged
+	for group, gs := range c.groups {
+		gs.promotions = gs.promotions.Merge(merged[group].Promotions)
+	}
 	c.recordChanged = len(merged) > 0 // the store may have lost a part
 }
 
--- a/transport/promotion/record_test.go
+++ b/transport/promotion/record_test.go
@@ -116,12 +116,14 @@
 }
 
 // Guards against a VM that goes on with the duty after it was cut off, although another one
-// has claimed it meanwhile: it would not supersede the orders of that one.
+// has claimed it meanwhile: it would not supersede the orders of that one, and not know of
+// its promotions.
 func TestDutyIsVerifiedAfterMinority(t *testing.T) {
 	for name, claimed := range map[string]bool{"another VM has claimed the duty": true, "nobody has": false} {
 		record := &dutyRecord{era: 1}
 		first, second := newHolder("first", record), newHolder("second", record)
 		setGroup(first, &catalog.Server{ID: "a", Group: "g", Born: 1})
+		first.Table.Current().Config.Group("g").SyncReplicas = 0
 		mustClaim(t, first)
 		token := first.firstToken
 		first.View = func() *placement.View { return &placement.View{Self: "first", Members: 3} }
--- a/transport/promotion/survey.go
+++ b/transport/promotion/survey.go
@@ -40,10 +40,7 @@
 		report    sqlback.Report
 		err       error
 	}
-	servers, members, promotions := d.GroupServers(group), c.membersOf(group), c.promotionsOf(group)
-	if c.syncReplicas(group) > 0 {
-		promotions = nil // the longest log is among those that report
-	}
+	servers, members := d.GroupServers(group), c.membersOf(group)
 	answers := make(chan answer, len(servers))
 	asked := 0
 	for _, server := range servers {
@@ -58,7 +55,6 @@
 				c.Logger.WithError(err).WithFields(log.Fields{"group": group, "server": server.ID}).Warn("promotion: a server did not report its position.")
 			} else {
 				c.Leadership.With(group, func(l *leadership.Group) { candidate.Diverged = l.Diverged(server.ID, r.Received) })
-				candidate.Diverged = candidate.Diverged || promotions.Diverged(server.ID, r.Received)
 			}
 			answers <- answer{candidate, r, err}
 		}()
@@ -81,8 +77,14 @@
 		s.Silent = append(s.Silent, a.candidate.Server.ID)
 		s.Led = s.Led || errors.Is(a.err, errOtherLeads)
 	}
+	var promotions succession.Promotions
+	if c.syncReplicas(group) == 0 { // else the longest log is among those that report
+		promotions = c.promotionsOf(group)
+	}
 	for i := range s.Candidates {
-		s.Candidates[i].KnownTerm = newest
+		candidate := &s.Candidates[i]
+		candidate.KnownTerm = newest
+		candidate.Diverged = candidate.Diverged || promotions.Diverged(candidate.Server.ID, candidate.Received)
 	}
 	return s
 }
--- a/transport/promotion/terms.go
+++ b/transport/promotion/terms.go
@@ -58,8 +58,8 @@
 func (c *Coordinator) refineTerm(group, server string, gs *groupState) {
 	var end state.Point
 	c.Leadership.With(group, func(l *leadership.Group) {
-		if id, latest, ok := l.LatestConfirmation(); ok && id == server {
-			end = latest.Point
+		if l.ConfirmedPrimary() == server {
+			end = l.FirstPoint()
 		}
 	})
 	c.mu.Lock()
--- a/transport/promotion/terms_test.go
+++ b/transport/promotion/terms_test.go
@@ -21,7 +21,8 @@
 // servers that report to be primaries. Other servers do not answer.
 type reportedLogs struct {
 	sqlback.Dialect
-	reports map[string]sqlback.Report
+	reports  map[string]sqlback.Report
+	onReport func() // called before each report, unless nil
 }
 
 // Run implements Runner.
@@ -35,6 +36,9 @@
 	case w.BeginsTx:
 		done(statement.Result{Answer: statement.Refusal(statement.ReadOnly, "")})
 	default:
+		if l.onReport != nil {
+			l.onReport()
+		}
 		done(statement.Result{Answer: statement.Answer{Rows: []string{w.Server}}})
 	}
 }
@@ -156,7 +160,7 @@
 
 // Guards against a term that is counted twice, because an order is repeated for a server
 // that already leads, and against a start that is missed as the server received more records
-// before its order.
+// before its order, or is taken from the log of the former primary.
 func TestTermOfRepeatedOrder(t *testing.T) {
 	reports := map[string]sqlback.Report{"b": reportOf(3, 3, 40)}
 	c := newTermHolder(t, "vm", &dutyRecord{era: 1}, reports)
@@ -165,6 +169,7 @@
 		reports[server] = sqlback.Report{Primary: true, Term: 4, Received: state.Point{Term: 3, Position: 43}}
 		return nil
 	})
+	c.Leadership.With("g", func(l *leadership.Group) { l.RecordConfirmation("a", state.Point{Term: 3, Position: 58}, 1) })
 	want := succession.Promotions{{Server: "b", Start: state.Point{Term: 4, Position: 43}}}
 	for range 2 {
 		best, _ := c.awaitSuccessor(t.Context(), "g", &catalog.Server{ID: "a"}, gs)
@@ -176,3 +181,35 @@
 		}
 	}
 }
+
+// Guards against a former holder of the duty that orders the promotion of a former primary:
+// its first order is refused, and it claims the duty again while it asks the servers.
+func TestClaimDuringSurvey(t *testing.T) {
+	now := time.Hour
+	clock.SetForTest(func() time.Duration { return now })
+	defer clock.SetForTest(nil)
+	record := &dutyRecord{era: 1}
+	reports := map[string]sqlback.Report{"a": reportOf(3, 3, 58)}
+	first := newTermHolder(t, "first", record, reports)
+	second := newTermHolder(t, "second", record, map[string]sqlback.Report{"b": reportOf(3, 3, 40)})
+	second.Platform = platformFunc(func(string) error { return context.DeadlineExceeded })
+	best, _ := second.awaitSuccessor(t.Context(), "g", &catalog.Server{ID: "a"}, second.groups["g"])
+	second.promote(t.Context(), "g", best, second.groups["g"])
+	second.background.Wait()
+
+	first.Leadership.With("g", func(l *leadership.Group) {
+		l.RecordConfirmation("b", state.Point{Term: 4, Position: 60}, now-time.Second)
+	})
+	first.Runner = reportedLogs{reports: reports, onReport: func() {
+		if !first.holdsDuty() {
+			mustClaim(t, first)
+		}
+	}}
+	orders := 0
+	first.Platform = platformFunc(func(string) error { orders++; return ErrRefused })
+	first.replacePrimary(t.Context(), "g", &catalog.Server{ID: "b"}, first.groups["g"])
+	first.background.Wait()
+	if orders != 1 {
+		t.Errorf("%d orders to promote a server with dropped commits, want the one that was refused", orders)
+	}
+}
