--- a/transport/promotion/record_test.go
+++ b/transport/promotion/record_test.go
@@ -119,25 +119,33 @@
 // has claimed it meanwhile: it would not supersede the orders of that one, and not know of
 // its promotions.
 func TestDutyIsVerifiedAfterMinority(t *testing.T) {
-	for name, claimed := range map[string]bool{"another VM has claimed the duty": true, "nobody has": false} {
+	for name, tt := range map[string]struct {
+		claimed      bool
+		syncReplicas int
+	}{
+		"another VM has claimed the duty":                 {true, 0},
+		"another VM has claimed the duty, replicas count": {true, 1},
+		"nobody has claimed the duty":                     {false, 0},
+		"nobody has claimed the duty, replicas count":     {false, 1},
+	} {
 		record := &dutyRecord{era: 1}
 		first, second := newHolder("first", record), newHolder("second", record)
 		setGroup(first, &catalog.Server{ID: "a", Group: "g", Born: 1})
-		first.Table.Current().Config.Group("g").SyncReplicas = 0
+		first.Table.Current().Config.Group("g").SyncReplicas = tt.syncReplicas
 		mustClaim(t, first)
 		token := first.firstToken
 		first.View = func() *placement.View { return &placement.View{Self: "first", Members: 3} }
 		if first.selected() {
 			t.Fatal("a VM in a minority is selected")
 		}
-		if claimed {
+		if tt.claimed {
 			mustClaim(t, second)
 		}
 		mustClaim(t, first)
-		if again := first.firstToken != token; again != claimed {
+		if again := first.firstToken != token; again != tt.claimed {
 			t.Errorf("%s: claimed again %v", name, again)
 		}
-		if claimed && first.firstToken <= second.firstToken {
+		if tt.claimed && first.firstToken <= second.firstToken {
 			t.Errorf("token %d after %d", first.firstToken, second.firstToken)
 		}
 	}
