--- a/transport/promotion/duty.go
+++ b/transport/promotion/duty.go
@@ -101,7 +101,8 @@
 
 // verifyDuty reports whether this VM may go on with the duty after it has reached no majority
 // of the VMs. Another one may have claimed the duty meanwhile, and promoted servers without
-// this VM's knowledge or given orders that may still be carried out. While the store does not answer, this VM goes on.
+// this VM's knowledge or given orders that may still be carried out. While the store does
+// not answer, this VM goes on.
 func (c *Coordinator) verifyDuty(ctx context.Context) bool {
 	c.mu.Lock()
 	due := c.unverified && clock.Now() >= c.verifyAt
